Never claim one key twice in a transaction

Cause: two claims of one idempotency key that reached one router within 3 ms went into one transaction. Both conditions 'row absent' held before either was written, so both were granted and the order ran up to three times. Ruled out: tombstones and takeover, since the doubles also came where no fault was on and only from concurrent repeats.

Change: claims are divided into batches without a repeated key, and the table stand-in refuses a transaction that names a key twice. A seeded soak (tools/soak.py) that draws faults in pairs found it and lands too.

The unit test of the batch fails on the old code.

--- a/boragetrail/router/claims.py
+++ b/boragetrail/router/claims.py
@@ -5,7 +5,7 @@
 from boragetrail.errors import PlatformFailure
 from boragetrail.platform import Put, Row
 
-__all__ = ["ClaimController"]
+__all__ = ["ClaimController", "distinct_batches"]
 
 BATCH_ROWS = 25
 GATHER_S = 0.003
@@ -83,10 +83,9 @@
     async def _gather(self):
         await asyncio.sleep(GATHER_S)
         self.gathering = False
-        batch, self.waiting = self.waiting, []
-        while batch:
-            part, batch = batch[:BATCH_ROWS], batch[BATCH_ROWS:]
-            self.tasks.start(self._transact(part), "transact claims")
+        waiting, self.waiting = self.waiting, []
+        for batch in distinct_batches(waiting):
+            self.tasks.start(self._transact(batch), "transact claims")
 
     async def _transact(self, batch):
         while batch:
@@ -109,6 +108,24 @@
             _resolve(each, Row(put.key, version, put.value))
 
 
+def distinct_batches(waiting):
+    """Divide claims into batches in which no key stands twice.
+
+    Both conditions of two claims of one key would hold before either is
+    written, so one transaction would grant both.
+    """
+    batches = []
+    for each in waiting:
+        for batch in batches:
+            keys = {other.put.key for other in batch}
+            if len(batch) < BATCH_ROWS and each.put.key not in keys:
+                batch.append(each)
+                break
+        else:
+            batches.append([each])
+    return batches
+
+
 def _resolve(waiting, result):
     if not waiting.result.done():
         waiting.result.set_result(result)
--- /dev/null
+++ b/boragetrail/router/tests/test_claims.py
@@ -0,0 +1,97 @@
+"""Tests of claims."""
+
+import asyncio
+
+from boragetrail.errors import PlatformFailure
+from boragetrail.platform import Row
+from boragetrail.router.claims import ClaimController
+from boragetrail.utils import TaskGroup
+
+
+class MemoryTable:
+    """A table in memory that can lose the answers of writes."""
+
+    def __init__(self):
+        self.rows_by_key = {}
+        self.lose = 0
+        self.delayed = []
+        self.delay = 0
+        self.transactions = 0
+
+    async def transact(self, puts):
+        self.transactions += 1
+        await asyncio.sleep(0)
+        if self.delay:
+            self.delay -= 1
+            self.delayed.append(puts)
+            return PlatformFailure("late")
+        result = self.write(puts)
+        if self.lose:
+            self.lose -= 1
+            return PlatformFailure("answer lost")
+        return result
+
+    def write(self, puts):
+        conflicts = {
+            put.key: self.row(put.key)
+            for put in puts
+            if self.row(put.key).version != put.if_version
+        }
+        if conflicts:
+            return PlatformFailure("conflict", False, conflicts)
+        for put in puts:
+            version = self.row(put.key).version + 1
+            self.rows_by_key[put.key] = Row(put.key, version, put.value)
+        return [self.row(put.key).version for put in puts]
+
+    async def get(self, key):
+        return self.row(key)
+
+    def row(self, key):
+        return self.rows_by_key.get(key, Row(key, 0, None))
+
+
+class TestClaimController:
+    """A claim is granted to one order id only."""
+
+    def setup_method(self):
+        self.table = MemoryTable()
+        self.claims = ClaimController(self.table, TaskGroup())
+
+    def claim(self, key, order_id):
+        return self.claims.claim(key, {"order_id": order_id}, 0)
+
+    async def test_same_key_twice_in_one_batch_is_granted_once(self):
+        granted = await asyncio.gather(
+            *[self.claim("k", f"c{n}") for n in range(3)]
+        )
+        assert [own for _, own in granted].count(True) == 1
+
+    async def test_other_claims_of_a_batch_share_a_transaction(self):
+        await asyncio.gather(*[self.claim(f"k{n}", "c") for n in range(10)])
+        assert self.table.transactions == 1
+
+    async def test_own_claim_is_recognised_after_a_lost_answer(self):
+        self.table.lose = 1
+        row, own = await self.claim("k", "c1")
+        assert own and row.version == 1
+
+    async def test_foreign_claim_is_recognised_after_a_lost_answer(self):
+        await self.claim("k", "other")
+        self.table.lose = 1
+        row, own = await self.claim("k", "c1")
+        assert not own and row.value["order_id"] == "other"
+
+    async def test_claim_that_takes_effect_late_is_the_same_claim(self):
+        self.table.delay = 1
+        row, own = await self.claim("k", "c1")
+        assert own
+        late = self.table.write(self.table.delayed[0])
+        assert isinstance(late, PlatformFailure)
+
+    async def test_conflict_of_one_leaves_the_others_granted(self):
+        await self.claim("k0", "other")
+        granted = await asyncio.gather(
+            *[self.claim(f"k{n}", "mine") for n in range(3)]
+        )
+        assert [own for _, own in granted] == [False, True, True]
--- a/standins/platform.py
+++ b/standins/platform.py
@@ -59,6 +59,8 @@
         if not self.writes.take():
             return aiohttp.web.json_response({}, status=429)
         puts = (await request.json())["puts"]
+        if len({put["key"] for put in puts}) < len(puts):
+            return aiohttp.web.json_response({}, status=400)
         conflicts = [
             self._as_dict(put["key"])
             for put in puts
--- /dev/null
+++ b/tools/soak.py
@@ -0,0 +1,242 @@
+"""Draw faults in pairs against a deployment and check every history."""
+
+import asyncio
+import hashlib
+import json
+import pathlib
+import random
+import sys
+import time
+
+import typer
+
+from standins.engine import answer_words
+from tools.client import Caller
+from tools.deployments import kowhai
+from tools.faults import FAULTS
+from tools.fleet import Fleet
+
+__all__ = ["History", "Soak"]
+
+CHAT_WORKERS = 10
+ORDER_WORKERS = 6
+FAULT_S = 3.0
+CALM_S = 2.5
+OUT = pathlib.Path("out")
+
+
+class History:
+    """All that callers saw, and the violations found in it."""
+
+    def __init__(self):
+        self.answers_by_order = {}
+        self.chats = []
+        self.faults = []
+        self.counts = {}
+        self.violations = []
+
+    def count(self, name):
+        """Count one occurrence."""
+        self.counts[name] = self.counts.get(name, 0) + 1
+
+    def violated(self, text):
+        """Record a violation."""
+        self.violations.append(text)
+        print(f"VIOLATION {text[:600]}", flush=True)
+
+    def check_chat(self, result, words, began_s, ended_s):
+        """Check one chat turn as it ended."""
+        self.count("chats")
+        wanted = " ".join(answer_words(words, 24))
+        if result.whole:
+            self.count("chats whole")
+            if result.text.strip() != wanted:
+                request = result.headers.get("X-Request-Id")
+                self.violated(f"chat {request}: {result.text!r}")
+            return
+        if result.problem is None:
+            self.violated(f"chat ended cleanly and is cut: {result.text!r}")
+            return
+        code = result.problem["code"]
+        self.count(f"chat {code}")
+        if code == "cut" and self._only_planned(began_s, ended_s):
+            self.violated(f"planned stop cut a chat: {result.problem}")
+
+    def check_orders(self, executions):
+        """Check all orders against the applications' own counters."""
+        for order, answers in self.answers_by_order.items():
+            runs = executions.get(order, 0)
+            bodies = {body for status, body in answers if status == 200}
+            rans = [ran_of(status, body) for status, body in answers]
+            if runs > 1:
+                self.violated(f"order {order} ran {runs} times: {answers}")
+            if len(bodies) > 1:
+                self.violated(f"order {order} has answers {bodies}")
+            if bodies and runs != 1:
+                self.violated(f"order {order} answered, ran {runs} times")
+            if runs and all(ran == "no" for ran in rans):
+                self.violated(f"order {order} was told not run: {answers}")
+
+    def _only_planned(self, began_s, ended_s):
+        near = [
+            name
+            for name, at_s, until_s in self.faults
+            if at_s - 3.0 < ended_s and began_s < until_s + 8.0
+        ]
+        return bool(near) and all(name.startswith("planned") for name in near)
+
+
+def ran_of(status, body):
+    """Return what an answer says of the order: no, unknown or yes."""
+    if status == 200:
+        return "yes"
+    try:
+        return json.loads(body)["ran"]
+    except (ValueError, KeyError, TypeError):
+        return "unknown"
+
+
+class Soak:
+    """Run traffic and faults for a while.
+
+    :param seed: seed of the faults and of the traffic
+    """
+
+    def __init__(self, seed):
+        self.random = random.Random(seed)
+        deployment = kowhai(cold_words=60)
+        self.fleet = Fleet(deployment, proxied=True)
+        self.history = History()
+        self.routers = list(range(len(deployment.routers)))
+        self.going = True
+
+    async def run(self, seconds):
+        """Run and check; returns the history."""
+        await self.fleet.start()
+        try:
+            workers = [self._chats(n) for n in range(CHAT_WORKERS)]
+            workers += [self._orders(n) for n in range(ORDER_WORKERS)]
+            tasks = [asyncio.create_task(worker) for worker in workers]
+            await self._faults(time.monotonic() + seconds)
+            self.going = False
+            await asyncio.gather(*tasks)
+            self.history.check_orders(await self._executions())
+        finally:
+            await self.fleet.stop()
+        return self.history
+
+    def caller(self, customer):
+        """Return a caller at a router that the balancer knows as ready."""
+        url = self.fleet.router(self.random.choice(self.routers))
+        key = self.fleet.key_of(customer)
+        return Caller(self.fleet.session, url.url("callers"), key)
+
+    async def _faults(self, until_s):
+        while time.monotonic() < until_s:
+            pair = self.random.sample(FAULTS, 2)
+            names = [fault.__name__ for fault in pair]
+            began_s = time.monotonic()
+            records = [[name, began_s, began_s + 60.0] for name in names]
+            self.history.faults.extend(records)
+            undo = [await fault(self) for fault in pair]
+            await asyncio.sleep(FAULT_S)
+            for each in undo:
+                if each is not None:
+                    await each()
+            for record in records:
+                record[2] = time.monotonic()
+            for name in names:
+                self.history.count(f"fault {name}")
+            await asyncio.sleep(CALM_S)
+
+    async def _chats(self, number):
+        turn = 0
+        while self.going:
+            customer = f"customer-{number % 10}"
+            text = f"chat {number} {turn} " + "guide " * 60
+            messages = [{"role": "user", "content": text}]
+            began_s = time.monotonic()
+            result = await self.caller(customer).chat(messages)
+            ended_s = time.monotonic()
+            self.history.check_chat(result, text.split(), began_s, ended_s)
+            turn += 1
+            await asyncio.sleep(0.05)
+
+    async def _orders(self, number):
+        turn = 0
+        kinds = ("key", "ticket", "once", "race")
+        while self.going:
+            order = f"order-{number}-{turn}"
+            kind = self.random.choice(kinds)
+            answers = await self._place(order, kind, f"customer-{number}")
+            self.history.answers_by_order[order] = answers
+            self.history.count(f"orders {kind}")
+            for status, body in answers:
+                self.history.count(f"order ran={ran_of(status, body)}")
+            turn += 1
+            await asyncio.sleep(0.05)
+
+    async def _place(self, order, kind, customer):
+        path = f"/services/exports/exports?order={order}&delay_ms=120"
+        body = hashlib.sha256(order.encode()).digest()
+        if kind == "once":
+            return [await self._post(customer, path, body, "")]
+        key = order
+        if kind == "ticket":
+            key = await self._ticket(customer)
+            if not key:
+                return []
+        if kind == "race":
+            posts = [self._post(customer, path, body, key) for _ in range(3)]
+            return list(await asyncio.gather(*posts))
+        answers = []
+        for _ in range(3):
+            answers.append(await self._post(customer, path, body, key))
+            if answers[-1][0] == 200 and self.random.random() < 0.5:
+                break
+            await asyncio.sleep(self.random.uniform(0, 0.5))
+        return answers
+
+    async def _post(self, customer, path, body, key):
+        status, data, _ = await self.caller(customer).request(
+            "POST", path, body, key
+        )
+        return status, data
+
+    async def _ticket(self, customer):
+        status, data, _ = await self.caller(customer).request(
+            "POST", "/tickets/exports"
+        )
+        return json.loads(data)["ticket"] if status == 200 else ""
+
+    async def _executions(self):
+        totals = {}
+        for server in self.fleet.deployment.servers:
+            if server.kind == "application":
+                node = self.fleet.nodes[f"{server.name}-backend"]
+                url = f"{node.url('main')}/executions"
+                for order, runs in (await self.fleet.get_json(url)).items():
+                    totals[order] = totals.get(order, 0) + runs
+        return totals
+
+
+def main(seconds: float = 300.0, seed: int = 1):
+    """Run the soak and print its totals."""
+    soak = Soak(seed)
+    history = asyncio.run(soak.run(seconds))
+    totals = {
+        "seconds": seconds,
+        "seed": seed,
+        "counts": dict(sorted(history.counts.items())),
+        "violations": [text[:300] for text in history.violations],
+    }
+    OUT.mkdir(exist_ok=True)
+    text = json.dumps(totals, indent=2)
+    (OUT / "soak.json").write_text(text)
+    print(text)
+    print(f"logs: {soak.fleet.folder}")
+    sys.exit(1 if history.violations else 0)
+
+
+if __name__ == "__main__":
+    typer.run(main)
