Prove the order protocol and find counterexamples of its weakenings

Cause: at most once, true 'not run' and versions that never revert had tests of single traces only.

Change: a specification of claims, dispatch, tombstones, takeover, agent restarts, delayed and repeated writes and frames, of tickets, and of versions, checked with z3. Keyed orders are proved by induction on a written invariant over three claims and any number of restarts; tickets and versions by the fixed-point engine. Weighed: the fixed-point engine for keyed orders too (gave no answer in 240 s), and a first model that bound one claim id twice, which the code does not do.

The engine stand-in repeated its last word when a stream was resumed behind it; the soak showed that as one chat with 25 of 24 words.

--- a/Makefile
+++ b/Makefile
@@ -18,7 +18,7 @@
 
 lint: .venv/installed
 	$(BIN)/ruff format --check .
-	$(BIN)/flake8 boragetrail standins tools features
+	$(BIN)/flake8 boragetrail standins tools specification features
 
 format: .venv/installed
 	$(BIN)/ruff format .
--- /dev/null
+++ b/specification/tests/test_protocol.py
@@ -0,0 +1,63 @@
+"""Proofs of the protocol, and counterexamples of its weakenings."""
+
+import pytest
+
+from boragetrail.orders.state import OrderState
+import specification as spec
+from specification import orders
+
+ORDER_PROPERTIES = ("at most once", "true not run")
+SEARCH_DEPTH = 10
+
+
+class TestOrders:
+    """A keyed order runs at most once, and "not run" is true."""
+
+    @pytest.mark.parametrize("name", ORDER_PROPERTIES)
+    def test_proof(self, name):
+        assert spec.prove(spec.order_model(), name)
+
+    @pytest.mark.parametrize("weakening", spec.ORDER_WEAKENINGS)
+    def test_weakening_has_a_counterexample(self, weakening):
+        model = spec.order_model(weakening, count=2)
+        traces = [
+            spec.find_trace(model, name, SEARCH_DEPTH)
+            for name in ORDER_PROPERTIES
+        ]
+        assert any(traces)
+
+    def test_states_have_the_names_of_the_code(self):
+        for state in OrderState:
+            assert hasattr(orders, state.name)
+
+
+class TestTickets:
+    """An order with a ticket runs at most once without the store."""
+
+    @pytest.mark.parametrize("name", ORDER_PROPERTIES)
+    def test_proof(self, name):
+        assert spec.prove(spec.ticket_model(), name)
+
+    @pytest.mark.parametrize("weakening", spec.TICKET_WEAKENINGS)
+    def test_weakening_has_a_counterexample(self, weakening):
+        model = spec.ticket_model(weakening)
+        traces = [
+            spec.find_trace(model, name, SEARCH_DEPTH)
+            for name in ORDER_PROPERTIES
+        ]
+        assert any(traces)
+
+
+class TestVersions:
+    """A process never goes back to an older version."""
+
+    @pytest.mark.parametrize(
+        "name", ["never reverts", "never ahead of the store"]
+    )
+    def test_proof(self, name):
+        assert spec.prove(spec.version_model(), name)
+
+    @pytest.mark.parametrize("weakening", spec.VERSION_WEAKENINGS)
+    def test_weakening_has_a_counterexample(self, weakening):
+        model = spec.version_model(weakening)
+        assert spec.find_trace(model, "never reverts", SEARCH_DEPTH)
--- a/standins/engine.py
+++ b/standins/engine.py
@@ -63,7 +63,9 @@
         self.made = skip
         self.prefilled = False
         self.events = asyncio.Queue()
-        self.gone = False
+        # A stream may be resumed behind its last word or behind its usage.
+        self.ended = skip >= wanted
+        self.gone = self.ended
 
 
 class PrefixCache:
@@ -250,7 +252,7 @@
         wanted = int(body.get("max_tokens", DEFAULT_ANSWER_WORDS))
         skip = int(request.headers.get("X-Resume-Events", "0"))
         chat_id = request.headers.get("X-Chat-Id", body.get("chat_id", ""))
-        sequence = Sequence(words, wanted, min(skip, wanted - 1), chat_id)
+        sequence = Sequence(words, wanted, skip, chat_id)
         priority = int(request.headers.get("X-Priority", "5"))
         entry = (priority, next(self.counter), sequence)
         heapq.heappush(self.waiting, entry)
@@ -281,7 +283,7 @@
         response.enable_chunked_encoding()
         words = answer_words(sequence.words, sequence.wanted)
         prepared = False
-        while True:
+        while not sequence.ended:
             made = await sequence.events.get()
             if made is None:
                 request.transport.abort()
@@ -292,8 +294,11 @@
             await response.write(_event(words[made - 1] + " "))
             if made >= sequence.wanted:
                 break
-        usage = {"choices": [], "usage": self._usage(sequence)}
-        await response.write(f"data: {json.dumps(usage)}\n\n".encode())
+        if not prepared:
+            await response.prepare(request)
+        if sequence.skip <= sequence.wanted:
+            usage = {"choices": [], "usage": self._usage(sequence)}
+            await response.write(f"data: {json.dumps(usage)}\n\n".encode())
         await response.write(b"data: [DONE]\n\n")
         await response.write_eof()
         return response
