Keep bursts, cold turns and slow callers within their bounds

Cause, each found by a scenario with real processes: (1) 50 streams that came at once through one router were partly refused with over-cap, since every dispatch saw the load before the burst and the retries ran out; (2) an engine that turned cold under streams got more work for the 0.4 s that four slow paces take, and fell over; (3) one read from a backend server could add 384 KB to a full window of 256 KB.

Change: a router counts what it sends at once, and that count travels as evidence; an agent starts nothing while a step of its engine is overdue (StallGate); a request for which no other server is left may wait for a cold one; reads are cut to 64 KB. Ruled out for (1): a larger retry budget, which only moves the size of the burst.

--- a/boragetrail/agent/attempts.py
+++ b/boragetrail/agent/attempts.py
@@ -8,6 +8,7 @@
 from boragetrail.agent.stream import AnswerStream
 from boragetrail.errors import BackendFailure, Refusal
 from boragetrail.events import Event, log_event
+from boragetrail.policy import StallGate
 from boragetrail.reasons import Ran, Reason
 
 __all__ = ["Attempt", "AttemptController"]
@@ -19,6 +20,7 @@
 STREAM_BYTES = 64 * 1024 * 1024
 RETENTION_S = 86_400
 WAIT_LIMIT_S = 1.0
+STALL_CHECK_S = 0.02
 
 
 class Attempt:
@@ -91,6 +93,8 @@
         self.finished = finished
         self.tasks = tasks
         self.clock = clock
+        self.stall = StallGate(clock)
+        self.stall_check = None
         self.attempts_by_key = {}
         self.outcomes_by_code = {}
 
@@ -167,7 +171,7 @@
 
     def start_ready(self):
         """Start the waiting requests for which a slot is free."""
-        while True:
+        while not self._is_stalled():
             attempt = self.admission.next_started()
             if attempt is None:
                 return
@@ -179,11 +183,33 @@
             ended = functools.partial(self._ended, attempt, meter)
             attempt.task.add_done_callback(ended)
 
+    def _is_stalled(self):
+        if not self.stall.is_shut(self.admission.warmup.baseline_s):
+            return False
+        if self.stall_check is None:
+            loop = asyncio.get_running_loop()
+            check = loop.call_later(STALL_CHECK_S, self._check_stall)
+            self.stall_check = check
+        return True
+
+    def _check_stall(self):
+        self.stall_check = None
+        self.start_ready()
+
     def busy(self):
         """Return how many attempts have not ended."""
         attempts = self.attempts_by_key.values()
         return sum(1 for attempt in attempts if not attempt.stream.done)
 
+    def buffered_bytes(self):
+        """Return how many bytes of unfinished answers are held."""
+        attempts = self.attempts_by_key.values()
+        return sum(
+            len(attempt.stream.buffer)
+            for attempt in attempts
+            if not attempt.stream.done
+        )
+
     def _admit(self, message, entry):
         deadline_s = self.clock() + message.deadline_ms / 1000
         stream = AnswerStream(keep_whole=bool(message.order_id))
@@ -197,6 +223,7 @@
             binding.get("weight", 1.0),
             message.priority,
             min(limit_s, message.deadline_ms / 1000),
+            message.last_choice,
         )
         if isinstance(waiting, Refusal):
             self.ledger.refuse(entry, message.attempt_id)
@@ -210,7 +237,7 @@
 
     def _meter(self):
         if (self.service_of() or {}).get("kind") == "model":
-            return PaceMeter(self._pace_seen)
+            return PaceMeter(self._pace_seen, self.stall)
         return None
 
     def _run(self, attempt, meter):
--- a/boragetrail/agent/backend.py
+++ b/boragetrail/agent/backend.py
@@ -33,13 +33,15 @@
 class PaceMeter:
     """Average the time between the events of one stream.
 
-    :param on_pace: called with seconds for each four events
+    :param on_pace: called with seconds for each two events
+    :param gate: :class:`~boragetrail.policy.StallGate` of the server
     """
 
-    EVENTS = 4
+    EVENTS = 2
 
-    def __init__(self, on_pace, clock=time.monotonic):
+    def __init__(self, on_pace, gate, clock=time.monotonic):
         self.on_pace = on_pace
+        self.gate = gate
         self.clock = clock
         self.since_s = None
         self.count = 0
@@ -47,6 +49,7 @@
     def seen(self, events):
         """Record that some events have arrived."""
         now = self.clock()
+        self.gate.event_seen()
         if self.since_s is None:
             self.since_s = now
             return
@@ -153,11 +156,15 @@
 async def _copy(response, stream, meter, stream_bytes):
     if meter is None or response.content_type != "text/event-stream":
         return await _copy_bytes(response, stream, stream_bytes)
-    return await _copy_events(response, stream, meter, stream_bytes)
+    meter.gate.opened()
+    try:
+        return await _copy_events(response, stream, meter, stream_bytes)
+    finally:
+        meter.gate.closed()
 
 
 async def _copy_bytes(response, stream, stream_bytes):
-    async for data in response.content.iter_any():
+    async for data in response.content.iter_chunked(READ_BYTES):
         if stream.total + len(data) > stream_bytes:
             return BackendFailure(Reason.ANSWER_TOO_LARGE)
         await stream.append(data)
@@ -169,7 +176,7 @@
     # stream with the next event of another server.
     tail = b""
     ended = False
-    async for data in response.content.iter_any():
+    async for data in response.content.iter_chunked(READ_BYTES):
         data = tail + data
         cut = data.rfind(b"\n\n") + 2
         if cut < 2:
--- a/boragetrail/agent/daemon.py
+++ b/boragetrail/agent/daemon.py
@@ -173,6 +173,7 @@
                 "allowed": ramp.limit(),
                 "cold": ramp.is_cold(),
                 "service_time_s": self.admission.service_time_s,
+                "buffered_bytes": self.attempts.buffered_bytes(),
             },
             "ledger": {"entries": len(self.ledger.entries_by_key)},
             "outcomes": self.attempts.outcomes_by_code,
--- a/boragetrail/policy/__init__.py
+++ b/boragetrail/policy/__init__.py
@@ -7,6 +7,7 @@
 from boragetrail.policy.placement import Placement, Wanted
 from boragetrail.policy.retry import RetryBudget, RetryPolicy
 from boragetrail.policy.share import CustomerShare, FairQueue, FirstComeQueue
+from boragetrail.policy.stall import StallGate
 from boragetrail.policy.warmup import EvidenceRamp, Warmup
 
 __all__ = [
@@ -28,6 +29,7 @@
     "RetryBudget",
     "RetryPolicy",
     "ServerState",
+    "StallGate",
     "Wanted",
     "Warmup",
 ]
--- a/boragetrail/policy/admission.py
+++ b/boragetrail/policy/admission.py
@@ -14,7 +14,9 @@
     """Decide whether a server takes one more request."""
 
     @abc.abstractmethod
-    def offer(self, item, customer, weight, priority, wait_limit_s):
+    def offer(
+        self, item, customer, weight, priority, wait_limit_s, last_choice
+    ):
         """Admit or refuse a request.
 
         :param item: what to hand back when the request may start
@@ -22,6 +24,7 @@
         :param weight: weight of its binding
         :param priority: class of service; lower is more urgent
         :param wait_limit_s: longest useful wait for a slot, in seconds
+        :param last_choice: whether no other server is left to try
         :returns: the waiting request, or :class:`Refusal`
         """
 
@@ -59,9 +62,19 @@
         self.leaving = False
         self._publish()
 
-    def offer(self, item, customer, weight, priority, wait_limit_s):
+    def offer(
+        self,
+        item,
+        customer,
+        weight,
+        priority,
+        wait_limit_s,
+        last_choice=False,
+    ):
         """Admit or refuse; see :meth:`Admission.offer`."""
-        refusal = self._over_warmup() or self._over_cap()
+        refusal = self._over_cap()
+        if not last_choice:
+            refusal = self._over_warmup() or refusal
         if refusal:
             return refusal
         waiting = Waiting(item, customer, weight, priority)
--- a/boragetrail/policy/load.py
+++ b/boragetrail/policy/load.py
@@ -129,6 +129,16 @@
         entry = self.entries_by_server.get(server)
         return math.inf if entry is None else entry.load
 
+    def sent(self, server):
+        """Count a request that was just sent to a server.
+
+        The next report of the server replaces the count. Without it, the
+        requests of a burst would all see the load before the burst.
+        """
+        entry = self.entries_by_server.get(server)
+        if entry is not None:
+            entry.load += 1
+
     def forget(self, server):
         """Drop the entry of a server that is gone."""
         self.entries_by_server.pop(server, None)
@@ -136,5 +146,7 @@
 
 def _is_newer(entry, held):
     if entry.incarnation == held.incarnation:
-        return entry.seq > held.seq
+        # Of one report, the higher load counts work that a router has sent
+        # since.
+        return (entry.seq, entry.load) > (held.seq, held.load)
     return entry.at_s > held.at_s
--- a/boragetrail/policy/tests/test_admission.py
+++ b/boragetrail/policy/tests/test_admission.py
@@ -89,3 +89,31 @@
         while self.admission.next_started():
             pass
         assert self.queue.running == 8
+
+
+class TestBurst:
+    """A burst is not refused for the load before it."""
+
+    def test_requests_sent_count_at_once(self):
+        now = [0.0]
+        table = LoadTable(lambda: now[0])
+        for n in range(5):
+            table.merge(LoadEntry(f"s{n}", "i", 1, 0, 1.0, 0, 0.0))
+        for n in range(20):
+            table.sent(f"s{n % 5}")
+        assert table.totals() == (20, 5.0)
+
+    def test_report_of_the_server_replaces_the_count(self):
+        table = LoadTable(lambda: 0.0)
+        table.merge(LoadEntry("s", "i", 1, 0, 1.0, 0, 0.0))
+        table.sent("s")
+        table.merge(LoadEntry("s", "i", 2, 0, 1.0, 0, 0.0))
+        assert table.totals()[0] == 0
+
+    def test_evidence_of_sent_requests_raises_an_agents_view(self):
+        router, agent = LoadTable(lambda: 0.0), LoadTable(lambda: 0.0)
+        for table in (router, agent):
+            table.merge(LoadEntry("s", "i", 1, 0, 1.0, 0, 0.0))
+        router.sent("s")
+        agent.merge_lists(router.freshest(6))
+        assert agent.totals()[0] == 1
--- a/boragetrail/router/dispatch.py
+++ b/boragetrail/router/dispatch.py
@@ -172,9 +172,11 @@
             chat_id=context.chat_id,
             kv_source="",
             resume_events=progress.events,
+            last_choice=progress.second_round,
             version=self.router.doc.version,
             loads=self._evidence(context.service),
         )
+        self.router.loads_of(context.service).sent(name)
         exchange = Exchange(link, dispatch, context.deadline_s, self.clock)
         async for message in self._follow(exchange, progress, step, name):
             if isinstance(message, Start):
--- a/boragetrail/wire/messages.py
+++ b/boragetrail/wire/messages.py
@@ -55,7 +55,9 @@
 
     A repeated dispatch of an attempt that the agent knows attaches to it.
     ``order_id`` is empty for idempotent work. ``deadline_ms`` is the time
-    left. ``loads`` holds load entries that the router has learned.
+    left. ``last_choice`` says that no other server is left to try, so that
+    the request may wait for a cold one. ``loads`` holds load entries that
+    the router has learned.
     ``order_time_ms`` is the time in a ticket, or -1. ``row_key`` names the
     row of the table service that the agent completes, if any.
     """
@@ -77,6 +79,7 @@
     chat_id: str
     kv_source: str
     resume_events: int
+    last_choice: bool
     version: int
     loads: list
 
--- a/features/conftest.py
+++ b/features/conftest.py
@@ -28,6 +28,7 @@
         self.streams = []
         self.notes = {}
         self.order = 0
+        self.stopping = []
 
     def run(self, coroutine):
         """Run a coroutine to its end."""
@@ -131,15 +132,41 @@
             await asyncio.sleep(0.05)
         return False
 
+    async def warm_up(self):
+        """Serve chats until every engine's agent allows all its slots."""
+
+        async def warm():
+            texts = [f"warm {time.monotonic()} {n}" for n in range(20)]
+            await asyncio.gather(
+                *[self.chat(text, n % 3, 12) for n, text in enumerate(texts)]
+            )
+            dumps = [
+                await self.fleet.dump(server.name)
+                for server in self.fleet.deployment.servers
+                if server.kind == "model"
+            ]
+            return not any(dump["server"]["cold"] for dump in dumps)
+
+        assert await self.until(warm, 20.0)
+
     def kill(self, name):
         """Kill a process at once."""
         self.fleet.nodes[name].signal(signal.SIGKILL)
         self.fleet.nodes[name].wait()
 
+    def stop(self, name):
+        """Ask a process to stop gracefully."""
+        node = self.fleet.nodes[name]
+        node.signal(signal.SIGTERM)
+        self.stopping.append(node)
+
     def recover(self):
         """Undo the faults of a scenario."""
 
         async def undo():
+            for node in self.stopping:
+                node.wait()
+            self.stopping = []
             await self.fleet.fault(
                 "table", down=False, silent=False, lose_answers=0, slow_s=0
             )
@@ -149,7 +176,7 @@
             await self.fleet.wait_ready()
             for zone in self.fleet.deployment.zones:
                 await self.fleet.set_zone(zone, out=False)
-            await asyncio.sleep(1.0)
+            await self.warm_up()
 
         self.run(undo())
 
@@ -161,6 +188,7 @@
         world = World(runner)
         try:
             world.run(world.fleet.start())
+            world.run(world.warm_up())
             yield world
         finally:
             world.run(world.fleet.stop())
--- /dev/null
+++ b/features/test_streams.py
@@ -0,0 +1,274 @@
+"""Scenarios of streams."""
+
+import asyncio
+import time
+
+from pytest_bdd import given, parsers, scenario, then, when
+
+FIRST_WORD_S = 0.43
+DETECTION_S = 0.25
+LARGE_BYTES = 8_000_000
+WINDOW_BYTES = 256 * 1024
+
+
+class TestStreams:
+    """Answers are whole through faults and planned stops."""
+
+    @staticmethod
+    @scenario(
+        "streams.feature", "A router stops gracefully under fifty streams"
+    )
+    def test_router_stop():
+        """Run the scenario."""
+
+    @staticmethod
+    @scenario("streams.feature", "An agent stops gracefully under streams")
+    def test_agent_stop():
+        """Run the scenario."""
+
+    @staticmethod
+    @scenario("streams.feature", "Connections go silent in mid-stream")
+    def test_silent():
+        """Run the scenario."""
+
+    @staticmethod
+    @scenario("streams.feature", "Connections go silent while a router drains")
+    def test_silent_and_drain():
+        """Run the scenario."""
+
+    @staticmethod
+    @scenario("streams.feature", "A returning chat behind a silent connection")
+    def test_return_behind_silence():
+        """Run the scenario."""
+
+    @staticmethod
+    @scenario("streams.feature", "An engine dies in mid-stream")
+    def test_engine_dies():
+        """Run the scenario."""
+
+    @staticmethod
+    @scenario("streams.feature", "A caller goes away")
+    def test_caller_gone():
+        """Run the scenario."""
+
+    @staticmethod
+    @scenario(
+        "streams.feature", "A caller that reads slowly does not hold up others"
+    )
+    def test_slow_caller():
+        """Run the scenario."""
+
+    @staticmethod
+    @scenario("streams.feature", "A warm engine turns cold")
+    def test_cold():
+        """Run the scenario."""
+
+
+@given(parsers.parse("{count:d} streams run through router {router:d}"))
+@when(parsers.parse("{count:d} streams more run through router {router:d}"))
+def open_streams(world, count, router):
+    """Begin streams; each has its first word."""
+    world.notes["began"] = time.monotonic()
+    before = world.chats
+    world.open_streams(count, router)
+    world.chats = before + world.chats
+
+
+@given("a chat has been served through router 0")
+def chat(world):
+    """Serve a chat."""
+    world.run(world.chat("tenancy " * 60, words=8))
+
+
+@given("a caller that reads nothing of a large answer")
+def slow_caller(world):
+    """Open a large answer and read none of it."""
+
+    async def begin():
+        caller = world.caller(0)
+        url = f"{caller.url}/services/bookings/gate?size={LARGE_BYTES}"
+        answer = await caller.session.get(url, headers=caller.headers)
+        world.notes["answer"] = answer
+        await asyncio.sleep(1.0)
+
+    world.run(begin())
+
+
+@when(parsers.parse("router {number:d} is stopped gracefully"))
+def stop_router(world, number):
+    """Ask a router to stop."""
+    world.stop(world.fleet.router(number).name)
+
+
+@when("an engine's agent is stopped gracefully")
+def stop_agent(world):
+    """Ask the busiest agent to stop."""
+    name = world.run(_busiest(world))
+    world.notes["agent"] = name
+    world.stop(name)
+    time.sleep(1.0)
+    world.notes["served"] = world.run(world.engine_counts(name))["words"]
+    world.run(_chats_after(world))
+
+
+@when("all connections to agents go silent")
+def silence(world):
+    """Silence the connections that are open."""
+
+    async def silence_all():
+        for name in world.fleet.proxies:
+            await world.fleet.proxy(name, silence=True)
+
+    world.run(silence_all())
+
+
+@when("the chat returns through router 0")
+def chat_returns(world):
+    """Continue the chat."""
+    headers = world.chats[-1][2].headers
+    world.run(
+        world.chat(
+            "tenancy " * 60 + "more",
+            words=8,
+            chat_id=headers["X-Chat-Id"],
+            hint=headers["X-Chat-Hint"],
+        )
+    )
+
+
+@when("an engine falls over")
+def engine_falls(world):
+    """Kill the busiest engine and start it again."""
+    name = world.run(_busiest(world)) + "-backend"
+    world.kill(name)
+    world.fleet.nodes[name].start()
+
+
+@when("an engine turns cold without a word")
+def engine_cold(world):
+    """Let the busiest engine lose its warmth."""
+    name = world.run(_busiest(world))
+    world.notes["agent"] = name
+
+    async def cold():
+        node = world.fleet.nodes[f"{name}-backend"]
+        async with world.fleet.session.post(
+            f"{node.url('main')}/cold"
+        ) as answer:
+            answer.raise_for_status()
+
+    world.run(cold())
+
+
+@when("their callers go away")
+def callers_gone(world):
+    """Cut the callers' connections."""
+
+    async def cancel():
+        for task in world.streams:
+            task.cancel()
+        await asyncio.gather(*world.streams, return_exceptions=True)
+
+    world.run(cancel())
+    world.streams = []
+
+
+@when("a small request is made through the same router")
+def small_request(world):
+    """Make a request beside the large answer."""
+
+    async def ask():
+        began_s = time.monotonic()
+        status, _, _ = await world.caller(0).request(
+            "GET", "/services/bookings/status"
+        )
+        world.notes["small"] = (status, time.monotonic() - began_s)
+
+    world.run(ask())
+
+
+@then("every stream is whole")
+def whole(world):
+    """Compare each answer with what the engines must say."""
+    world.finish_streams()
+    assert not world.broken_chats()
+
+
+@then("the agent took no new work after its stop began")
+def no_new_work(world):
+    """Compare with the engine's counter a second after the stop."""
+    name = world.notes["agent"]
+    world.fleet.nodes[name].wait()
+    after = world.run(world.engine_counts(name))["served"]
+    assert after <= world.notes["streams_at_agent"]
+
+
+@then("its first word came within the target and one detection time")
+def first_word(world):
+    """Compare with the stated target."""
+    result = world.chats[-1][2]
+    assert result.whole
+    assert result.first_s <= FIRST_WORD_S + DETECTION_S
+
+
+@then(parsers.parse("the engines have no load within {limit:d} seconds"))
+def no_load(world, limit):
+    """Ask the agents for their load."""
+
+    async def idle():
+        for server in world.fleet.deployment.servers:
+            dump = await world.fleet.dump(server.name)
+            if dump["server"]["load"]:
+                return False
+        return True
+
+    assert world.run(world.until(idle, limit))
+
+
+@then(parsers.parse("it is answered within {limit:d} second"))
+def answered(world, limit):
+    """Check the small request."""
+    status, took_s = world.notes["small"]
+    assert status == 200
+    assert took_s <= limit
+
+
+@then("the agent holds no more than its window")
+def bounded(world):
+    """Ask the agents how much they hold, then let the caller go."""
+
+    async def held():
+        most = 0
+        for server in world.fleet.deployment.servers:
+            dump = await world.fleet.dump(server.name)
+            most = max(most, dump["server"]["buffered_bytes"])
+        world.notes.pop("answer").close()
+        return most
+
+    most = world.run(held())
+    assert 0 < most <= 2 * WINDOW_BYTES
+
+
+@then("the cold engine never fell over")
+def never_fell(world):
+    """Ask the engine's own counter."""
+    counts = world.run(world.engine_counts(world.notes["agent"]))
+    assert counts["falls"] == 0
+
+
+async def _busiest(world):
+    best, most = None, -1
+    for server in world.fleet.deployment.servers:
+        if server.kind == "model":
+            load = (await world.fleet.dump(server.name))["server"]["running"]
+            if load > most:
+                best, most = server.name, load
+    world.notes["streams_at_agent"] = most
+    counts = await world.engine_counts(best)
+    world.notes["streams_at_agent"] += counts["served"]
+    return best
+
+
+async def _chats_after(world):
+    for number in range(10):
+        await world.chat(f"after {number} " + "unit " * 20, 2, words=4)
