Confirm a restarted process's configuration by news from after its start

Cause: a router that restarted while the store was down became ready at version 42 while 45 was in force. It had fetched the document from a router that lagged, and took that router's older news as proof of freshness. The lag came from gossip rounds that mostly chose agents, which cannot give a router what it lacks, and from changes dropped because the one before them was missed.

Setting a zone or server to what it already is makes no version. Engine orders go round servers that fail, and twelve scenarios cover configuration, zones, drains, leases and callers' mistakes.

--- a/boragetrail/gossip/spread.py
+++ b/boragetrail/gossip/spread.py
@@ -158,7 +158,14 @@
             change = Change.from_list(fields)
             if self.doc.apply(change):
                 applied.append(change)
-        return applied, self.learned(applied)
+        sends = self.learned(applied)
+        newest = message.changes[-1][0] if message.changes else 0
+        if newest > self.doc.version:
+            # Changes before these were missed.
+            self.freshness.newer_heard(newest)
+            sender = self.peers_by_name.get(message.name)
+            sends += self._ask(sender) if sender else []
+        return applied, sends
 
     def _ask(self, ahead):
         """Ask for changes, once in a round whatever comes meanwhile.
@@ -179,6 +186,7 @@
 
     def _merge_freshness(self, digest):
         if digest.version > self.doc.version:
+            self.freshness.newer_heard(digest.version)
             return
         age = digest.store_age_ms
         self.freshness.peer_heard(
@@ -188,11 +196,16 @@
         )
 
     def _partner(self):
+        # Every other round is for those who can give most: to a router the
+        # other routers, to an agent the agents of its service, with whom it
+        # exchanges loads.
         peers = self._reachable()
-        if self.me.role == "agent" and self.rounds % 2:
-            # Agents of one service exchange their loads in these rounds.
+        if self.rounds % 2:
             own = self.me.service
             peers = [peer for peer in peers if peer.service == own] or peers
+        elif self.me.role == "agent":
+            routers = [peer for peer in peers if peer.role == "router"]
+            peers = routers or peers
         return self.random.choice(peers) if peers else None
 
     def _reachable(self):
@@ -203,12 +216,17 @@
         return [p for p in peers if p.role == "router" or p.service == own]
 
     def _push_targets(self):
+        # An agent holds a part only, which serves no router.
+        own = self.me.service
         peers = self._reachable()
-        if self.me.role == "agent":
-            # An agent holds a part only, which serves no router.
-            own = self.me.service
-            peers = [peer for peer in peers if peer.service == own]
-        return self.random.sample(peers, min(PUSH_FANOUT, len(peers)))
+        groups = [[peer for peer in peers if peer.service == own]]
+        if self.me.role == "router":
+            groups.append([peer for peer in peers if peer.role == "agent"])
+        return [
+            peer
+            for group in groups
+            for peer in self.random.sample(group, min(PUSH_FANOUT, len(group)))
+        ]
 
     def _catch_up(self, peer, version):
         if self.me.role == "agent" and peer.service != self.me.service:
--- a/boragetrail/gossip/tests/test_spread.py
+++ b/boragetrail/gossip/tests/test_spread.py
@@ -120,4 +120,4 @@
         change = Change(1, "c1", "", "zone", "z1", {})
         ahead.doc.apply(change)
         behind.digest_received(ahead.digest(False))
-        assert not behind.freshness.is_fresh(["z0", "z1", "z2"])
+        assert not behind.freshness.is_fresh(["z0", "z1", "z2"], 0)
--- a/boragetrail/operators/placement.py
+++ b/boragetrail/operators/placement.py
@@ -5,10 +5,16 @@
 from boragetrail.errors import LinkFailure, PlatformFailure
 from boragetrail.events import Event, log_event
 from boragetrail.platform import WeightClient
+from boragetrail.reasons import Reason
 from boragetrail.router.link import Lost
 from boragetrail.wire.messages import EngineOrder
 
-__all__ = ["Lease", "PlacementController", "PlacementProgress"]
+__all__ = [
+    "Lease",
+    "LeaseKeeper",
+    "PlacementController",
+    "PlacementProgress",
+]
 
 LEASE_S = 6.0
 ROUND_S = 1.0
@@ -43,6 +49,8 @@
         "detail",
         "holder",
         "fencing",
+        "incarnation",
+        "failures",
     )
 
     def __init__(self, service, server, model, version, holder, fencing):
@@ -54,6 +62,13 @@
         self.detail = ""
         self.holder = holder
         self.fencing = fencing
+        self.incarnation = ""
+        self.failures = 0
+
+    def to_dict(self):
+        """Return what operators are told."""
+        kept = ("incarnation", "failures")
+        return {n: getattr(self, n) for n in self.__slots__ if n not in kept}
 
 
 class LeaseKeeper:
@@ -157,24 +172,24 @@
 
     def to_dicts(self):
         """Return the progress at all servers."""
-        return [
-            {name: getattr(each, name) for name in each.__slots__}
-            for each in self.progress_by_server.values()
-        ]
+        return [each.to_dict() for each in self.progress_by_server.values()]
 
     async def _work_on(self, service, value):
         lease = await self.keeper.hold(service)
         if lease is None:
             return
+        waiting = []
         for member in self.router.membership.servers(service):
-            server = member.vm.name
-            progress = self._progress(service, server, value, lease)
+            progress = self._progress(service, member.vm.name, value, lease)
             if progress.state == "loaded":
-                if member.incarnation == progress.detail:
+                if member.incarnation == progress.incarnation:
                     continue
                 progress.state = "waiting"
-            await self._order(progress, lease, server)
-            return
+            waiting.append(progress)
+        if waiting:
+            # One server a round; those that failed come after the others.
+            chosen = min(waiting, key=lambda each: each.failures)
+            await self._order(chosen, lease, chosen.server)
 
     def _progress(self, service, server, value, lease):
         model, version = value["model"], value["model_version"]
@@ -202,6 +217,7 @@
         connection = await link.connection()
         if isinstance(connection, LinkFailure):
             progress.state, progress.detail = "failed", connection.detail
+            progress.failures += 1
             return
         self.counter += 1
         order = EngineOrder(
@@ -213,14 +229,20 @@
         )
         progress.state, progress.fencing = "loading", lease.fencing
         result = await self._send(link, connection, order)
-        if isinstance(result, Lost) or result.reason:
-            progress.state = "failed"
-            lost = "no answer in time"
-            progress.detail = getattr(result, "detail", lost)
-            if getattr(result, "reason", "") == "fenced":
-                self.keeper.drop(lease.service)
+        self._take_result(progress, lease, connection, result)
+
+    def _take_result(self, progress, lease, connection, result):
+        if isinstance(result, Lost):
+            progress.state, progress.detail = "failed", "no answer in time"
+        elif result.reason:
+            progress.state, progress.detail = "failed", result.detail
+        else:
+            progress.state, progress.detail = "loaded", ""
+            progress.incarnation = connection.incarnation
             return
-        progress.state, progress.detail = "loaded", connection.incarnation
+        progress.failures += 1
+        if getattr(result, "reason", "") == Reason.FENCED.code:
+            self.keeper.drop(lease.service)
 
     async def _send(self, link, connection, order):
         inbox = link.open_inbox(order.order_id)
--- a/boragetrail/operators/server.py
+++ b/boragetrail/operators/server.py
@@ -159,13 +159,17 @@
             if old is None and must_exist:
                 detail = f"{kind} {name!r} does not exist"
                 return pb.ChangeReply(problem="invalid", detail=detail)
+            wanted = {**(old or {}), **value}
+            if wanted == old:
+                version = doc.changed_at_by_key.get((kind, name), doc.version)
+                return pb.ChangeReply(version=version)
             change = Change(
                 0,
                 request.change_id,
                 request.author,
                 kind,
                 name,
-                {**(old or {}), **value},
+                wanted,
                 doc.version,
             )
             reply = await self._commit(change)
--- a/boragetrail/process/configuration.py
+++ b/boragetrail/process/configuration.py
@@ -50,7 +50,8 @@
         """Return whether new work may be admitted under the document."""
         if not self.doc.version:
             return False
-        return self.freshness.is_fresh(self.doc.entities_by_kind["zone"])
+        zones = self.doc.entities_by_kind["zone"]
+        return self.freshness.is_fresh(zones, self.doc.version)
 
     def applied(self, changes):
         """Announce changes that the document now contains."""
--- /dev/null
+++ b/features/test_fleet.py
@@ -0,0 +1,355 @@
+"""Scenarios of configuration, zones, membership and callers' mistakes."""
+
+import asyncio
+import json
+import signal
+import time
+import uuid
+
+from pytest_bdd import given, parsers, scenarios, then, when
+
+from boragetrail.operators.convert import entity_to_value, value_to_entity
+from boragetrail.operators import operator_pb2 as pb
+
+SERVICE = "assistant"
+LEASE_TAKEN_S = 25.0
+
+
+scenarios("fleet.feature")
+
+
+def service_change(world, expected, change_id=None, router=0, **fields):
+    """Return the request that changes fields of the service."""
+    stub = world.fleet.stub(router)
+    reply = stub.ListEntities(pb.ListRequest(kind="service"))
+    entity = next(e for e in reply.entities if e.name == SERVICE)
+    _, _, value = entity_to_value(entity)
+    return pb.ChangeRequest(
+        change_id=change_id or str(uuid.uuid4()),
+        author="test",
+        expected_version=expected,
+        entity=value_to_entity("service", SERVICE, {**value, **fields}),
+    )
+
+
+def version_of(world, router=0):
+    """Return the version in force at a router."""
+    name = world.fleet.router(router).name
+    return world.run(world.fleet.dump(name))["configuration"]["version"]
+
+
+@given("the table service is down from the next commit on")
+def down_from_next(world):
+    """Remember to take the store down right after the commit."""
+    world.notes["down after"] = True
+
+
+@given("the table service loses the answer of the next write")
+def lose_answer(world):
+    """Set the fault."""
+    world.run(world.fleet.fault("table", lose_answers=1))
+
+
+@given("every engine has loaded its model")
+def engines_loaded(world):
+    """Wait until engine orders have reached all engines."""
+    world.notes["model version"] = "1"
+    assert world.run(world.until(lambda: all_loaded(world), LEASE_TAKEN_S))
+
+
+@when("an operator changes a service through router 0")
+def change_service(world):
+    """Commit a change."""
+    request = service_change(
+        world, 1 << 40, first_token_ms=2000 + int(time.time()) % 999
+    )
+    world.notes["version"] = world.fleet.stub(0).ChangeEntity(request).version
+    assert world.notes["version"]
+
+
+@when(parsers.parse('an operator takes zone "{zone}" out through router 0'))
+def zone_out(world, zone):
+    """Take the zone out, and the store down at once."""
+    reply = world.run(world.fleet.set_zone(zone, out=True))
+    assert not reply.problem
+    if world.notes.pop("down after", False):
+        world.run(world.fleet.fault("table", down=True))
+
+
+@when(parsers.parse("{seconds:d} seconds pass"))
+def wait(world, seconds):
+    """Wait, then note what the engines have made."""
+    time.sleep(seconds)
+    world.notes["words"] = {
+        server.name: world.run(world.engine_counts(server.name))["words"]
+        for server in world.fleet.deployment.servers
+        if server.kind == "model"
+    }
+    world.chats = []
+
+
+@when(parsers.parse("{count:d} chats are served through all routers"))
+def serve_chats(world, count):
+    """Serve chats."""
+
+    async def serve():
+        for number in range(0, count, 6):
+            texts = [f"{time.monotonic()} {number} {n} unit" for n in range(6)]
+            await asyncio.gather(
+                *[world.chat(text, n % 3, 8) for n, text in enumerate(texts)]
+            )
+
+    world.run(serve())
+
+
+@when("the table service is taken down")
+def take_down(world):
+    """Set the fault."""
+    world.run(world.fleet.fault("table", down=True))
+
+
+@when("router 2 is killed and started again")
+def restart_router(world):
+    """Kill a router and start it."""
+    name = world.fleet.router(2).name
+    world.kill(name)
+    world.run(world.fleet.restart(name))
+
+
+@when("two operators who read the same version change a service")
+def race(world):
+    """Commit two changes with one expected version."""
+    read = version_of(world)
+    stub = world.fleet.stub(0)
+    world.notes["replies"] = [
+        stub.ChangeEntity(service_change(world, read, first_token_ms=ms))
+        for ms in (1701, 1702)
+    ]
+
+
+@when("an operator changes a service twice with one change id")
+def change_twice(world):
+    """Repeat a change through another router."""
+    change_id = str(uuid.uuid4())
+    request = service_change(world, 1 << 40, change_id, first_token_ms=1800)
+    world.notes["replies"] = [
+        world.fleet.stub(0).ChangeEntity(request),
+        world.fleet.stub(1).ChangeEntity(request),
+    ]
+
+
+@when(parsers.parse('an operator binds a service to zone "{zone}"'))
+def bind_wrong(world, zone):
+    """Commit a change that must not be accepted."""
+    world.notes["version"] = version_of(world)
+    request = service_change(world, 1 << 40, zones=[zone])
+    world.notes["replies"] = [world.fleet.stub(0).ChangeEntity(request)]
+
+
+@when(parsers.parse('an operator drains the engine "{server}"'))
+def drain(world, server):
+    """Drain a server; the next scenario begins with it undrained."""
+    request = pb.DrainRequest(
+        server=server, drained=True, change_id=str(uuid.uuid4()), author="t"
+    )
+    assert not world.fleet.stub(0).DrainServer(request).problem
+    world.notes["drained"] = server
+
+
+@when("the router that holds the lease is paused and another takes it")
+def pause_holder(world):
+    """Pause the holder until the lease has a new fencing number."""
+    row = world.run(lease(world))
+    holder = world.run(router_of(world, row["holder"]))
+    world.notes["holder"] = world.fleet.nodes[holder]
+    world.notes["fencing"] = row["fencing"]
+    world.notes["holder"].signal(signal.SIGSTOP)
+
+    async def taken():
+        return (await lease(world))["fencing"] > row["fencing"]
+
+    try:
+        assert world.run(world.until(taken, LEASE_TAKEN_S))
+    except AssertionError:
+        world.notes["holder"].signal(signal.SIGCONT)
+        raise
+
+
+@when("the service's model version is changed")
+def new_model_version(world):
+    """Change the version through a router that is not paused."""
+    running = [
+        n
+        for n in range(3)
+        if world.fleet.router(n) is not world.notes["holder"]
+    ]
+    world.notes["model version"] = "2"
+    request = service_change(
+        world, 1 << 40, router=running[0], model_version="2"
+    )
+    assert not world.fleet.stub(running[0]).ChangeEntity(request).problem
+
+
+@when("the paused router goes on")
+def go_on(world):
+    """Let the old holder run again."""
+    world.notes["holder"].signal(signal.SIGCONT)
+    time.sleep(3)
+
+
+@when(parsers.parse("a caller sends {mistake}"))
+def send_mistake(world, mistake):
+    """Send a request that must be refused."""
+    world.notes["seen"] = world.run(send(world, mistake))
+
+
+@then(parsers.parse("every process has the version within {limit:d} seconds"))
+def in_force(world, limit):
+    """Ask every process."""
+
+    async def everywhere():
+        names = [r.name for r in world.fleet.deployment.routers]
+        names += [s.name for s in world.fleet.deployment.servers]
+        dumps = [await world.fleet.dump(name) for name in names]
+        versions = {dump["configuration"]["version"] for dump in dumps}
+        return versions == {world.notes["version"]}
+
+    assert world.run(world.until(everywhere, limit))
+
+
+@then(parsers.parse('no engine of zone "{zone}" made a word'))
+def zone_idle(world, zone):
+    """Compare with the engines' own counters."""
+    for server in world.fleet.deployment.servers:
+        if server.kind == "model" and server.zone == zone:
+            now = world.run(world.engine_counts(server.name))["words"]
+            assert now == world.notes["words"][server.name]
+
+
+@then(parsers.parse('the engine "{server}" made no word'))
+def server_idle(world, server):
+    """Compare with the engine's own counter, then end the drain."""
+    now = world.run(world.engine_counts(server))["words"]
+    request = pb.DrainRequest(
+        server=server, drained=False, change_id=str(uuid.uuid4()), author="t"
+    )
+    assert not world.fleet.stub(0).DrainServer(request).problem
+    assert now == world.notes["words"][server]
+
+
+@then("every chat is whole")
+@then("a chat through router 2 is whole")
+def chats_whole(world):
+    """Compare answers; serve one chat if there is none."""
+    if not world.chats:
+        world.run(world.chat(f"one {time.monotonic()}", 2, 8))
+    assert not world.broken_chats()
+
+
+@then("router 2 has the version of router 0 and is ready")
+def router_ready(world):
+    """Compare versions."""
+    world.run(world.fleet.wait_ready([world.fleet.router(2).name]))
+    assert version_of(world, 2) == version_of(world, 0)
+
+
+@then("the first is accepted")
+def first_accepted(world):
+    """Check the first reply."""
+    assert world.notes["replies"][0].version
+
+
+@then("the second is told of the conflict and shown what won")
+def second_conflicts(world):
+    """Check the second reply."""
+    first, second = world.notes["replies"]
+    assert second.problem == "conflict"
+    assert second.conflict.version == first.version
+    assert second.conflict.won.service.first_token_ms == 1701
+
+
+@then("both answers name the same version")
+def same_version(world):
+    """Check both replies."""
+    first, second = world.notes["replies"]
+    assert first.version and first.version == second.version
+
+
+@then("the change is invalid and nothing has changed")
+def invalid(world):
+    """Check the reply and the version."""
+    reply = world.notes["replies"][0]
+    assert reply.problem == "invalid" and "acc-9" in reply.detail
+    assert version_of(world) == world.notes["version"]
+
+
+@then("every engine has the new version")
+def new_version_loaded(world):
+    """Wait for the engines."""
+    try:
+        assert world.run(world.until(lambda: all_loaded(world), 20.0))
+    except AssertionError:
+        world.notes["holder"].signal(signal.SIGCONT)
+        raise
+
+
+@then("no engine took an order with the old fencing number")
+def fenced(world):
+    """Compare models and fencing numbers."""
+    assert world.run(all_loaded(world))
+    for server in world.fleet.deployment.servers:
+        if server.kind == "model":
+            counts = world.run(world.engine_counts(server.name))
+            assert counts["fencing"] > world.notes["fencing"]
+
+
+@then(parsers.parse('the status is {status:d} with code "{code}"'))
+def problem_seen(world, status, code):
+    """Check status and problem details."""
+    seen, body, content_type = world.notes["seen"]
+    assert seen == status
+    assert content_type.startswith("application/problem+json")
+    assert json.loads(body)["code"] == code
+    assert json.loads(body)["ran"] == "no"
+
+
+async def all_loaded(world):
+    """Return whether all engines have the wanted model version."""
+    for server in world.fleet.deployment.servers:
+        if server.kind == "model":
+            counts = await world.engine_counts(server.name)
+            if (counts["model"] or [0, 0])[1] != world.notes["model version"]:
+                return False
+    return True
+
+
+async def lease(world):
+    """Return the value of the lease's row."""
+    url = world.fleet.nodes["table"].url("main")
+    row = await world.fleet.get_json(f"{url}/row?key=lease/{SERVICE}")
+    return row["value"]
+
+
+async def router_of(world, incarnation):
+    """Return the name of the router with an incarnation."""
+    for router in world.fleet.deployment.routers:
+        dump = await world.fleet.dump(router.name)
+        if dump["incarnation"] == incarnation:
+            return router.name
+    raise AssertionError("no router holds the lease")
+
+
+async def send(world, mistake):
+    """Send a request with a mistake; returns what came back."""
+    caller = world.caller(0)
+    headers, body = dict(caller.headers), b'{"messages": []}'
+    url = f"{caller.url}/v1/chat/completions"
+    if mistake == "a bad key":
+        headers["Authorization"] = "Bearer wrong"
+    if mistake == "an oversized body":
+        body = b"x" * 1_000_001
+    if mistake == "an unknown service":
+        url = f"{caller.url}/services/nothing/here"
+    async with caller.session.post(url, headers=headers, data=body) as answer:
+        data = await answer.read()
+        return answer.status, data, answer.headers["Content-Type"]
