--- /dev/null
+++ b/boragetrail/policy/baselines.py
@@ -0,0 +1,112 @@
+"""Placements that the default is measured against."""
+
+import bisect
+
+from boragetrail.policy.placement import Choice, Placement, rendezvous_score
+
+__all__ = [
+    "BoundedHashPlacement",
+    "ConsistentHashPlacement",
+    "LeastLoadPlacement",
+    "RandomPlacement",
+    "RoundRobinPlacement",
+]
+
+POINTS_PER_SERVER = 64
+
+
+class RandomPlacement(Placement):
+    """Order the servers at random.
+
+    :param random: random generator
+    """
+
+    def __init__(self, random):
+        self.random = random
+
+    def order(self, wanted, candidates):
+        """Return choices in random order."""
+        shuffled = list(candidates)
+        self.random.shuffle(shuffled)
+        return [Choice(each, "random") for each in shuffled]
+
+
+class RoundRobinPlacement(Placement):
+    """Take the servers in turn."""
+
+    def __init__(self):
+        self.turn = 0
+
+    def order(self, wanted, candidates):
+        """Return choices beginning one further than the last time."""
+        self.turn += 1
+        begin = self.turn % max(1, len(candidates))
+        turned = candidates[begin:] + candidates[:begin]
+        return [Choice(each, "turn") for each in turned]
+
+
+class LeastLoadPlacement(Placement):
+    """Order the servers by the load that the router knows.
+
+    :param random: random generator that breaks ties
+    """
+
+    def __init__(self, random):
+        self.random = random
+
+    def order(self, wanted, candidates):
+        """Return choices, the least loaded first."""
+        ranked = [(c.load, self.random.random(), c) for c in candidates]
+        ranked.sort(key=lambda each: each[:2])
+        return [Choice(each, "least") for _, _, each in ranked]
+
+
+class ConsistentHashPlacement(Placement):
+    """Order the servers on a ring of hashed points [1]_.
+
+    .. [1] D. Karger et al., "Consistent Hashing and Random Trees", STOC
+       1997.
+    """
+
+    def __init__(self):
+        self.names = ()
+        self.points = []
+
+    def order(self, wanted, candidates):
+        """Return choices clockwise from the key's point."""
+        by_name = {each.name: each for each in candidates}
+        self._build(tuple(sorted(by_name)))
+        begin = bisect.bisect(self.points, (rendezvous_score(wanted.key, ""),))
+        ordered = []
+        seen = set()
+        for at in range(len(self.points)):
+            name = self.points[(begin + at) % len(self.points)][1]
+            if name not in seen:
+                seen.add(name)
+                ordered.append(Choice(by_name[name], "ring"))
+                if len(seen) == len(by_name):
+                    break
+        return ordered
+
+    def _build(self, names):
+        if names == self.names:
+            return
+        self.names = names
+        self.points = sorted(
+            (rendezvous_score(name, str(number)), name)
+            for name in names
+            for number in range(POINTS_PER_SERVER)
+        )
+
+
+class BoundedHashPlacement(ConsistentHashPlacement):
+    """Skip servers on the ring that are known to be at their cap."""
+
+    def order(self, wanted, candidates):
+        """Return choices clockwise, the full ones last."""
+        ordered = super().order(wanted, candidates)
+        ordered.sort(key=lambda choice: self._is_full(choice.candidate))
+        return ordered
+
+    def _is_full(self, candidate):
+        return candidate.load >= candidate.limit
--- a/boragetrail/router/dispatch.py
+++ b/boragetrail/router/dispatch.py
@@ -55,8 +55,14 @@
     def choices(self, context):
         """Return the servers for a request in order of preference."""
         loads = self.router.loads_of(context.service)
+        multiple = context.service_value.get(
+            "cap_multiple", DEFAULT_CAP_MULTIPLE
+        )
+        cap = MeanMultipleCap(multiple)
+        # The totals walk over all servers, so they are taken once.
+        totals = loads.totals()
         candidates = [
-            self._candidate(member, loads, context.service_value)
+            self._candidate(member, loads, cap, totals)
             for member in self.router.membership.servers(context.service)
         ]
         wanted = Wanted(
@@ -253,7 +259,7 @@
             log_event(Event.STREAM_RESUMED, request_id=request_id)
         return pause_s
 
-    def _candidate(self, member, loads, service_value):
+    def _candidate(self, member, loads, cap, totals):
         name = member.vm.name
         zone = self.router.doc.get("zone", member.vm.zone) or {}
         entry = loads.entries_by_server.get(name)
@@ -264,12 +270,9 @@
         if entry is None:
             candidate.load_age_s = float("inf")
             return candidate
-        multiple = service_value.get("cap_multiple", DEFAULT_CAP_MULTIPLE)
         candidate.load = entry.load
         candidate.load_age_s = self.clock() - entry.at_s
-        total, shares = loads.totals()
-        cap = MeanMultipleCap(multiple)
-        candidate.limit = cap.limit(total, shares, entry.share)
+        candidate.limit = cap.limit(*totals, entry.share)
         candidate.cold = entry.share < 1
         return candidate
 
