Trust a router's view of a load for 0.1 s instead of 0.5 s

Cause: a router skipped a chat's home when a report up to 0.5 s old said that it was at its cap; often its agent would have admitted the chat.

Change: only reports of the last 0.1 s count; otherwise the home is asked.

--- a/boragetrail/policy/placement.py
+++ b/boragetrail/policy/placement.py
@@ -112,7 +112,7 @@
     """
 
     # Seconds for which a load report counts as current.
-    TRUSTED_AGE_S = 0.5
+    TRUSTED_AGE_S = 0.1
 
     def order(self, wanted, candidates):
         """Return choices, the best first; see :meth:`Placement.order`."""
