Tell changed loads to four agents of the service between the rounds

Cause: agents admitted over the cap of the true mean because the loads of others were up to 0.5 s old at five servers and seconds old at 88.

Change: an agent whose load changed tells four others of its service, at most each 0.2 s (31 bytes a datagram); digests carry 12 load entries instead of 16 and six characters of an incarnation (434 bytes).

--- a/boragetrail/agent/daemon.py
+++ b/boragetrail/agent/daemon.py
@@ -29,6 +29,9 @@
 DEFAULT_SLOTS = 16
 DEFAULT_CAP_MULTIPLE = 1.25
 REFRESH_S = 0.5
+# Characters of the incarnation that load entries carry; they only tell two
+# incarnations of one agent apart.
+LOAD_ID_CHARACTERS = 6
 SWEEP_S = 5.0
 HEALTH_S = 1.0
 FRAME_LIMIT_BYTES = 64 * 1024 * 1024
@@ -50,7 +53,7 @@
         self.cap = MeanMultipleCap(DEFAULT_CAP_MULTIPLE)
         self.admission = BoundedAdmission(
             self.name,
-            self.incarnation,
+            self.incarnation[:LOAD_ID_CHARACTERS],
             self.cap,
             self.warmup,
             FairQueue(self.clock),
@@ -93,6 +96,7 @@
             max_size=FRAME_LIMIT_BYTES,
         )
         self.tasks.start(self.outcomes.run(), "outcomes")
+        self.tasks.start(self.gossip.run_news(), "load news")
         self.tasks.start(self._refresh(), "refresh")
         self.tasks.start(self._sweep(), "sweep")
         self.tasks.start(self._watch_server(), "watch server")
--- a/boragetrail/gossip/socket.py
+++ b/boragetrail/gossip/socket.py
@@ -7,6 +7,7 @@
 from boragetrail.wire.datagrams import (
     Ahead,
     Digest,
+    LoadNews,
     NewChanges,
     decode_datagram,
     encode_datagram,
@@ -15,6 +16,7 @@
 __all__ = ["GossipSocket"]
 
 ROUND_S = 0.5
+NEWS_S = 0.2
 
 
 class GossipSocket(asyncio.DatagramProtocol):
@@ -60,6 +62,8 @@
             self.send(sends)
             if applied:
                 self.on_changes(applied)
+        elif isinstance(message, LoadNews):
+            self.spread.load_heard(message)
         elif isinstance(message, Ahead):
             self.on_ahead(message.version, message.admin)
 
@@ -86,6 +90,12 @@
             except OSError as exc:
                 log_event(Event.TASK_FAILED, task="gossip", error=repr(exc))
 
+    async def run_news(self):
+        """Tell changed loads between the rounds."""
+        while True:
+            await asyncio.sleep(NEWS_S)
+            self.send(self.spread.load_news())
+
     def close(self):
         """Close the socket."""
         if self.transport is not None:
--- a/boragetrail/gossip/spread.py
+++ b/boragetrail/gossip/spread.py
@@ -9,7 +9,7 @@
 import collections
 
 from boragetrail.configuration.document import Change, part_for_service
-from boragetrail.wire.datagrams import Ahead, Digest, NewChanges
+from boragetrail.wire.datagrams import Ahead, Digest, LoadNews, NewChanges
 
 __all__ = ["Peer", "Spread", "PUSH_FANOUT"]
 
@@ -19,7 +19,9 @@
 # Changes that are kept for peers that are behind.
 KEPT_CHANGES = 256
 # Load entries in one digest.
-LOADS_PER_DIGEST = 16
+LOADS_PER_DIGEST = 12
+# Peers that hear at once of a changed load.
+NEWS_FANOUT = 4
 
 
 class Peer:
@@ -77,6 +79,7 @@
         self.recent = collections.deque(maxlen=KEPT_CHANGES)
         self.rounds = 0
         self.asked_round = -1
+        self.told_load = None
 
     def set_peers(self, peers):
         """Replace the known peers; the own entry is left out."""
@@ -94,6 +97,29 @@
             return []
         return [(peer, self.digest(True, peer.service))]
 
+    def load_news(self):
+        """Tell the own load to a few agents of the service if it changed.
+
+        :returns: list of (peer, datagram)
+        """
+        table = self.loads_by_service.get(self.me.service)
+        entry = table and table.entries_by_server.get(self.me.name)
+        if not entry or entry.load == self.told_load:
+            return []
+        self.told_load = entry.load
+        own = self.me.service
+        peers = self.peers_by_name.values()
+        peers = [peer for peer in peers if peer.service == own]
+        news = LoadNews(entry.to_list(table.clock()))
+        chosen = self.random.sample(peers, min(NEWS_FANOUT, len(peers)))
+        return [(peer, news) for peer in chosen]
+
+    def load_heard(self, news):
+        """Merge a load that an agent told."""
+        table = self.loads_by_service.get(self.me.service)
+        if table is not None:
+            table.merge_lists([news.load])
+
     def digest(self, wants_reply, service=""):
         """Return the own digest.
 
--- a/boragetrail/wire/datagrams.py
+++ b/boragetrail/wire/datagrams.py
@@ -14,6 +14,7 @@
     "Digest",
     "NewChanges",
     "Ahead",
+    "LoadNews",
     "encode_datagram",
     "decode_datagram",
     "is_digest",
@@ -59,7 +60,14 @@
     admin: str
 
 
-_CLASSES_BY_CODE = {1: Digest, 2: NewChanges, 3: Ahead}
+@plain
+class LoadNews:
+    """Tell an agent's own load to others of its service."""
+
+    load: list
+
+
+_CLASSES_BY_CODE = {1: Digest, 2: NewChanges, 3: Ahead, 4: LoadNews}
 _CODES_BY_CLASS = {cls: code for code, cls in _CLASSES_BY_CODE.items()}
 
 
--- a/tools/policy_loop.py
+++ b/tools/policy_loop.py
@@ -22,7 +22,9 @@
 __all__ = ["LoopShape", "PolicyLoop", "placements"]
 
 ROUND_S = 0.5
-LOADS_PER_DIGEST = 16
+NEWS_S = 0.2
+NEWS_FANOUT = 4
+LOADS_PER_DIGEST = 12
 LOADS_PER_REPLY = 6
 MOST_ATTEMPTS = 7
 
@@ -66,6 +68,7 @@
         clock = self.loop.clock
         shape = self.loop.shape
         self.cache.clear()
+        self.told_load = None
         self.loads = LoadTable(clock)
         ramp = EvidenceRamp(shape.slots)
         ramp.assume(shape.slots)
@@ -154,6 +157,7 @@
         shape = self.shape
         self._at(0.0, self._arrive)
         self._at(0.0, self._round)
+        self._at(0.0, self._news)
         if shape.churn_s:
             self._at(shape.churn_s, self._churn)
         while self.events and self.now < shape.seconds:
@@ -294,6 +298,20 @@
             self.skews.append(max(loads) / mean)
         self._at(self.now + ROUND_S, self._round)
 
+    def _news(self):
+        alive = [each for each in self.servers.values() if each.alive]
+        for server in alive:
+            load = server.admission.load
+            if load == server.told_load:
+                continue
+            server.told_load = load
+            entry = server.loads.entries_by_server[server.name]
+            news = [entry.to_list(self.now)]
+            count = min(NEWS_FANOUT, len(alive))
+            for peer in self.random.sample(alive, count):
+                peer.loads.merge_lists(news)
+        self._at(self.now + NEWS_S, self._news)
+
     def _exchange(self, one, two):
         there = one.freshest(LOADS_PER_DIGEST)
         one.merge_lists(two.freshest(LOADS_PER_DIGEST))
