--- a/boragetrail/agent/daemon.py
+++ b/boragetrail/agent/daemon.py
@@ -169,6 +169,7 @@
             **super().dump(),
             "server": {
                 "load": self.admission.load,
+                "out": self.gate_is_shut(),
                 "running": self.admission.share.running,
                 "waiting": self.admission.share.size,
                 "cap": self.admission.cap_limit(),
--- /dev/null
+++ b/tools/measure.py
@@ -0,0 +1,268 @@
+"""Measure the policy: real processes at today's sizes, decisions at scale."""
+
+import asyncio
+import json
+import pathlib
+import sys
+import time
+
+from hdrh.histogram import HdrHistogram
+import psutil
+import rich.console
+import rich.table
+
+from boragetrail.policy import HomePlacement
+from tools.client import Caller
+from tools.deployments import asante_boateng, kowhai
+from tools.fleet import Fleet
+from tools.policy_loop import LoopShape, PolicyLoop, placements
+from tools.workload import Workload, percentiles_ms
+
+__all__ = ["measure_deployment", "measure_loop", "measure_sweep"]
+
+OUT = pathlib.Path("out")
+SEED = 1
+IDLE_S = 5.0
+STEADY_S = 15.0
+ZONE_S = 24.0
+ZONE_OUT_AT_S = 6.0
+ZONE_IN_AT_S = 14.0
+SAMPLE_S = 0.25
+CHATS = 80
+PROBES = 60
+DAEMON_ROLES = ("router", "agent")
+
+
+class Sampler:
+    """Sample loads, control traffic and use of the machine."""
+
+    def __init__(self, fleet):
+        self.fleet = fleet
+        self.skews = []
+        self.going = True
+
+    async def run(self):
+        """Sample the skew of the engines' loads until told to stop."""
+        engines = [
+            server.name
+            for server in self.fleet.deployment.servers
+            if server.kind == "model"
+        ]
+        while self.going:
+            dumps = await asyncio.gather(
+                *[self.fleet.dump(name) for name in engines]
+            )
+            loads = [
+                dump["server"]["load"] for dump in dumps if _takes_work(dump)
+            ]
+            mean = sum(loads) / max(1, len(loads))
+            if mean >= 1:
+                self.skews.append(max(loads) / mean)
+            await asyncio.sleep(SAMPLE_S)
+
+    def skew(self):
+        """Return mean and 99th percentile of maximum over mean."""
+        ranked = sorted(self.skews) or [0.0]
+        at = int(0.99 * (len(ranked) - 1))
+        mean = sum(ranked) / len(ranked)
+        return {"mean": round(mean, 3), "p99": round(ranked[at], 3)}
+
+
+def _takes_work(dump):
+    return dump["ready"] and not dump["server"]["out"]
+
+
+async def usage(fleet):
+    """Return gossip bytes, CPU seconds and memory of each daemon."""
+    used = {}
+    for name, node in fleet.nodes.items():
+        if node.vm is None:
+            continue
+        dump = await fleet.dump(name)
+        process = psutil.Process(node.process.pid)
+        times = process.cpu_times()
+        used[name] = {
+            "role": node.vm["role"],
+            "sent": dump["gossip"]["sent_bytes"],
+            "received": dump["gossip"]["received_bytes"],
+            "cpu_s": times.user + times.system,
+            "rss_mb": process.memory_info().rss / 1e6,
+        }
+    return used
+
+
+def per_second(before, after, seconds):
+    """Return the largest use a second of a daemon, by role."""
+    result = {}
+    for role in DAEMON_ROLES:
+        names = [n for n, used in after.items() if used["role"] == role]
+        result[role] = {
+            "control bytes/s sent": round(
+                max(after[n]["sent"] - before[n]["sent"] for n in names)
+                / seconds
+            ),
+            "control bytes/s received": round(
+                max(
+                    after[n]["received"] - before[n]["received"] for n in names
+                )
+                / seconds
+            ),
+            "cores": round(
+                max(after[n]["cpu_s"] - before[n]["cpu_s"] for n in names)
+                / seconds,
+                4,
+            ),
+            "rss MB": round(max(after[n]["rss_mb"] for n in names), 1),
+        }
+    return result
+
+
+async def run_workload(fleet, seconds, actions=()):
+    """Run a workload with timed actions; returns its measures."""
+    workload = Workload(fleet, SEED, CHATS)
+    sampler = Sampler(fleet)
+    sampling = asyncio.create_task(sampler.run())
+    began_s = time.monotonic()
+    before = await usage(fleet)
+    tasks = [asyncio.create_task(_after(*action)) for action in actions]
+    measures = await workload.run(seconds)
+    await asyncio.gather(*tasks)
+    took_s = time.monotonic() - began_s
+    sampler.going = False
+    await sampling
+    measures["skew"] = sampler.skew()
+    measures["use"] = per_second(before, await usage(fleet), took_s)
+    measures["timeline"] = [
+        [round(at_s - began_s, 2), first_s and round(first_s, 4), whole]
+        for at_s, first_s, whole in workload.timeline
+    ]
+    return measures
+
+
+async def _after(pause_s, action):
+    await asyncio.sleep(pause_s)
+    await action()
+
+
+async def added_latency(fleet):
+    """Return what a router and an agent add to the first word."""
+    engine = next(s for s in fleet.deployment.servers if s.kind == "model")
+    key = fleet.key_of("customer-1")
+    urls = {
+        "direct": fleet.nodes[f"{engine.name}-backend"].url("main"),
+        "through": fleet.router(0).url("callers"),
+    }
+    histograms = {name: HdrHistogram(1, 60_000_000, 3) for name in urls}
+    for number in range(PROBES):
+        for name, url in urls.items():
+            caller = Caller(fleet.session, url, key)
+            message = {"role": "user", "content": f"probe {number} {name}"}
+            result = await caller.chat([message], words=2)
+            if result.first_s is not None:
+                micros = int(1e6 * result.first_s)
+                histograms[name].record_value(micros)
+    result = {n: percentiles_ms(each) for n, each in histograms.items()}
+    result["added p95 ms"] = round(
+        result["through"]["p95"] - result["direct"]["p95"], 1
+    )
+    return result
+
+
+async def measure_deployment(deployment):
+    """Return all measures of one deployment with real processes."""
+    fleet = Fleet(deployment)
+    try:
+        await fleet.start()
+        await run_workload(fleet, 6.0)
+        await asyncio.sleep(2.0)
+        before = await usage(fleet)
+        await asyncio.sleep(IDLE_S)
+        idle = per_second(before, await usage(fleet), IDLE_S)
+        latency = await added_latency(fleet)
+        steady = await run_workload(fleet, STEADY_S)
+        zone = deployment.zones[0]
+        absence = await run_workload(
+            fleet,
+            ZONE_S,
+            [
+                (ZONE_OUT_AT_S, lambda: fleet.set_zone(zone, out=True)),
+                (ZONE_IN_AT_S, lambda: fleet.set_zone(zone, out=False)),
+            ],
+        )
+    finally:
+        await fleet.stop()
+    return {
+        "idle": idle,
+        "latency": latency,
+        "steady": steady,
+        "zone leaves and returns": absence,
+    }
+
+
+def measure_loop():
+    """Return the placements' measures over few and many servers."""
+    few = LoopShape(5, 3, 25, 240, 20, 1.25)
+    many = LoopShape(88, 330, 690, 20, 4, 1.25)
+    many.pause_s, many.long_pause_s, many.turns = 5.0, 20.0, 5
+    shapes = {"5 servers, 3 routers": few, "88 servers, 330 routers": many}
+    return {
+        title: {
+            name: PolicyLoop(shape, seed=SEED, **options).run()
+            for name, options in placements(SEED).items()
+        }
+        for title, shape in shapes.items()
+    }
+
+
+def measure_sweep():
+    """Return reuse and skew of the default over cap multiples."""
+    result = {}
+    for multiple in (1.05, 1.1, 1.25, 1.5, 2.0, 4.0):
+        shape = LoopShape(5, 3, 25, 240, 20, multiple)
+        loop = PolicyLoop(shape, HomePlacement(), seed=SEED)
+        result[multiple] = loop.run()
+    return result
+
+
+def show(results):
+    """Print the tables."""
+    console = rich.console.Console(soft_wrap=True)
+    for title in ("kowhai", "asante-boateng"):
+        table = rich.table.Table("measure", "steady", "zone out and in")
+        steady = results[title]["steady"]
+        absence = results[title]["zone leaves and returns"]
+        for name in steady:
+            if name != "timeline":
+                table.add_row(name, str(steady[name]), str(absence[name]))
+        console.print(title, results[title]["latency"], table)
+        console.print("idle", results[title]["idle"])
+    for title, runs in results["loop"].items():
+        names = list(next(iter(runs.values())))
+        table = rich.table.Table("placement", *names)
+        for name, run in runs.items():
+            table.add_row(name, *[str(run[each]) for each in names])
+        console.print(title, table)
+    console.print("cap multiples", results["sweep"])
+
+
+def main():
+    """Measure everything; write ``out/measure.json``."""
+    results = {
+        "kowhai": asyncio.run(measure_deployment(kowhai())),
+        "asante-boateng": asyncio.run(measure_deployment(asante_boateng())),
+        "loop": measure_loop(),
+        "sweep": measure_sweep(),
+    }
+    OUT.mkdir(exist_ok=True)
+    (OUT / "measure.json").write_text(json.dumps(results, indent=1))
+    show(results)
+    try:
+        from tools.plots import plot_all
+    except ImportError:
+        print("no plots: install the extra 'plots' to have them")
+    else:
+        plot_all(results, OUT)
+
+
+if __name__ == "__main__":
+    sys.exit(main())
--- /dev/null
+++ b/tools/plots.py
@@ -0,0 +1,43 @@
+"""Plot reuse against skew, and service while a zone is away."""
+
+import matplotlib
+
+matplotlib.use("Agg")
+
+from matplotlib import pyplot  # noqa: E402
+
+__all__ = ["plot_all"]
+
+
+def plot_all(results, folder):
+    """Write the plots as PNG files into a folder."""
+    _plot_curve(results["sweep"], folder / "reuse-skew.png")
+    for title in ("kowhai", "asante-boateng"):
+        timeline = results[title]["zone leaves and returns"]["timeline"]
+        _plot_zone(timeline, folder / f"zone-{title}.png")
+
+
+def _plot_curve(sweep, path):
+    figure, axes = pyplot.subplots()
+    skews = [run["skew mean"] for run in sweep.values()]
+    reuses = [run["reuse"] for run in sweep.values()]
+    axes.plot(skews, reuses, marker="o")
+    for multiple, skew, reuse in zip(sweep, skews, reuses):
+        axes.annotate(str(multiple), (skew, reuse))
+    axes.set_xlabel("load skew, maximum over mean")
+    axes.set_ylabel("cache reuse of returning chats")
+    figure.savefig(path)
+    pyplot.close(figure)
+
+
+def _plot_zone(timeline, path):
+    figure, axes = pyplot.subplots()
+    whole = [(at, 1000 * first) for at, first, ok in timeline if ok]
+    axes.scatter(*zip(*whole), s=4)
+    for at, _, ok in timeline:
+        if not ok:
+            axes.axvline(at, color="red")
+    axes.set_xlabel("seconds")
+    axes.set_ylabel("first word, ms")
+    figure.savefig(path)
+    pyplot.close(figure)
