--- a/Makefile
+++ b/Makefile
@@ -3,7 +3,7 @@
 SECONDS ?= 300
 SEED ?= 1
 
-.PHONY: run test lint format proto measure soak slopes clean
+.PHONY: run test lint format proto measure soak slopes spread clean
 
 .venv/installed: pyproject.toml
 	$(PYTHON) -m venv .venv
@@ -36,5 +36,8 @@
 slopes: .venv/installed
 	$(BIN)/python -m tools.slopes
 
+spread: .venv/installed
+	$(BIN)/python -m tools.spread
+
 clean:
 	rm -rf .venv build out
--- /dev/null
+++ b/boragetrail/gossip/fabric.py
@@ -0,0 +1,105 @@
+"""Deliver gossip between processes in memory, for tests and capacity."""
+
+import random
+
+from boragetrail.configuration import Change, Document, Freshness
+from boragetrail.gossip.spread import Peer, Spread
+from boragetrail.wire.datagrams import Digest, NewChanges, encode_datagram
+
+__all__ = ["Fabric"]
+
+ROUND_S = 0.5
+ZONES = 3
+SERVICES = 3
+
+
+class Fabric:
+    """Connect processes whose datagrams arrive at once or get lost.
+
+    Documents that a process would fetch over HTTP are copied.
+
+    :param routers: number of routers
+    :param agents: number of agents
+    :param seed: seed of all choices
+    :param lost: part of the datagrams that is lost, 0 to 1
+    :param zones: number of availability zones
+    :param services: number of services that the agents belong to
+    """
+
+    def __init__(
+        self,
+        routers,
+        agents,
+        seed=1,
+        lost=0.0,
+        zones=ZONES,
+        services=SERVICES,
+    ):
+        self.random = random.Random(seed)
+        self.now = 0.0
+        self.lost = lost
+        self.zones = zones
+        self.services = services
+        self.down = set()
+        self.sent_bytes = 0
+        names = [f"r{n}" for n in range(routers)]
+        names += [f"a{n}" for n in range(agents)]
+        self.nodes = {name: self._node(name) for name in names}
+        peers = [node.me for node in self.nodes.values()]
+        for node in self.nodes.values():
+            node.set_peers(peers)
+
+    def round(self):
+        """Let half a second pass and every process start a round."""
+        self.now += ROUND_S
+        for name, node in self.nodes.items():
+            if name not in self.down:
+                self.deliver(name, node.tick())
+
+    def commit(self, name):
+        """Commit one change at a router and push it."""
+        node = self.nodes[name]
+        version = node.doc.version + 1
+        value = {"state": "in", "region": "r"}
+        change = Change(version, f"c{version}", "op", "zone", "z1", value)
+        node.doc.apply(change)
+        self.deliver(name, node.learned([change]))
+
+    def deliver(self, sender, sends):
+        """Deliver datagrams, and the datagrams that answer them."""
+        queue = [(sender, *send) for send in sends]
+        while queue:
+            source, peer, message = queue.pop(0)
+            self.sent_bytes += len(encode_datagram(message))
+            cut = peer.name in self.down or source in self.down
+            if cut or self.random.random() < self.lost:
+                continue
+            answers = self._receive(self.nodes[peer.name], source, message)
+            queue.extend((peer.name, *answer) for answer in answers)
+
+    def versions(self):
+        """Return the versions in force at the processes that are up."""
+        return {
+            node.doc.version
+            for name, node in self.nodes.items()
+            if name not in self.down
+        }
+
+    def _receive(self, node, source, message):
+        if isinstance(message, Digest):
+            return node.digest_received(message)
+        if isinstance(message, NewChanges):
+            return node.changes_received(message)[1]
+        node.doc.adopt(self.nodes[source].doc.to_snapshot())
+        return []
+
+    def _node(self, name):
+        number = int(name[1:])
+        role = "router" if name.startswith("r") else "agent"
+        service = f"s{number % self.services}" if role == "agent" else ""
+        zone = f"z{number % self.zones}"
+        me = Peer(name, role, service, name)
+        freshness = Freshness(zone, lambda: self.now)
+        return Spread(
+            me, name, zone, name, Document(), freshness, {}, self.random
+        )
--- a/boragetrail/gossip/tests/test_spread.py
+++ b/boragetrail/gossip/tests/test_spread.py
@@ -1,70 +1,8 @@
 """Tests of the spread of configuration."""
 
-import random
-
-from boragetrail.configuration import Change, Document, Freshness
-from boragetrail.gossip import Peer, Spread
-from boragetrail.wire.datagrams import Digest, NewChanges
-
-
-class Fabric:
-    """Deliver datagrams between processes in memory, in rounds.
-
-    :param lost: part of the datagrams that is lost
-    """
-
-    def __init__(self, routers, agents, seed=1, lost=0.0):
-        self.random = random.Random(seed)
-        self.now = 0.0
-        self.lost = lost
-        self.down = set()
-        names = [f"r{n}" for n in range(routers)]
-        names += [f"a{n}" for n in range(agents)]
-        self.nodes = {name: self._node(name) for name in names}
-        peers = [node.me for node in self.nodes.values()]
-        for node in self.nodes.values():
-            node.set_peers(peers)
-
-    def _node(self, name):
-        role = "router" if name.startswith("r") else "agent"
-        service = "" if role == "router" else f"s{int(name[1:]) % 3}"
-        me = Peer(name, role, service, name)
-        zone = f"z{int(name[1:]) % 3}"
-        freshness = Freshness(zone, lambda: self.now)
-        return Spread(
-            me, name, zone, name, Document(), freshness, {}, self.random
-        )
-
-    def deliver(self, sender, sends):
-        queue = [(sender, *send) for send in sends]
-        while queue:
-            source, peer, message = queue.pop(0)
-            node = self.nodes[peer.name]
-            cut = peer.name in self.down or source in self.down
-            if cut or self.random.random() < self.lost:
-                continue
-            if isinstance(message, Digest):
-                answers = node.digest_received(message)
-            elif isinstance(message, NewChanges):
-                answers = node.changes_received(message)[1]
-            else:
-                answers = []
-            queue.extend((peer.name, *answer) for answer in answers)
-
-    def round(self):
-        self.now += 0.5
-        for name, node in self.nodes.items():
-            self.deliver(name, node.tick())
-
-    def commit(self, name):
-        node = self.nodes[name]
-        version = node.doc.version + 1
-        change = Change(version, f"c{version}", "", "zone", "z1", {})
-        node.doc.apply(change)
-        self.deliver(name, node.learned([change]))
-
-    def versions(self):
-        return {node.doc.version for node in self.nodes.values()}
+from boragetrail.configuration import Change
+from boragetrail.gossip.fabric import Fabric
+from boragetrail.wire.datagrams import NewChanges
 
 
 class TestSpread:
--- a/tools/fleet.py
+++ b/tools/fleet.py
@@ -80,11 +80,17 @@
     :param deployment: :class:`tools.deployments.Deployment`
     :param proxied: whether routers reach agents through fault proxies
     :param folder: folder for settings and logs; default a new one
+    :param share_backend: whether all agents stand before one backend server
     """
 
-    def __init__(self, deployment, proxied=False, folder=None):
+    def __init__(
+        self, deployment, proxied=False, folder=None, share_backend=False
+    ):
         self.deployment = deployment
         self.proxied = proxied
+        self.share_backend = share_backend
+        self.ready_s = READY_S
+        self.is_out = False
         folder = folder or tempfile.mkdtemp(prefix="boragetrail-")
         self.folder = pathlib.Path(folder)
         self.folder.mkdir(parents=True, exist_ok=True)
@@ -236,7 +242,11 @@
 
     def _server(self, server):
         backend = f"{server.name}-backend"
-        if server.kind == "model":
+        if self.share_backend:
+            backend = f"{self.deployment.servers[0].name}-backend"
+        if backend in self.nodes:
+            node = self.nodes[backend]
+        elif server.kind == "model":
             shape = ["--shape", json.dumps(server.shape)]
             node = self._standin(backend, ["engine", server.name], shape)
         else:
@@ -323,9 +333,9 @@
         await self._wait_until(answered, f"{name} answers")
 
     async def _wait_until(self, condition, text):
-        limit_s = time.monotonic() + READY_S
+        limit_s = time.monotonic() + self.ready_s
         while time.monotonic() < limit_s:
             if await condition():
                 return
             await asyncio.sleep(0.05)
-        raise TimeoutError(f"{text}: not within {READY_S} s")
+        raise TimeoutError(f"{text}: not within {self.ready_s} s")
