Hand KV cache over to the server that a displaced chat goes to

Cause: a chat displaced by a cap, a drain or a zone's absence was computed anew, and KvFetch and KvBlock stood in the message set without use.

Change: a router names the server of the caller's hint when it chooses another; that agent fetches the cache from the other one within 150 ms, for prompts of 1 KB or more and two at a time, and goes on without it otherwise. The chat's id now reaches the engine also when the router made it; without that the engine exported nothing.

--- a/boragetrail/agent/attempts.py
+++ b/boragetrail/agent/attempts.py
@@ -70,6 +70,7 @@
     :param binding_of: function from customer to its binding
     :param finished: called with each finished order's attempt
     :param tasks: :class:`~boragetrail.utils.TaskGroup`
+    :param bring: coroutine function that imports KV cache for a dispatch
     """
 
     def __init__(
@@ -82,6 +83,7 @@
         binding_of,
         finished,
         tasks,
+        bring,
         clock=time.monotonic,
     ):
         self.ledger = ledger
@@ -92,6 +94,7 @@
         self.binding_of = binding_of
         self.finished = finished
         self.tasks = tasks
+        self.bring = bring
         self.clock = clock
         self.stall = StallGate(clock)
         self.stall_check = None
@@ -240,8 +243,10 @@
             return PaceMeter(self._pace_seen, self.stall)
         return None
 
-    def _run(self, attempt, meter):
-        return self.backend.run(
+    async def _run(self, attempt, meter):
+        if attempt.dispatch.kv_source:
+            await self.bring(attempt.dispatch)
+        return await self.backend.run(
             attempt.dispatch, attempt.stream, meter, STREAM_BYTES
         )
 
--- a/boragetrail/agent/connection.py
+++ b/boragetrail/agent/connection.py
@@ -22,6 +22,7 @@
     EngineOrder,
     Fail,
     Hello,
+    KvFetch,
     Outcome,
     Progress,
     Query,
@@ -60,6 +61,7 @@
             Credit: self._credit,
             Query: self._query,
             EngineOrder: self._engine_order,
+            KvFetch: self._kv_fetch,
         }
 
     async def serve(self):
@@ -139,6 +141,9 @@
     async def _run_engine_order(self, message):
         await self.send(await self.agent.engine_orders.run(message))
 
+    async def _kv_fetch(self, message):
+        await self.send(await self.agent.handover.export(message))
+
     async def _refuse(self, attempt_id, refusal):
         await self.send(
             Refuse(
--- a/boragetrail/agent/daemon.py
+++ b/boragetrail/agent/daemon.py
@@ -9,6 +9,7 @@
 from boragetrail.agent.connection import RouterConnection
 from boragetrail.agent.engine_orders import EngineOrderController
 from boragetrail.agent.finish import OutcomeWriter
+from boragetrail.agent.handover import HandoverController
 from boragetrail.errors import PlatformFailure, Refusal
 from boragetrail.events import Event, log_event
 from boragetrail.orders import Ledger
@@ -60,6 +61,9 @@
             self.loads,
             self.clock,
         )
+        self.handover = HandoverController(
+            self.backend, self.hello, self._link_of
+        )
         self.attempts = AttemptController(
             self.ledger,
             self.admission,
@@ -69,6 +73,7 @@
             lambda customer: self.doc.binding(customer, self.service),
             self._finished,
             self.tasks,
+            self.handover.bring,
         )
         self.engine_orders = EngineOrderController(
             self.incarnation, self.backend, self._least_fencing
@@ -184,9 +189,14 @@
             "outcomes": self.attempts.outcomes_by_code,
             "outcomes_to_write": self.outcomes.pending,
             "frames_sent": self.frames_sent,
+            "kv_moved": self.handover.moved,
             "connections": len(self.connections),
         }
 
+    def _link_of(self, server):
+        member = self.membership.members_by_name.get(server)
+        return split_address(member.vm.link) if member else None
+
     def _unfinished(self):
         done = not self.attempts.busy() and not self.outcomes.pending
         return not done or self._has_pumps()
--- /dev/null
+++ b/boragetrail/agent/handover.py
@@ -0,0 +1,94 @@
+"""Hand KV cache over from one agent to another."""
+
+import asyncio
+import json
+
+import websockets
+import websockets.asyncio.client
+
+from boragetrail.events import Event, log_event
+from boragetrail.policy.transfer import SizeTransfer
+from boragetrail.wire import decode, encode
+from boragetrail.wire.messages import KvBlock, KvFetch
+
+__all__ = ["HandoverController"]
+
+# Seconds that a transfer may hold up the request that it is for.
+FETCH_TIMEOUT_S = 0.15
+FRAME_LIMIT_BYTES = 64 * 1024 * 1024
+
+
+class HandoverController:
+    """Export KV cache for other agents and import it from them.
+
+    :param backend: client of the backend server
+    :param hello: function that returns the agent's first message
+    :param address_of: function from server to (host, port) or ``None``
+    """
+
+    def __init__(self, backend, hello, address_of):
+        self.backend = backend
+        self.hello = hello
+        self.address_of = address_of
+        self.imports = SizeTransfer()
+        self.exports = SizeTransfer()
+        self.moved = 0
+
+    async def export(self, message):
+        """Return the KV cache of a chat; empty if none is given.
+
+        :param message: :class:`~boragetrail.wire.messages.KvFetch`
+        """
+        block = KvBlock(message.chat_id, b"")
+        if not self.exports.may_begin(SizeTransfer.LEAST_PROMPT_BYTES):
+            return block
+        try:
+            body = {"chat_id": message.chat_id}
+            answer = await self.backend.post_json("/kv/export", body)
+            if answer and answer["status"] == 200 and answer["blocks"]:
+                block.payload = json.dumps(answer["blocks"]).encode()
+        finally:
+            self.exports.ended()
+        return block
+
+    async def bring(self, dispatch):
+        """Import the KV cache that a request needs, if it pays.
+
+        :param dispatch: :class:`~boragetrail.wire.messages.Dispatch`
+        """
+        address = self.address_of(dispatch.kv_source)
+        if address is None or not self.imports.may_begin(len(dispatch.body)):
+            return
+        try:
+            async with asyncio.timeout(FETCH_TIMEOUT_S):
+                await self._bring(dispatch, address)
+        except (OSError, TimeoutError, websockets.WebSocketException):
+            return
+        finally:
+            self.imports.ended()
+
+    async def _bring(self, dispatch, address):
+        host, port = address
+        async with websockets.asyncio.client.connect(
+            f"ws://{host}:{port}",
+            compression=None,
+            ping_interval=None,
+            max_size=FRAME_LIMIT_BYTES,
+            close_timeout=0.1,
+            proxy=None,
+        ) as socket:
+            await socket.send(encode(self.hello()))
+            await socket.recv()
+            await socket.send(encode(KvFetch(dispatch.chat_id)))
+            block = decode(await socket.recv())
+        if not isinstance(block, KvBlock) or not block.payload:
+            return
+        body = {
+            "chat_id": dispatch.chat_id,
+            "blocks": json.loads(block.payload),
+        }
+        await self.backend.post_json("/kv/import", body)
+        self.moved += 1
+        log_event(
+            Event.KV_MOVED, chat=dispatch.chat_id, source=dispatch.kv_source
+        )
--- a/boragetrail/policy/__init__.py
+++ b/boragetrail/policy/__init__.py
@@ -8,6 +8,7 @@
 from boragetrail.policy.retry import RetryBudget, RetryPolicy
 from boragetrail.policy.share import CustomerShare, FairQueue, FirstComeQueue
 from boragetrail.policy.stall import StallGate
+from boragetrail.policy.transfer import KvTransfer, SizeTransfer
 from boragetrail.policy.warmup import EvidenceRamp, Warmup
 
 __all__ = [
@@ -20,6 +21,7 @@
     "FairQueue",
     "FirstComeQueue",
     "HomePlacement",
+    "KvTransfer",
     "LoadCap",
     "LoadEntry",
     "LoadTable",
@@ -29,6 +31,7 @@
     "RetryBudget",
     "RetryPolicy",
     "ServerState",
+    "SizeTransfer",
     "StallGate",
     "Wanted",
     "Warmup",
--- a/boragetrail/router/dispatch.py
+++ b/boragetrail/router/dispatch.py
@@ -176,7 +176,7 @@
             row_key=row[0],
             row_version=row[1],
             chat_id=context.chat_id,
-            kv_source="",
+            kv_source=self._kv_source(context, name),
             resume_events=progress.events,
             last_choice=progress.second_round,
             version=self.router.doc.version,
@@ -279,6 +279,17 @@
     def _evidence(self, service):
         return self.router.loads_of(service).freshest(LOADS_PER_DISPATCH)
 
+    def _kv_source(self, context, name):
+        """Return the server that holds a displaced chat's context."""
+        if context.service_value.get("kind") != "model":
+            return ""
+        if not context.hint or context.hint == name:
+            return ""
+        member = self.router.membership.members_by_name.get(context.hint)
+        if member is None or member.vm.service != context.service:
+            return ""
+        return context.hint
+
     def _left_ms(self, context):
         left_s = context.deadline_s - self.clock()
         return max(1, int(1000 * left_s))
--- a/boragetrail/router/filters.py
+++ b/boragetrail/router/filters.py
@@ -44,6 +44,8 @@
         "expect",
         "x-priority",
         "x-resume-events",
+        "x-chat-id",
+        "x-chat-hint",
     )
 )
 
@@ -225,6 +227,9 @@
             if not isinstance(value, str) or len(value) > MOST_ID_CHARACTERS:
                 detail = "chat id and hint are texts of up to 200 characters"
                 return Refusal(Reason.BAD_REQUEST, detail)
+        if context.chat_id:
+            # The engine keeps KV cache under the same id.
+            context.headers.append(("X-Chat-Id", context.chat_id))
         context.explanation.chat_id = context.chat_id
         return None
 
