--- a/boragetrail/cli.py
+++ b/boragetrail/cli.py
@@ -11,6 +11,7 @@
 import boragetrail
 from boragetrail.events import catalogue_markdown, start_log
 from boragetrail.operators.cli import operator_app
+from boragetrail.reasons import reasons_markdown
 from boragetrail.settings import load_settings
 
 __all__ = ["app", "main"]
@@ -78,6 +79,12 @@
     typer.echo(catalogue_markdown(), nl=False)
 
 
+@app.command()
+def reasons():
+    """Show the catalogue of reason codes."""
+    typer.echo(reasons_markdown(), nl=False)
+
+
 def main():
     """Run the command line."""
     app()
--- a/boragetrail/reasons.py
+++ b/boragetrail/reasons.py
@@ -6,7 +6,7 @@
 
 import enum
 
-__all__ = ["Ran", "Reason", "REASONS_BY_CODE"]
+__all__ = ["Ran", "Reason", "REASONS_BY_CODE", "reasons_markdown"]
 
 
 class Ran(str, enum.Enum):
@@ -203,3 +203,14 @@
 
 
 REASONS_BY_CODE = {reason.code: reason for reason in Reason}
+
+
+def reasons_markdown():
+    """Return the catalogue of reasons as a Markdown page."""
+    lines = ["# Reason codes", "", "| code | status | ran | meaning |"]
+    lines.append("|---|---|---|---|")
+    for reason in Reason:
+        ran = reason.ran.value
+        row = f"| `{reason.code}` | {reason.status} | {ran} | {reason.text} |"
+        lines.append(row)
+    return "\n".join(lines) + "\n"
