--- a/boragetrail/configuration/document.py
+++ b/boragetrail/configuration/document.py
@@ -1,7 +1,5 @@
 """The configuration as one document at a version, and its checks."""
 
-import copy
-
 import jsonschema
 
 from boragetrail.errors import ChangeFailure
@@ -184,11 +182,16 @@
         return self.get("binding", f"{customer}:{service}")
 
     def to_snapshot(self):
-        """Return the document in a form that CBOR and JSON can carry."""
+        """Return the document in a form that CBOR and JSON can carry.
+
+        Values are shared with the document, which replaces and never
+        changes them.
+        """
         changed = [[*key, v] for key, v in self.changed_at_by_key.items()]
+        entities = self.entities_by_kind.items()
         return {
             "version": self.version,
-            "entities": copy.deepcopy(self.entities_by_kind),
+            "entities": {kind: dict(by_name) for kind, by_name in entities},
             "changed_at": changed,
             "change_ids": dict(self.versions_by_change_id),
         }
@@ -209,7 +212,8 @@
             return False
         self.version = snapshot["version"]
         self.entities_by_kind = {kind: {} for kind in KINDS}
-        self.entities_by_kind.update(snapshot["entities"])
+        for kind, by_name in snapshot["entities"].items():
+            self.entities_by_kind[kind] = dict(by_name)
         self.changed_at_by_key = {
             (kind, name): version
             for kind, name, version in snapshot["changed_at"]
--- a/boragetrail/gossip/spread.py
+++ b/boragetrail/gossip/spread.py
@@ -22,6 +22,8 @@
 LOADS_PER_DIGEST = 12
 # Peers that hear at once of a changed load.
 NEWS_FANOUT = 4
+# One round in this many goes to processes of other kinds.
+OTHERS_EVERY_BY_ROLE = {"router": 2, "agent": 4}
 
 
 class Peer:
@@ -222,17 +224,16 @@
         )
 
     def _partner(self):
-        # Every other round is for those who can give most: to a router the
-        # other routers, to an agent the agents of its service, with whom it
+        # Most rounds are for those who can give most: to a router the other
+        # routers, to an agent the agents of its service, with whom it
         # exchanges loads.
         peers = self._reachable()
-        if self.rounds % 2:
-            own = self.me.service
-            peers = [peer for peer in peers if peer.service == own] or peers
-        elif self.me.role == "agent":
-            routers = [peer for peer in peers if peer.role == "router"]
-            peers = routers or peers
-        return self.random.choice(peers) if peers else None
+        others_every = OTHERS_EVERY_BY_ROLE[self.me.role]
+        own = self.me.service
+        is_own_round = self.rounds % others_every
+        chosen = [p for p in peers if (p.service == own) == bool(is_own_round)]
+        chosen = chosen or peers
+        return self.random.choice(chosen) if chosen else None
 
     def _reachable(self):
         peers = self.peers_by_name.values()
--- a/boragetrail/operators/placement.py
+++ b/boragetrail/operators/placement.py
@@ -5,6 +5,7 @@
 from boragetrail.errors import LinkFailure, PlatformFailure
 from boragetrail.events import Event, log_event
 from boragetrail.platform import WeightClient
+from boragetrail.policy.placement import rendezvous_score
 from boragetrail.reasons import Reason
 from boragetrail.router.link import Lost
 from boragetrail.wire.messages import EngineOrder
@@ -19,6 +20,8 @@
 LEASE_S = 6.0
 ROUND_S = 1.0
 ORDER_TIMEOUT_S = 10.0
+# Routers that stand by for the lease of a service.
+CONTENDERS = 3
 
 
 class Lease:
@@ -167,9 +170,31 @@
                 continue
             services = self.router.doc.entities_by_kind["service"]
             for name, value in list(services.items()):
-                if value.get("model") and value.get("model_version"):
+                if not value.get("model") or not value.get("model_version"):
+                    continue
+                if self._is_contender(name):
                     await self._work_on(name, value)
 
+    def _is_contender(self, service):
+        """Return whether this router may try for a service's lease.
+
+        A few routers of the list stand by for each service, so that the
+        reads of leases do not grow with the number of routers.
+        """
+        members = self.router.membership.members_by_name.values()
+        names = {
+            member.vm.name
+            for member in members
+            if member.vm.role == "router"
+            and member.vm.state == "live"
+            and not member.leaving
+        }
+        names.add(self.router.name)
+        ranked = sorted(
+            names, key=lambda name: rendezvous_score(service, name)
+        )
+        return self.router.name in ranked[:CONTENDERS]
+
     def to_dicts(self):
         """Return the progress at all servers."""
         return [each.to_dict() for each in self.progress_by_server.values()]
--- a/boragetrail/reasons.py
+++ b/boragetrail/reasons.py
@@ -69,12 +69,6 @@
         Ran.NO,
         "The request could not start before its deadline.",
     )
-    SHARE_EXCEEDED = (
-        "share-exceeded",
-        429,
-        Ran.NO,
-        "The customer is over its share while others wait.",
-    )
     DEADLINE = (
         "deadline",
         504,
@@ -182,12 +176,6 @@
         Ran.NO,
         "The fencing number is older than one already seen.",
     )
-    RETRIES_SPENT = (
-        "retries-spent",
-        503,
-        Ran.NO,
-        "The retry budget is spent.",
-    )
     PROTOCOL = (
         "protocol",
         502,
--- a/boragetrail/router/dispatch.py
+++ b/boragetrail/router/dispatch.py
@@ -30,7 +30,6 @@
         Reason.WRONG_INCARNATION,
         Reason.UNREACHABLE,
         Reason.OVERLOADED,
-        Reason.SHARE_EXCEEDED,
         Reason.LEDGER_FULL,
         Reason.PROTOCOL,
         Reason.TOMBSTONED,
