Grow a cold server's limit slowly until its pace shows that it is warm

Cause: a surge of 100 streams made engines that were still cold fall over again and again (8 and 7 falls in one scenario). The ramp learned the cold pace as the usual one and then took every pace as good: one step more of limit for each two words, past the six requests that the cold engine bears. Seen on the way: one slow step, such as a long prefill, is seen by all streams at once and counted as four slow paces.

Change: until a server was seen warm, the limit grows by one for 32 good paces; a pace that halves shows warmth; a run of slow paces must last eight usual paces; a server that stays slow for 20 whole requests is learned anew. The sixth scenario of the policy is a surge while all are cold.

--- a/boragetrail/agent/attempts.py
+++ b/boragetrail/agent/attempts.py
@@ -258,6 +258,8 @@
         if failure is None:
             if meter is None or not stream.events:
                 warmup.success_seen()
+            else:
+                warmup.request_ended()
             self.ledger.finish(attempt.entry, stream.status)
         else:
             self._failed(attempt, failure)
--- a/boragetrail/agent/daemon.py
+++ b/boragetrail/agent/daemon.py
@@ -50,7 +50,7 @@
         self.loads_by_service[self.service] = self.loads
         self.backend = BackendClient(settings.backend)
         self.ledger = Ledger(self.incarnation, self.clock)
-        self.warmup = EvidenceRamp(DEFAULT_SLOTS)
+        self.warmup = EvidenceRamp(DEFAULT_SLOTS, self.clock)
         self.cap = MeanMultipleCap(DEFAULT_CAP_MULTIPLE)
         self.admission = BoundedAdmission(
             self.name,
--- a/boragetrail/policy/tests/test_admission.py
+++ b/boragetrail/policy/tests/test_admission.py
@@ -13,7 +13,7 @@
         self.now = 0.0
         clock = self.clock
         self.loads = LoadTable(clock)
-        self.ramp = EvidenceRamp(8)
+        self.ramp = EvidenceRamp(8, clock)
         self.ramp.assume(8)
         self.queue = FairQueue(clock)
         self.admission = BoundedAdmission(
--- a/boragetrail/policy/warmup.py
+++ b/boragetrail/policy/warmup.py
@@ -28,18 +28,25 @@
 class EvidenceRamp(Warmup):
     """Grow a limit on good paces and drop it at once on bad ones.
 
-    The limit starts low and grows by one with each good pace, thus doubles
-    in the time that the admitted requests need for one pace each. Several
-    slow paces in a row, or one failure, drop it to its start.
+    The pace of a warm server is learned. While it is not known, the limit
+    grows by one with every 32 good paces only, because the paces of a cold
+    server look even too; a pace that becomes much faster shows that the
+    server has warmed. Once the server was warm, each good pace adds one. A
+    run of slow paces, or one failure, drops the limit to its start, where it
+    stays until paces are good again. A server that stays slow for many
+    whole requests gets its pace learned anew.
 
     :param slots: limit of a warm server
+    :param clock: function that returns monotonic seconds
     :param start: limit of a cold server
 
-    >>> ramp = EvidenceRamp(4)
+    >>> ramp = EvidenceRamp(4, lambda: 0.0)
     >>> ramp.limit()
     1
-    >>> [ramp.pace_seen(0.02) for _ in range(3)]
-    [False, False, False]
+    >>> _ = [ramp.pace_seen(0.05) for _ in range(40)]
+    >>> ramp.limit()
+    2
+    >>> _ = [ramp.pace_seen(0.01) for _ in range(3)]
     >>> ramp.limit(), ramp.is_cold()
     (4, False)
     >>> ramp.failure_seen()
@@ -49,15 +56,26 @@
 
     SLOW_FACTOR = 3.0
     SLOW_PACES = 4
+    # A run of slow paces counts once it lasts this many usual paces. One
+    # slow step is seen by all streams at the same moment and is no run.
+    SLOW_RUN_PACES = 8
+    FASTER_FACTOR = 2.0
+    UNPROVEN_PACES = 32
+    SLOW_REQUESTS = 20
     BASELINE_GAIN = 0.05
     LEAST_PACE_S = 0.004
 
-    def __init__(self, slots, start=1):
+    def __init__(self, slots, clock, start=1):
         self.slots = slots
+        self.clock = clock
         self.start = min(start, slots)
         self.allowed = self.start
         self.baseline_s = None
+        self.proven = False
+        self.good_paces = 0
         self.slow_in_row = 0
+        self.slow_since_s = None
+        self.slow_requests = 0
 
     def limit(self):
         """Return how many requests may run at once."""
@@ -87,36 +105,59 @@
         if self.baseline_s is None:
             self.baseline_s = pace_s
         if pace_s > self.SLOW_FACTOR * self.baseline_s:
-            return self._slow(pace_s)
+            return self._slow()
         self.slow_in_row = 0
+        self.slow_requests = 0
         self._learn(pace_s)
-        self.success_seen()
+        self.good_paces += 1
+        if self.proven or self.good_paces % self.UNPROVEN_PACES == 0:
+            self._grow()
         return False
 
     def success_seen(self):
-        """Grow the limit by one."""
-        self.allowed = min(self.slots, self.allowed + 1)
+        """Record that a request without a pace ended well."""
+        self._grow()
+
+    def request_ended(self):
+        """Record that a request with paces ended well."""
+        if not self.slow_in_row:
+            return
+        self.slow_requests += 1
+        if self.slow_requests >= self.SLOW_REQUESTS:
+            self.baseline_s = None
+            self.proven = False
+            self.slow_requests = 0
 
     def failure_seen(self):
         """Drop the limit at once."""
         self.allowed = self.start
         self.slow_in_row = 0
+        self.good_paces = 0
 
-    def _slow(self, pace_s):
+    def _slow(self):
+        now = self.clock()
+        if not self.slow_in_row:
+            self.slow_since_s = now
         self.slow_in_row += 1
+        lasted_s = now - self.slow_since_s
         if self.slow_in_row < self.SLOW_PACES:
             return False
+        if lasted_s < self.SLOW_RUN_PACES * self.baseline_s:
+            return False
         fell = self.allowed > self.start
         self.allowed = self.start
-        self.slow_in_row = 0
-        # Slow paces at the start limit become the baseline in the end, so
-        # that a server which is slow for good still warms.
-        if not fell:
-            self.baseline_s += 0.5 * (pace_s - self.baseline_s)
         return fell
 
+    def _grow(self):
+        self.allowed = min(self.slots, self.allowed + 1)
+        if self.allowed == self.slots:
+            self.proven = True
+
     def _learn(self, pace_s):
-        if pace_s < self.baseline_s:
+        if self.FASTER_FACTOR * pace_s < self.baseline_s:
+            self.proven = True
+            self.baseline_s = pace_s
+        elif pace_s < self.baseline_s:
             self.baseline_s += 0.3 * (pace_s - self.baseline_s)
-            return
-        self.baseline_s += self.BASELINE_GAIN * (pace_s - self.baseline_s)
+        else:
+            self.baseline_s += self.BASELINE_GAIN * (pace_s - self.baseline_s)
--- a/features/policy.feature
+++ b/features/policy.feature
@@ -28,3 +28,8 @@
     When a large customer surges tenfold
     Then the small customer has no refusal
     And its first words at 95 in 100 are within the target
+
+  Scenario: A surge comes while every engine is cold
+    Given every engine has turned cold
+    When a large customer surges tenfold
+    Then no engine fell over
--- a/tools/policy_loop.py
+++ b/tools/policy_loop.py
@@ -70,7 +70,7 @@
         self.cache.clear()
         self.told_load = None
         self.loads = LoadTable(clock)
-        ramp = EvidenceRamp(shape.slots)
+        ramp = EvidenceRamp(shape.slots, clock)
         ramp.assume(shape.slots)
         self.admission = BoundedAdmission(
             self.name,
