Give each customer a retry budget of its own

Cause: beside a surge of 100 streams a small customer got 'cold' refusals. One budget of repeats served a whole router, and the surging customer's refused attempts had spent it. Ruled out: too few attempts alone (12 instead of 6 and pauses between last rounds left the refusals).

Change: budgets by customer, bounded to 4096; up to four last rounds with doubling pauses at the least loaded server, while the deadline allows.

--- a/boragetrail/policy/retry.py
+++ b/boragetrail/policy/retry.py
@@ -1,6 +1,7 @@
 """Decide whether a failed attempt may be repeated."""
 
 import abc
+import collections
 
 __all__ = ["RetryPolicy", "RetryBudget"]
 
@@ -9,17 +10,31 @@
     """Decide whether to repeat an attempt, and after what pause."""
 
     @abc.abstractmethod
-    def may_retry(self, attempts, ran_no, left_s):
+    def may_retry(self, customer, attempts, ran_no, left_s):
         """Return the pause in seconds before a repeat, or ``None``.
 
+        :param customer: id of the customer
         :param attempts: attempts made so far
         :param ran_no: whether the last attempt surely did not run
         :param left_s: seconds left to the deadline
         """
 
 
+class _Tokens:
+    """Repeats that one customer may still make."""
+
+    __slots__ = ("ran", "refused")
+
+    def __init__(self, burst):
+        self.ran = burst
+        self.refused = burst
+
+
 class RetryBudget(RetryPolicy):
-    """Allow repeats as a part of the requests that were sent.
+    """Allow repeats as a part of the requests that a customer sent.
+
+    Each customer has budgets of its own, so that the repeats of one that
+    surges take nothing from the others.
 
     An attempt that a server refused at once costs less than one that ran,
     so it has a budget of its own that is larger.
@@ -31,33 +46,43 @@
     RAN_PER_REQUEST = 0.1
     REFUSED_PER_REQUEST = 1.0
     BURST = 50.0
-    MOST_ATTEMPTS = 6
+    MOST_ATTEMPTS = 12
+    MOST_CUSTOMERS = 4096
     LEAST_LEFT_S = 0.05
     PAUSE_S = 0.02
 
     def __init__(self, clock, random):
         self.clock = clock
         self.random = random
-        self.ran_tokens = self.BURST
-        self.refused_tokens = self.BURST
+        self.tokens_by_customer = collections.OrderedDict()
 
-    def request_seen(self):
-        """Add to the budgets for one new request."""
-        ran = self.ran_tokens + self.RAN_PER_REQUEST
-        refused = self.refused_tokens + self.REFUSED_PER_REQUEST
-        self.ran_tokens = min(self.BURST, ran)
-        self.refused_tokens = min(self.BURST, refused)
+    def request_seen(self, customer):
+        """Add to a customer's budgets for one new request."""
+        tokens = self._tokens(customer)
+        ran = tokens.ran + self.RAN_PER_REQUEST
+        refused = tokens.refused + self.REFUSED_PER_REQUEST
+        tokens.ran = min(self.BURST, ran)
+        tokens.refused = min(self.BURST, refused)
 
-    def may_retry(self, attempts, ran_no, left_s):
+    def may_retry(self, customer, attempts, ran_no, left_s):
         """Return the pause before a repeat; see the base class."""
         if attempts >= self.MOST_ATTEMPTS or left_s < self.LEAST_LEFT_S:
             return None
+        tokens = self._tokens(customer)
         if ran_no:
-            if self.refused_tokens < 1:
+            if tokens.refused < 1:
                 return None
-            self.refused_tokens -= 1
+            tokens.refused -= 1
             return 0.0
-        if self.ran_tokens < 1:
+        if tokens.ran < 1:
             return None
-        self.ran_tokens -= 1
+        tokens.ran -= 1
         return self.random.uniform(0, self.PAUSE_S * 2**attempts)
+
+    def _tokens(self, customer):
+        kept = self.tokens_by_customer
+        tokens = kept.pop(customer, None) or _Tokens(self.BURST)
+        kept[customer] = tokens
+        if len(kept) > self.MOST_CUSTOMERS:
+            kept.popitem(last=False)
+        return tokens
--- /dev/null
+++ b/boragetrail/policy/tests/test_retry.py
@@ -0,0 +1,32 @@
+"""Tests of the retry budget."""
+
+import random
+
+from boragetrail.policy import RetryBudget
+
+
+class TestRetryBudget:
+    """Repeats are a part of what a customer sent."""
+
+    def setup_method(self):
+        self.budget = RetryBudget(lambda: 0.0, random.Random(1))
+
+    def spend(self, customer, ran_no):
+        count = 0
+        while self.budget.may_retry(customer, 1, ran_no, 9.0) is not None:
+            count += 1
+        return count
+
+    def test_repeats_are_bounded(self):
+        assert self.spend("a", True) == RetryBudget.BURST
+        self.budget.request_seen("a")
+        assert self.spend("a", True) == 1
+
+    def test_a_surge_takes_nothing_from_other_customers(self):
+        self.spend("a", True)
+        self.spend("a", False)
+        assert self.budget.may_retry("b", 1, True, 9.0) is not None
+        assert self.budget.may_retry("b", 1, False, 9.0) is not None
+
+    def test_no_repeat_that_misses_its_deadline(self):
+        assert self.budget.may_retry("a", 1, True, 0.01) is None
--- a/boragetrail/router/dispatch.py
+++ b/boragetrail/router/dispatch.py
@@ -16,6 +16,9 @@
 LOADS_PER_DISPATCH = 6
 DEFAULT_CAP_MULTIPLE = 1.25
 RETRY_AFTER_S = 0.5
+# Rounds after all servers have refused, and the pause that doubles.
+MOST_LAST_ROUNDS = 4
+LAST_ROUND_PAUSE_S = 0.025
 
 # Refusals after which another server may well admit the request.
 ELSEWHERE = frozenset(
@@ -78,7 +81,7 @@
         A broken event stream of a model is continued at another server
         with the next event.
         """
-        self.retry.request_seen()
+        self.retry.request_seen(context.customer)
         progress = Progress()
         attempts = 0
         while True:
@@ -177,7 +180,7 @@
             chat_id=context.chat_id,
             kv_source=self._kv_source(context, name),
             resume_events=progress.events,
-            last_choice=progress.second_round,
+            last_choice=progress.last_rounds > 0,
             version=self.router.doc.version,
             loads=self._evidence(context.service),
         )
@@ -235,11 +238,11 @@
         for choice in choices:
             if choice.candidate.name not in progress.tried:
                 return choice
-        if not choices or progress.second_round:
+        if not choices or progress.last_rounds >= MOST_LAST_ROUNDS:
             return None
-        # All servers refused. Their replies told their loads, so a second
-        # round starts with the least loaded of them.
-        progress.second_round = True
+        # All servers refused. Their replies told their loads, so the least
+        # loaded of them is asked again, each time after a longer pause.
+        progress.last_rounds += 1
         loads = self.router.loads_of(context.service)
         least = min(choices, key=lambda c: loads.load_of(c.candidate.name))
         least.rule = "least"
@@ -252,7 +255,11 @@
         if progress.started and not progress.resumable(context):
             return None
         left_s = context.deadline_s - self.clock()
-        pause_s = self.retry.may_retry(attempts, ran_no, left_s)
+        pause_s = self.retry.may_retry(
+            context.customer, attempts, ran_no, left_s
+        )
+        if pause_s is not None and progress.last_rounds:
+            pause_s += LAST_ROUND_PAUSE_S * 2**progress.last_rounds
         if pause_s is not None and progress.started:
             request_id = context.request_id
             log_event(Event.STREAM_RESUMED, request_id=request_id)
@@ -299,7 +306,7 @@
 
     __slots__ = (
         "tried",
-        "second_round",
+        "last_rounds",
         "started",
         "events",
         "clean",
@@ -309,7 +316,7 @@
 
     def __init__(self):
         self.tried = set()
-        self.second_round = False
+        self.last_rounds = 0
         self.started = False
         self.events = 0
         self.base_events = 0
