--- a/boragetrail/router/daemon.py
+++ b/boragetrail/router/daemon.py
@@ -172,6 +172,7 @@
                     "*", "/services/{service}/{path:.*}", self._handle
                 ),
                 aiohttp.web.get("/health/ready", self._ready),
+                aiohttp.web.route("*", "/{path:.*}", self._handle_unknown),
             ]
         )
         self.runner = aiohttp.web.AppRunner(
@@ -238,6 +239,11 @@
         ticket = await self.orders.new_ticket(context)
         return ticket if isinstance(ticket, str) else ""
 
+    async def _handle_unknown(self, request):
+        context = self._new_context(request)
+        detail = f"path {request.path!r} with method {request.method}"
+        return problem_response(context, Refusal(Reason.NO_SERVICE, detail))
+
     async def _handle_ticket(self, request):
         context = self._new_context(request)
         chain = self.filters[:3]
--- a/features/fleet.feature
+++ b/features/fleet.feature
@@ -58,3 +58,4 @@
       | an oversized body    | 413    | body-too-large |
       | a malformed chat     | 400    | bad-request    |
       | an unknown service   | 404    | no-service     |
+      | an unknown path      | 404    | no-service     |
--- a/features/test_fleet.py
+++ b/features/test_fleet.py
@@ -350,6 +350,8 @@
         body = b"x" * 1_000_001
     if mistake == "an unknown service":
         url = f"{caller.url}/services/nothing/here"
+    if mistake == "an unknown path":
+        url = f"{caller.url}/v2/nothing"
     async with caller.session.post(url, headers=headers, data=body) as answer:
         data = await answer.read()
         return answer.status, data, answer.headers["Content-Type"]
