--- a/boragetrail/__init__.py
+++ b/boragetrail/__init__.py
@@ -1,27 +1,31 @@
 """A router fleet for very many returning chats."""
 
-from boragetrail.configuration import Change, Document, Freshness, History
-from boragetrail.errors import Failure, Refusal
-from boragetrail.events import Event
-from boragetrail.orders import Ledger, OrderState, Ticket
-from boragetrail.policy import HomePlacement, MeanMultipleCap
-from boragetrail.reasons import Ran, Reason
+import importlib
 
 __version__ = "0.1.0"
 
-__all__ = [
-    "Change",
-    "Document",
-    "Event",
-    "Failure",
-    "Freshness",
-    "History",
-    "HomePlacement",
-    "Ledger",
-    "MeanMultipleCap",
-    "OrderState",
-    "Ran",
-    "Reason",
-    "Refusal",
-    "Ticket",
-]
+_MODULES_BY_NAME = {
+    "Change": "boragetrail.configuration",
+    "Document": "boragetrail.configuration",
+    "Event": "boragetrail.events",
+    "Failure": "boragetrail.errors",
+    "Freshness": "boragetrail.configuration",
+    "History": "boragetrail.configuration",
+    "HomePlacement": "boragetrail.policy",
+    "Ledger": "boragetrail.orders",
+    "MeanMultipleCap": "boragetrail.policy",
+    "OrderState": "boragetrail.orders",
+    "Ran": "boragetrail.reasons",
+    "Reason": "boragetrail.reasons",
+    "Refusal": "boragetrail.errors",
+    "Ticket": "boragetrail.orders",
+}
+
+__all__ = sorted(_MODULES_BY_NAME)
+
+
+def __getattr__(name):
+    # A process pays only for the parts that its role uses.
+    if name in _MODULES_BY_NAME:
+        return getattr(importlib.import_module(_MODULES_BY_NAME[name]), name)
+    raise AttributeError(f"module {__name__!r} has no attribute {name!r}")
--- a/boragetrail/agent/finish.py
+++ b/boragetrail/agent/finish.py
@@ -6,7 +6,7 @@
 from boragetrail.errors import PlatformFailure
 from boragetrail.events import Event, log_event
 from boragetrail.orders.state import OrderState
-from boragetrail.platform import Put
+from boragetrail.store import Put
 
 __all__ = ["OutcomeWriter", "outcome_value"]
 
--- a/boragetrail/cli.py
+++ b/boragetrail/cli.py
@@ -10,9 +10,7 @@
 
 import boragetrail
 from boragetrail.events import catalogue_markdown, start_log
-from boragetrail.operators.cli import operator_app
 from boragetrail.reasons import reasons_markdown
-from boragetrail.settings import load_settings
 
 __all__ = ["app", "main"]
 
@@ -22,7 +20,6 @@
 app = typer.Typer(
     no_args_is_help=True, add_completion=False, help=boragetrail.__doc__
 )
-app.add_typer(operator_app, name="operator")
 
 
 @app.callback(invoke_without_command=True)
@@ -51,6 +48,25 @@
     _run_daemon(settings, "agent", AgentDaemon)
 
 
+@app.command()
+def direct(settings: str = typer.Argument(help="Settings file.")):
+    """Run a router that calls backend servers itself."""
+    from boragetrail.direct.daemon import DirectDaemon
+    import boragetrail.platform as platform
+    from boragetrail.settings import load_direct_settings
+
+    def load():
+        return load_direct_settings(settings)
+
+    loaded = _loaded(settings, load())
+    start_log(loaded.log_format, loaded.log_level, sys.stdout)
+
+    async def run():
+        await DirectDaemon(loaded, platform, load).run()
+
+    asyncio.run(run())
+
+
 @app.command()
 def check(settings: str = typer.Argument(help="Settings file.")):
     """Check a settings file; each error is shown with its key path."""
@@ -87,11 +103,22 @@
 
 def main():
     """Run the command line."""
+    if sys.argv[1:2] == ["operator"]:
+        # Its libraries are large, so other commands do without them.
+        from boragetrail.operators.cli import operator_app
+
+        app.add_typer(operator_app, name="operator")
     app()
 
 
 def _load(path):
-    loaded, errors = load_settings(path)
+    from boragetrail.settings import load_settings
+
+    return _loaded(path, load_settings(path))
+
+
+def _loaded(path, result):
+    loaded, errors = result
     if loaded is None:
         for error in errors:
             typer.echo(f"{path}: {error}", err=True)
--- /dev/null
+++ b/boragetrail/direct/__init__.py
@@ -0,0 +1,1 @@
+"""The path of a request straight to a backend server over HTTP."""
--- /dev/null
+++ b/boragetrail/direct/daemon.py
@@ -0,0 +1,239 @@
+"""The router that speaks HTTP to backend servers itself."""
+
+import asyncio
+import random
+import signal
+import time
+
+import aiohttp
+import aiohttp.web
+
+from boragetrail.direct.directory import Directory
+from boragetrail.direct.dispatch import Dispatcher
+from boragetrail.direct.feed import Feed
+from boragetrail.direct.filters import FilterChain
+from boragetrail.direct.fleet import Fleet
+from boragetrail.direct.frontend import Frontend
+from boragetrail.direct.metrics import DirectMetrics
+from boragetrail.direct.peers import Digest, PeerSocket, PeerTable
+from boragetrail.direct.ports import Table
+from boragetrail.direct.relay import PeerSource, Puller, RelayServer
+from boragetrail.events import Event, log_event
+from boragetrail.utils import TaskGroup, new_incarnation, split_address
+
+__all__ = ["DirectDaemon"]
+
+# Time after the signal to stop in which the balancer still sends.
+BALANCER_LAG_S = 3.2
+# Time before the end of the grace at which the last requests are cut.
+CUT_BEFORE_S = 0.25
+POLL_S = 0.05
+SWEEP_S = 5.0
+ANNOUNCE_PAUSE_S = 1.0
+
+
+class DirectDaemon:
+    """Own the tasks of one router.
+
+    :param settings: :class:`~boragetrail.settings.DirectSettings`
+    :param platform: module of a platform's adapter
+    :param reload: function that returns (settings or ``None``, errors)
+    """
+
+    def __init__(self, settings, platform, reload):
+        self.settings = settings
+        self.platform = platform
+        self.reload = reload
+        self.clock = time.monotonic
+        self.random = random.Random()
+        self.incarnation = new_incarnation()
+        self.tasks = TaskGroup()
+        self.stop_asked = asyncio.Event()
+        self.metrics = DirectMetrics()
+        self.peers = PeerTable(self.clock, self.random)
+        self.directory = Directory(platform.PlatformDecoder(), self.clock)
+        self.fleet = Fleet(
+            self.directory, self.peers, settings.zone, self.clock
+        )
+        self.dispatcher = Dispatcher(
+            self.fleet,
+            platform.HEADER_NAMES,
+            settings.bounds,
+            self.clock,
+            self.random,
+        )
+        chain = FilterChain(self.directory, platform.HEADER_NAMES, self.random)
+        self.frontend = Frontend(
+            chain, self.dispatcher, self.metrics, self.clock
+        )
+        self.relay = RelayServer(
+            self.directory, self.dump, self.metrics.render
+        )
+        self.socket = PeerSocket(self.peers, self._digest, self._ahead)
+        self.session = None
+        self.store = None
+        self.puller = None
+        self.feeds = []
+        self.health = None
+
+    async def run(self):
+        """Run until a signal asks for a graceful stop."""
+        loop = asyncio.get_running_loop()
+        for number in (signal.SIGTERM, signal.SIGINT):
+            loop.add_signal_handler(number, self.stop_asked.set)
+        loop.add_signal_handler(signal.SIGHUP, self._reload)
+        await self.open()
+        log_event(
+            Event.STARTED,
+            name=self.settings.name,
+            zone=self.settings.zone,
+            incarnation=self.incarnation,
+        )
+        await self.stop_asked.wait()
+        log_event(
+            Event.STOPPING,
+            name=self.settings.name,
+            active=self.frontend.active,
+        )
+        await self.drain()
+        await self.close()
+        log_event(Event.STOPPED, name=self.settings.name)
+
+    async def open(self):
+        """Open the sockets and start the tasks."""
+        settings = self.settings
+        self.session = aiohttp.ClientSession()
+        self.store = self.platform.PlatformStore(self.session, settings.store)
+        self.puller = Puller(
+            self.directory, self.peers, self._peer_source, self.random
+        )
+        self.feeds = [
+            Feed(table, self.store, self.directory, self.clock, self.random)
+            for table in Table
+        ]
+        await self.socket.open(*split_address(settings.gossip))
+        await self.relay.open(*split_address(settings.relay))
+        await self._open_health()
+        await self.frontend.open(*split_address(settings.callers))
+        for feed in self.feeds:
+            self.tasks.start(feed.run(), f"feed {feed.table.value}")
+        self.tasks.start(self.socket.run(), "gossip")
+        self.tasks.start(self._join(), "join")
+        self.tasks.start(self._sweep(), "sweep")
+
+    async def close(self):
+        """Stop the tasks and close everything."""
+        await self.tasks.close()
+        await self.frontend.close()
+        self.fleet.close()
+        self.socket.close()
+        await self.relay.close()
+        await self.health.cleanup()
+        await self.session.close()
+
+    async def drain(self):
+        """Serve until the balancer has noticed, then end what is left."""
+        started_s = self.clock()
+        self.frontend.stopping = True
+        await asyncio.sleep(BALANCER_LAG_S)
+        self.frontend.stop_accepting()
+        last_s = started_s + self.settings.grace_s - CUT_BEFORE_S
+        while self.frontend.active and self.clock() < last_s:
+            await asyncio.sleep(POLL_S)
+
+    def is_ready(self):
+        """Return whether the balancer may send new connections."""
+        return not self.frontend.stopping and self.directory.is_complete()
+
+    def dump(self):
+        """Return the state of the process."""
+        configuration = self.directory.configuration
+        return {
+            "name": self.settings.name,
+            "incarnation": self.incarnation,
+            "ready": self.is_ready(),
+            "active": self.frontend.active,
+            "configuration": configuration and configuration.version,
+            "evacuated_zones": sorted(self.directory.evacuated_zones),
+            "tables": {
+                feed.table.value: {
+                    "version": self.directory.mirrors[feed.table].version,
+                    "age_s": feed.age_s(),
+                    "lost": feed.lost,
+                }
+                for feed in self.feeds
+            },
+            "servers": {
+                key: {
+                    "service": known.record.service,
+                    "zone": known.record.zone,
+                    "ready": known.record.ready,
+                }
+                for key, known in self.directory.servers_by_id.items()
+            },
+            "in_flight": self.fleet.in_flight_by_id(),
+            "routers": self.peers.size(),
+            "store_calls": self.store.calls,
+        }
+
+    def _digest(self):
+        return Digest(
+            incarnation=self.incarnation,
+            sequence=0,
+            gossip_port=split_address(self.settings.gossip)[1],
+            relay_port=split_address(self.settings.relay)[1],
+            versions_by_table=self.directory.versions(),
+            loads_by_id=self.fleet.in_flight_by_id(),
+            peers=[],
+            leaving=self.frontend.stopping,
+            wants_reply=False,
+        )
+
+    def _ahead(self):
+        if self.puller.is_behind():
+            self.tasks.start(self.puller.pull_if_behind(), "pull")
+
+    def _peer_source(self, peer):
+        return PeerSource(self.session, peer.address[0], peer.relay_port)
+
+    def _reload(self):
+        settings, errors = self.reload()
+        if settings is None:
+            texts = [str(error) for error in errors]
+            log_event(Event.SETTINGS_REFUSED, errors=texts)
+            return
+        self.dispatcher.bounds = settings.bounds
+        self.settings.seed_hosts = settings.seed_hosts
+        self.settings.grace_s = settings.grace_s
+        log_event(Event.RELOADED, name=settings.name)
+
+    async def _join(self):
+        """Make this router known, and greet those that are."""
+        host, port = split_address(self.settings.gossip)
+        for seed in self.settings.seed_hosts:
+            self._greet(seed, host, port)
+        while not await self.store.announce(host):
+            await asyncio.sleep(ANNOUNCE_PAUSE_S)
+        for member in await self.store.members():
+            self._greet(member, host, port)
+
+    def _greet(self, host, own_host, port):
+        if host != own_host:
+            self.socket.greet((host, port))
+
+    async def _sweep(self):
+        while True:
+            await asyncio.sleep(SWEEP_S)
+            self.fleet.drop_unlisted()
+
+    async def _open_health(self):
+        server = aiohttp.web.Server(self._health, access_log=None)
+        runner = aiohttp.web.ServerRunner(server)
+        await runner.setup()
+        host, port = split_address(self.settings.health)
+        await aiohttp.web.TCPSite(runner, host, port).start()
+        self.health = runner
+
+    async def _health(self, request):
+        status = 200 if self.is_ready() else 503
+        return aiohttp.web.Response(status=status)
--- /dev/null
+++ b/boragetrail/direct/dispatch.py
@@ -0,0 +1,301 @@
+"""Choose servers for a request and pass the answer on."""
+
+import asyncio
+
+from boragetrail.direct.attempt import Attempt, AttemptState, Verdict
+from boragetrail.direct.eventstream import WholeEvents
+from boragetrail.direct.headers import HeaderRewriter, prompt_parts
+from boragetrail.direct.model import RequestKind
+from boragetrail.errors import Failure, Refusal
+from boragetrail.events import Event, log_event
+from boragetrail.policy.affinity import AffinePlacement, LeastLoaded
+from boragetrail.policy.fleetlimits import RepeatPart
+from boragetrail.reasons import Ran, Reason
+
+__all__ = ["Dispatcher", "Progress"]
+
+RETRY_AFTER_S = 0.3
+MOST_TRIES = 8
+# Longest idle time in seconds of a connection that a request may reuse.
+REUSE_S = 3.0
+REUSE_AT_MOST_ONCE_S = 1.0
+LEAST_LEFT_S = 0.02
+
+
+class Progress:
+    """Hold what happened to a request so far.
+
+    :ivar tried: ids of servers that were tried
+    :ivar arrivals: number of attempts that were sent
+    :ivar runs: number of attempts that may have run
+    :ivar attempt: the attempt in hand, or ``None``
+    :ivar failed: an answer with an error of a server, kept in case that
+        the repeat does not run: (status, fields, body)
+    """
+
+    __slots__ = (
+        "tried",
+        "tries",
+        "arrivals",
+        "runs",
+        "attempt",
+        "events",
+        "failed",
+        "error",
+    )
+
+    def __init__(self):
+        self.tried = set()
+        self.tries = 0
+        self.arrivals = 0
+        self.runs = 0
+        self.attempt = None
+        self.events = WholeEvents()
+        self.failed = None
+        self.error = ""
+
+
+class Dispatcher:
+    """Send requests to servers.
+
+    :param fleet: :class:`~boragetrail.direct.fleet.Fleet`
+    :param names: :class:`~boragetrail.direct.ports.HeaderNames`
+    :param bounds: :class:`~boragetrail.settings.direct.Bounds`
+    :param clock: function that returns monotonic seconds
+    :param random: random generator
+    """
+
+    def __init__(self, fleet, names, bounds, clock, random):
+        self.fleet = fleet
+        self.names = names
+        self.bounds = bounds
+        self.clock = clock
+        self.rewriter = HeaderRewriter(names)
+        self.affine = AffinePlacement()
+        self.least_loaded = LeastLoaded(random)
+        self.repeats_by_service = {}
+
+    async def run(self, request, caller):
+        """Serve a request, or say why it failed.
+
+        :param request: :class:`~boragetrail.direct.request.DirectRequest`
+        :param caller: :class:`~boragetrail.direct.caller.CallerAnswer`
+        :returns: :class:`~boragetrail.errors.Failure` or ``None``
+        """
+        progress = Progress()
+        self._repeats(request.service).request_seen()
+        try:
+            async with asyncio.timeout_at(request.deadline_s):
+                failure = await self._serve(request, caller, progress)
+        except TimeoutError:
+            failure = self._late(progress)
+        finally:
+            if progress.attempt is not None:
+                progress.attempt.abort()
+        if failure is not None and progress.failed is not None:
+            if not caller.started:
+                caller.whole(*progress.failed)
+        return failure
+
+    async def _serve(self, request, caller, progress):
+        while True:
+            state = self._choose(request, progress)
+            if state is None:
+                return self._no_server(request, progress)
+            failure = await self._attempt(request, caller, progress, state)
+            if failure is None:
+                return None
+            if not self._may_repeat(request, progress, failure):
+                return failure
+            self._log_repeat(request, progress, failure, state)
+
+    async def _attempt(self, request, caller, progress, state):
+        """Return ``None`` if the caller's answer is settled."""
+        record = state.record
+        progress.tried.add(record.id)
+        progress.tries += 1
+        attempt = Attempt(state, self.names, request.id)
+        progress.attempt = attempt
+        state.in_flight += 1
+        try:
+            return await self._exchange(request, caller, progress, attempt)
+        finally:
+            state.in_flight -= 1
+            attempt.abort()
+
+    async def _exchange(self, request, caller, progress, attempt):
+        state = attempt.server
+        repeatable = request.route.repeatable
+        newest_s = REUSE_S if repeatable else REUSE_AT_MOST_ONCE_S
+        if not await attempt.open(newest_s):
+            state.failed()
+            return Refusal(Reason.UNREACHABLE, attempt.error)
+        left_s = request.deadline_s - self.clock()
+        resume_after = progress.events.last_id if caller.started else ""
+        head = self.rewriter.request_head(
+            request, state.record.id, left_s, resume_after
+        )
+        progress.arrivals += 1
+        verdict = await attempt.exchange(head + request.body)
+        if verdict is Verdict.ANSWER:
+            progress.runs += 1
+            self._note_cold(state, attempt.answer)
+            return await self._pass_on(request, caller, progress, attempt)
+        return self._unanswered(progress, attempt, verdict)
+
+    def _unanswered(self, progress, attempt, verdict):
+        state = attempt.server
+        if verdict is Verdict.MISDIRECTED:
+            self.fleet.directory.forget(state.record.id)
+            return Refusal(Reason.UNREACHABLE, "another server answers there")
+        if verdict is Verdict.REFUSED:
+            self._note_cold(state, attempt.answer)
+            detail = f"server {state.record.id} refused it"
+            return Refusal(Reason.OVERLOADED, detail, Ran.NO, RETRY_AFTER_S)
+        state.failed()
+        if verdict is Verdict.UNREACHABLE:
+            progress.arrivals -= 1
+            return Refusal(Reason.UNREACHABLE, attempt.error)
+        progress.runs += 1
+        return Failure(Reason.BACKEND_FAILED, attempt.error)
+
+    async def _pass_on(self, request, caller, progress, attempt):
+        answer = attempt.answer
+        if request.route.kind is RequestKind.STREAM and answer.ok:
+            return await self._pass_stream(caller, progress, attempt)
+        body = await attempt.body()
+        if body is None:
+            attempt.server.failed()
+            return Failure(Reason.TRUNCATED, attempt.error)
+        fields = self.rewriter.answer_fields(answer.raw_headers)
+        if answer.ok:
+            attempt.server.answered()
+            caller.whole(answer.status, fields, body)
+            return None
+        return self._server_error(caller, progress, answer, fields, body)
+
+    def _server_error(self, caller, progress, answer, fields, body):
+        """Keep an error of a server; a repeat may still succeed."""
+        if caller.started:
+            return Failure(Reason.BACKEND_FAILED, f"status {answer.status}")
+        progress.failed = (answer.status, fields, body)
+        detail = f"the server answered {answer.status}"
+        return Failure(Reason.BACKEND_FAILED, detail, Ran.YES)
+
+    async def _pass_stream(self, caller, progress, attempt):
+        answer = attempt.answer
+        if not caller.started:
+            fields = self.rewriter.answer_fields(answer.raw_headers)
+            await caller.start(answer.status, fields)
+        events = progress.events
+        events.rest = b""
+        async for data in attempt.chunks():
+            whole = events.feed(data)
+            if whole:
+                await caller.write(whole)
+        if attempt.state is not AttemptState.COMPLETE:
+            attempt.server.failed()
+            return Failure(Reason.TRUNCATED, attempt.error)
+        if events.rest:
+            await caller.write(events.rest)
+        attempt.server.answered()
+        await caller.finish()
+        return None
+
+    def _may_repeat(self, request, progress, failure):
+        if progress.tries >= MOST_TRIES:
+            return False
+        if request.deadline_s - self.clock() < LEAST_LEFT_S:
+            return False
+        if failure.ran is not Ran.NO:
+            if not request.route.repeatable:
+                return False
+            if progress.runs >= request.route.attempts:
+                return False
+        elif progress.runs and not request.route.repeatable:
+            return False
+        if not progress.arrivals:
+            return True
+        routers = self.fleet.peers.size()
+        return self._repeats(request.service).take(routers)
+
+    def _choose(self, request, progress):
+        """Return the state of the server to try next, or ``None``."""
+        usable = [
+            state
+            for state in self.fleet.usable(request.service.name)
+            if state.record.id not in progress.tried
+        ]
+        limited = request.service.cold_rate > 0
+        cold = [
+            state for state in usable if limited and self.fleet.is_cold(state)
+        ]
+        warm = [state for state in usable if state not in cold]
+        if warm:
+            return self._order(request, warm)[0]
+        bounds = self.bounds
+        most = request.service.cold_rate * bounds.cold_factor
+        most += bounds.cold_margin
+        routers = self.fleet.peers.size()
+        for state in self._order(request, cold):
+            if state.cold_part.take(most, routers):
+                return state
+        return None
+
+    def _order(self, request, states):
+        by_id = {state.record.id: state for state in states}
+        views = [self.fleet.view(state) for state in states]
+        parts = []
+        if request.route.affine:
+            text = request.http.headers.get(self.names.prompt_parts, "")
+            parts = prompt_parts(text)
+        if parts:
+            key = parts[-2][0] if len(parts) > 1 else parts[-1][0]
+            ordered = self.affine.order(key, views)
+        else:
+            ordered = self.least_loaded.order("", views)
+        return [by_id[view.id] for view in ordered]
+
+    def _no_server(self, request, progress):
+        if progress.runs:
+            detail = "no other server can take the request"
+            return Failure(Reason.BACKEND_FAILED, detail)
+        reason = Reason.OVERLOADED if progress.tried else Reason.NO_SERVER
+        detail = f"service {request.service.name!r}"
+        return Refusal(reason, detail, Ran.NO, RETRY_AFTER_S)
+
+    def _late(self, progress):
+        attempt = progress.attempt
+        if progress.runs or (attempt and attempt.ran() is not Ran.NO):
+            return Failure(Reason.DEADLINE)
+        detail = "the deadline passed before a server took it"
+        return Refusal(Reason.OVERLOADED, detail, Ran.NO, RETRY_AFTER_S)
+
+    def _note_cold(self, state, answer):
+        text = answer.headers.get(self.names.cold_ms, "")
+        if text.isdigit():
+            state.cold_heard(int(text) / 1000.0)
+
+    def _repeats(self, service):
+        part = self.repeats_by_service.get(service.name)
+        if part is None:
+            bounds = self.bounds
+            part = RepeatPart(
+                bounds.retry_ratio,
+                bounds.retry_window_s,
+                bounds.retry_extra,
+                self.clock,
+            )
+            self.repeats_by_service[service.name] = part
+        return part
+
+    def _log_repeat(self, request, progress, failure, state):
+        log_event(
+            Event.REQUEST_REPEATED,
+            request=request.id,
+            server=state.record.id,
+            code=failure.reason.code,
+            detail=failure.detail,
+            ran=failure.ran.value,
+            tries=progress.tries,
+        )
--- /dev/null
+++ b/boragetrail/direct/fleet.py
@@ -0,0 +1,131 @@
+"""What a router knows of servers from its own work and from its peers."""
+
+from boragetrail.direct.channel import ChannelPool
+from boragetrail.policy.affinity import ServerView
+from boragetrail.policy.fleetlimits import RatePart
+
+__all__ = ["Fleet", "ServerState"]
+
+
+class ServerState:
+    """Hold the connections to one server and what its answers showed.
+
+    :param record: :class:`~boragetrail.direct.model.ServerRecord`
+    :param clock: function that returns monotonic seconds
+    :ivar in_flight: requests that this router has there
+    :ivar doubt: consecutive failures that put the server last for a time
+    """
+
+    FIRST_DOUBT_S = 0.5
+    MOST_DOUBT_S = 4.0
+
+    def __init__(self, record, clock):
+        self.record = record
+        self.clock = clock
+        self.pool = ChannelPool(record.address, clock)
+        self.in_flight = 0
+        self.doubt = 0
+        self.doubt_until_s = 0.0
+        self.cold_until_s = 0.0
+        self.cold_part = RatePart(clock)
+
+    def failed(self):
+        """Note that the server could not be reached or broke off."""
+        self.doubt += 1
+        pause_s = self.FIRST_DOUBT_S * 2 ** (self.doubt - 1)
+        pause_s = min(self.MOST_DOUBT_S, pause_s)
+        self.doubt_until_s = self.clock() + pause_s
+
+    def answered(self):
+        """Note a whole answer."""
+        self.doubt = 0
+        self.doubt_until_s = 0.0
+
+    def is_doubtful(self):
+        """Return whether the server failed a short time ago."""
+        return self.doubt_until_s > self.clock()
+
+    def cold_heard(self, cold_s):
+        """Note that the server says how long it stays cold, in seconds."""
+        self.cold_until_s = self.clock() + cold_s
+
+
+class Fleet:
+    """Own the states of the servers that a directory lists.
+
+    :param directory: :class:`~boragetrail.direct.directory.Directory`
+    :param peers: object whose ``loads(server_id)`` returns the requests
+        that other routers have at a server, and ``size()`` the number of
+        routers
+    :param zone: availability zone of the router
+    :param clock: function that returns monotonic seconds
+    """
+
+    def __init__(self, directory, peers, zone, clock):
+        self.directory = directory
+        self.peers = peers
+        self.zone = zone
+        self.clock = clock
+        self.states_by_id = {}
+
+    def usable(self, service):
+        """Return the states of servers that may get new work, as a list."""
+        zones_out = self.directory.evacuated_zones
+        return [
+            self._state(known)
+            for known in self.directory.servers_of(service)
+            if known.record.ready and known.record.zone not in zones_out
+        ]
+
+    def is_cold(self, state):
+        """Return whether a server is cold."""
+        now = self.clock()
+        known = self.directory.servers_by_id.get(state.record.id)
+        listed = known.cold_until_s if known is not None else 0.0
+        return max(listed, state.cold_until_s) > now
+
+    def view(self, state):
+        """Return a :class:`~boragetrail.policy.affinity.ServerView`."""
+        record = state.record
+        load = state.in_flight + self.peers.loads(record.id)
+        in_zone = record.zone == self.zone
+        doubt = int(state.is_doubtful())
+        return ServerView(record.id, load, record.slots, in_zone, doubt)
+
+    def in_flight_by_id(self):
+        """Return this router's requests at each busy server."""
+        return {
+            key: state.in_flight
+            for key, state in self.states_by_id.items()
+            if state.in_flight
+        }
+
+    def drop_unlisted(self):
+        """Close the connections to servers that are no longer listed."""
+        listed = self.directory.servers_by_id
+        gone = [
+            key
+            for key, state in self.states_by_id.items()
+            if key not in listed and not state.in_flight
+        ]
+        for key in gone:
+            self.states_by_id.pop(key).pool.close()
+
+    def close(self):
+        """Close all idle connections."""
+        for state in self.states_by_id.values():
+            state.pool.close()
+
+    def _state(self, known):
+        record = known.record
+        state = self.states_by_id.get(record.id)
+        if state is None or not _is_same_run(state.record, record):
+            state = ServerState(record, self.clock)
+            self.states_by_id[record.id] = state
+        state.record = record
+        return state
+
+
+def _is_same_run(held, listed):
+    same_address = held.address == listed.address
+    return same_address and held.born_ms == listed.born_ms
--- /dev/null
+++ b/boragetrail/direct/frontend.py
@@ -0,0 +1,146 @@
+"""Take requests of callers."""
+
+import asyncio
+
+import aiohttp.web
+
+from boragetrail.direct.caller import CallerAnswer
+from boragetrail.direct.model import RequestKind
+from boragetrail.direct.request import DirectRequest
+from boragetrail.errors import Failure
+from boragetrail.events import Event, log_event
+from boragetrail.reasons import Reason
+
+__all__ = ["Frontend"]
+
+MOST_LINE_BYTES = 16 * 1024
+MOST_FIELDS = 200
+# Callers end idle connections earlier than this.
+KEEPALIVE_S = 90.0
+LINGER_S = 2.0
+BACKLOG = 1024
+CONTINUE = b"HTTP/1.1 100 Continue\r\n\r\n"
+
+
+class Frontend:
+    """Own the port for callers.
+
+    :param chain: :class:`~boragetrail.direct.filters.FilterChain`
+    :param dispatcher: :class:`~boragetrail.direct.dispatch.Dispatcher`
+    :param metrics: :class:`~boragetrail.direct.metrics.DirectMetrics`
+    :param clock: function that returns monotonic seconds
+    :ivar active: number of requests that have no whole answer yet
+    :ivar stopping: whether connections end after their next answer
+    """
+
+    def __init__(self, chain, dispatcher, metrics, clock):
+        self.chain = chain
+        self.dispatcher = dispatcher
+        self.metrics = metrics
+        self.clock = clock
+        self.active = 0
+        self.stopping = False
+        self.server = None
+        self.listener = None
+        self.detached = set()
+
+    async def open(self, host, port):
+        """Open the port."""
+        loop = asyncio.get_running_loop()
+        self.server = aiohttp.web.Server(
+            self._handle,
+            handler_cancellation=True,
+            keepalive_timeout=KEEPALIVE_S,
+            max_line_size=MOST_LINE_BYTES,
+            max_field_size=MOST_LINE_BYTES,
+            max_headers=MOST_FIELDS,
+            lingering_time=LINGER_S,
+            auto_decompress=False,
+            access_log=None,
+        )
+        self.listener = await loop.create_server(
+            self.server, host, port, backlog=BACKLOG
+        )
+
+    def stop_accepting(self):
+        """Close the port and end idle connections."""
+        self.listener.close()
+        self.server.pre_shutdown()
+
+    async def close(self):
+        """End all connections."""
+        if self.server is not None:
+            self.listener.close()
+            await self.server.shutdown(timeout=0)
+
+    async def _handle(self, http):
+        self.active += 1
+        request = DirectRequest(http, self.clock())
+        caller = CallerAnswer(http, self.stopping)
+        try:
+            return await self._answer(request, caller)
+        finally:
+            self.active -= 1
+
+    async def _answer(self, request, caller):
+        try:
+            failure = await self._serve(request, caller)
+        except asyncio.CancelledError:
+            self._log(Event.REQUEST_CANCELLED, request, None)
+            raise
+        except ConnectionError as exc:
+            # The caller's connection broke while it was written to.
+            failure = Failure(Reason.CANCELLED, repr(exc))
+        except Exception as exc:
+            failure = Failure(Reason.PROTOCOL, repr(exc))
+            log_event(
+                Event.HANDLER_FAILED, request=request.id, error=repr(exc)
+            )
+        self._settle(request, caller, failure)
+        return caller.response
+
+    async def _serve(self, request, caller):
+        http = request.http
+        if "Expect" in http.headers and http.transport is not None:
+            http.transport.write(CONTINUE)
+        failure = await self.chain.run(request)
+        if failure is not None:
+            return failure
+        if self._runs_without_caller(request):
+            return await self._serve_detached(request, caller)
+        return await self.dispatcher.run(request, caller)
+
+    def _runs_without_caller(self, request):
+        return request.route.kind is RequestKind.AT_MOST_ONCE
+
+    async def _serve_detached(self, request, caller):
+        """Serve a request that runs on if its caller leaves."""
+        task = asyncio.ensure_future(self.dispatcher.run(request, caller))
+        self.detached.add(task)
+        task.add_done_callback(self.detached.discard)
+        return await asyncio.shield(task)
+
+    def _settle(self, request, caller, failure):
+        """Make sure that the caller gets an answer, or none at all."""
+        code = failure.reason.code if failure is not None else "ok"
+        if failure is not None:
+            self._log(Event.REQUEST_FAILED, request, failure)
+            if caller.started:
+                caller.abort()
+            elif caller.response is None:
+                caller.problem(failure)
+        took_s = self.clock() - request.received_s
+        service = request.service.name if request.service else ""
+        self.metrics.request_done(code, service, took_s)
+
+    def _log(self, event, request, failure):
+        fields = {"request": request.id}
+        if request.route is not None:
+            fields["route"] = request.route.name
+            fields["version"] = request.configuration.version
+        if failure is not None:
+            fields["code"] = failure.reason.code
+            fields["detail"] = failure.detail
+            fields["ran"] = failure.ran.value
+        fields["after_s"] = round(self.clock() - request.received_s, 3)
+        log_event(event, **fields)
--- /dev/null
+++ b/boragetrail/direct/headers.py
@@ -0,0 +1,105 @@
+"""Header fields that pass a router, and those that it sets itself."""
+
+__all__ = ["HeaderRewriter", "prompt_parts"]
+
+# Fields that concern one connection only.
+CONNECTION_FIELDS = frozenset(
+    (
+        b"connection",
+        b"keep-alive",
+        b"proxy-authenticate",
+        b"proxy-authorization",
+        b"proxy-connection",
+        b"te",
+        b"trailer",
+        b"transfer-encoding",
+        b"upgrade",
+    )
+)
+FRAMING_FIELDS = frozenset((b"content-length", b"expect"))
+LEAST_DEADLINE_MS = 1
+
+
+class HeaderRewriter:
+    """Build the head that a server gets, and the one that a caller gets.
+
+    :param names: :class:`~boragetrail.direct.ports.HeaderNames`
+    """
+
+    def __init__(self, names):
+        self.names = names
+        own = set(names.reserved)
+        own.update((names.deadline_ms.lower(), names.key.lower()))
+        self.dropped = frozenset(name.encode() for name in own)
+        self.kept = frozenset(name.encode() for name in names.end_to_end)
+
+    def request_head(self, request, server_id, left_s, resume_after=""):
+        """Return the head of a request to a server as bytes.
+
+        :param left_s: seconds left to the deadline
+        :param resume_after: last event that the caller has, or empty
+        """
+        http = request.http
+        names = self.names
+        lines = [f"{http.method} {http.raw_path} HTTP/1.1".encode()]
+        dropped = self.dropped
+        if resume_after:
+            dropped = dropped | {names.last_event_id.lower().encode()}
+        fields = passed_fields(http.raw_headers, dropped, self.kept)
+        for name, value in fields:
+            lines.append(name + b": " + value)
+        left_ms = max(LEAST_DEADLINE_MS, int(left_s * 1000))
+        lines.append(f"{names.deadline_ms}: {left_ms}".encode())
+        lines.append(f"{names.expected_server}: {server_id}".encode())
+        if request.customer is not None:
+            customer = request.customer.name
+            lines.append(f"{names.customer}: {customer}".encode())
+        if resume_after:
+            lines.append(f"{names.last_event_id}: {resume_after}".encode())
+        if request.body or http.body_exists:
+            lines.append(f"Content-Length: {len(request.body)}".encode())
+        return b"\r\n".join(lines) + b"\r\n\r\n"
+
+    @staticmethod
+    def answer_fields(raw_headers):
+        """Return the fields of an answer that reach the caller.
+
+        :returns: list of (name, value) as text
+        """
+        return [
+            (name.decode("latin-1"), value.decode("latin-1"))
+            for name, value in passed_fields(raw_headers, frozenset())
+        ]
+
+
+def passed_fields(raw_headers, dropped, kept=frozenset()):
+    """Yield the fields that concern more than one connection.
+
+    :param dropped: further names to leave out, in lower case
+    :param kept: names that pass also if a sender ties them to one
+        connection, in lower case
+    """
+    named = set()
+    for name, value in raw_headers:
+        if name.lower() == b"connection":
+            named.update(each.strip().lower() for each in value.split(b","))
+    # A sender must not have the router drop what servers rely on.
+    hidden = CONNECTION_FIELDS | FRAMING_FIELDS | dropped
+    hidden = hidden | (named - kept)
+    for name, value in raw_headers:
+        if name.lower() not in hidden:
+            yield name, value
+
+
+def prompt_parts(text):
+    """Return the parts of a prompt as a list of (id, tokens).
+
+    >>> prompt_parts("5c1e07a2:800,e4402b7d:250")
+    [('5c1e07a2', 800), ('e4402b7d', 250)]
+    """
+    parts = []
+    for entry in text.split(","):
+        part, _, tokens = entry.strip().partition(":")
+        if part and tokens.isdigit():
+            parts.append((part, int(tokens)))
+    return parts
--- /dev/null
+++ b/boragetrail/direct/metrics.py
@@ -0,0 +1,37 @@
+"""Metrics of a router on the direct path."""
+
+import aioprometheus
+
+__all__ = ["DirectMetrics"]
+
+BUCKETS_S = [0.01, 0.025, 0.05, 0.1, 0.25, 0.5, 1.0, 2.5, 5.0, 15.0]
+
+
+class DirectMetrics:
+    """Count outcomes and measure how long requests take."""
+
+    def __init__(self):
+        self.registry = aioprometheus.Registry()
+        self.requests = aioprometheus.Counter(
+            "boragetrail_requests_total",
+            "Requests by service and reason code.",
+            registry=self.registry,
+        )
+        self.duration = aioprometheus.Histogram(
+            "boragetrail_request_seconds",
+            "Time until the whole answer was written.",
+            buckets=BUCKETS_S,
+            registry=self.registry,
+        )
+
+    def request_done(self, code, service, took_s):
+        """Count one request.
+
+        :param took_s: time until the end of its answer, in seconds
+        """
+        self.requests.inc({"code": code, "service": service})
+        self.duration.observe({"service": service}, took_s)
+
+    def render(self, accepted):
+        """Return (body, header fields) for a list of accepted formats."""
+        return aioprometheus.render(self.registry, accepted)
--- /dev/null
+++ b/boragetrail/direct/peers.py
@@ -0,0 +1,289 @@
+"""Tell other routers what this one knows, and hear what they know.
+
+Each round sends one datagram to a few routers that are chosen by chance. A
+datagram tells the sender's versions of the tables, its requests at each
+server and some of the routers that it knows.
+"""
+
+import asyncio
+import dataclasses
+
+import cbor2
+
+from boragetrail.events import Event, log_event
+
+__all__ = ["Digest", "PeerTable", "PeerSocket"]
+
+MOST_DATAGRAM_BYTES = 8 * 1024
+
+
+@dataclasses.dataclass(slots=True)
+class Digest:
+    """Tell what a router knows.
+
+    :param incarnation: id of this run of the router
+    :param sequence: number of the datagram within the run
+    :param gossip_port: port that it gets datagrams at
+    :param relay_port: port that it gives rows at
+    :param versions_by_table: version of the newest row of each table
+    :param loads_by_id: requests in flight at each busy server
+    :param peers: addresses of some other routers, as [host, port]
+    :param leaving: whether it stops
+    :param wants_reply: whether the receiver should tell the same at once
+    """
+
+    incarnation: str
+    sequence: int
+    gossip_port: int
+    relay_port: int
+    versions_by_table: dict
+    loads_by_id: dict
+    peers: list
+    leaving: bool
+    wants_reply: bool
+
+
+def encode_digest(digest):
+    """Return a digest as bytes."""
+    names = Digest.__slots__
+    return cbor2.dumps([getattr(digest, name) for name in names])
+
+
+def decode_digest(data):
+    """Return a digest, or ``None`` if the bytes can't be read."""
+    if len(data) > MOST_DATAGRAM_BYTES:
+        return None
+    try:
+        digest = Digest(*cbor2.loads(data))
+    except (ValueError, TypeError, cbor2.CBORDecodeError):
+        return None
+    is_valid = isinstance(digest.versions_by_table, dict) and isinstance(
+        digest.loads_by_id, dict
+    )
+    return digest if is_valid else None
+
+
+class Peer:
+    """Hold what is known of one other router."""
+
+    __slots__ = (
+        "address",
+        "relay_port",
+        "incarnation",
+        "sequence",
+        "heard_s",
+        "known_s",
+        "versions_by_table",
+        "loads_by_id",
+        "leaving",
+    )
+
+    def __init__(self, address, now_s):
+        self.address = address
+        self.relay_port = 0
+        self.incarnation = ""
+        self.sequence = 0
+        self.heard_s = float("-inf")
+        self.known_s = now_s
+        self.versions_by_table = {}
+        self.loads_by_id = {}
+        self.leaving = False
+
+
+class PeerTable:
+    """Know the other routers.
+
+    :param clock: function that returns monotonic seconds
+    :param random: random generator
+    """
+
+    # A load that was told longer ago does not count any more.
+    LOAD_AGE_S = 1.5
+    # Routers unheard for so long are taken as gone.
+    FORGET_S = 30.0
+    # A router counts with the fleet after its last datagram for so long.
+    COUNT_S = 20.0
+    # In the first seconds others may not be known yet.
+    START_S = 3.0
+    SIZE_AT_START = 8
+
+    def __init__(self, clock, random):
+        self.clock = clock
+        self.random = random
+        self.peers_by_address = {}
+        self.started_s = clock()
+
+    def add(self, address):
+        """Note the address of a router; returns the :class:`Peer`."""
+        peer = self.peers_by_address.get(address)
+        if peer is None:
+            peer = Peer(address, self.clock())
+            self.peers_by_address[address] = peer
+        return peer
+
+    def heard(self, digest, host):
+        """Take over a digest.
+
+        :returns: (peer, whether it was unknown), or (``None``, ``False``)
+            for a digest that is older than the last one
+        """
+        address = (host, digest.gossip_port)
+        is_new = address not in self.peers_by_address
+        peer = self.add(address)
+        is_same_run = peer.incarnation == digest.incarnation
+        if is_same_run and digest.sequence <= peer.sequence:
+            return None, False
+        is_new = is_new or not is_same_run
+        peer.incarnation = digest.incarnation
+        peer.sequence = digest.sequence
+        peer.relay_port = digest.relay_port
+        peer.versions_by_table = digest.versions_by_table
+        peer.loads_by_id = digest.loads_by_id
+        peer.leaving = digest.leaving
+        peer.heard_s = self.clock()
+        return peer, is_new
+
+    def loads(self, server_id):
+        """Return the requests that others lately had at a server."""
+        oldest = self.clock() - self.LOAD_AGE_S
+        return sum(
+            peer.loads_by_id.get(server_id, 0)
+            for peer in self.peers_by_address.values()
+            if peer.heard_s >= oldest
+        )
+
+    def size(self):
+        """Return the number of routers, this one included."""
+        now = self.clock()
+        oldest = now - self.COUNT_S
+        counted = sum(
+            1
+            for peer in self.peers_by_address.values()
+            if max(peer.heard_s, peer.known_s) >= oldest
+        )
+        if now - self.started_s < self.START_S:
+            return max(self.SIZE_AT_START, counted + 1)
+        return counted + 1
+
+    def some(self, count):
+        """Return some routers by chance, as a list."""
+        peers = list(self.peers_by_address.values())
+        return self.random.sample(peers, min(count, len(peers)))
+
+    def ahead(self, table, version):
+        """Return peers that lately told a row newer than a version."""
+        oldest = self.clock() - self.LOAD_AGE_S
+        return [
+            peer
+            for peer in self.peers_by_address.values()
+            if peer.heard_s >= oldest
+            and peer.versions_by_table.get(table, -1) > version
+        ]
+
+    def forget_silent(self):
+        """Drop routers that were not heard for a long time."""
+        oldest = self.clock() - self.FORGET_S
+        silent = [
+            address
+            for address, peer in self.peers_by_address.items()
+            if max(peer.heard_s, peer.known_s) < oldest
+        ]
+        for address in silent:
+            del self.peers_by_address[address]
+            log_event(Event.PEER_GONE, peer=f"{address[0]}:{address[1]}")
+
+
+class PeerSocket(asyncio.DatagramProtocol):
+    """Own the datagram socket.
+
+    :param table: :class:`PeerTable`
+    :param make_digest: function that returns this router's
+        :class:`Digest` without its list of peers
+    :param on_ahead: called with the peers' versions after each digest
+    """
+
+    ROUND_S = 0.3
+    FANOUT = 4
+    PEERS_TOLD = 6
+
+    def __init__(self, table, make_digest, on_ahead):
+        self.table = table
+        self.make_digest = make_digest
+        self.on_ahead = on_ahead
+        self.transport = None
+        self.sequence = 0
+        self.sent_bytes = 0
+
+    async def open(self, host, port):
+        """Bind the socket."""
+        loop = asyncio.get_running_loop()
+        await loop.create_datagram_endpoint(
+            lambda: self, local_addr=(host, port)
+        )
+
+    def connection_made(self, transport):
+        """Keep the transport; called by asyncio."""
+        self.transport = transport
+
+    def error_received(self, exc):
+        """Ignore refused datagrams; the peer's silence shows elsewhere."""
+
+    def datagram_received(self, data, addr):
+        """Handle one datagram; called by asyncio."""
+        digest = decode_digest(data)
+        if digest is None:
+            return
+        peer, is_new = self.table.heard(digest, addr[0])
+        if peer is None:
+            return
+        for host, port in digest.peers:
+            self._introduced((host, port))
+        if is_new:
+            log_event(
+                Event.PEER_HEARD,
+                peer=f"{peer.address[0]}:{peer.address[1]}",
+                incarnation=peer.incarnation,
+            )
+        if digest.wants_reply:
+            self._send(peer.address, False)
+        self.on_ahead()
+
+    def greet(self, address):
+        """Ask a router to tell what it knows."""
+        self._send(address, True)
+
+    async def run(self):
+        """Tell a few routers each round."""
+        while True:
+            jitter = self.table.random.uniform(0.8, 1.2)
+            await asyncio.sleep(self.ROUND_S * jitter)
+            for peer in self.table.some(self.FANOUT):
+                self._send(peer.address, False)
+            self.table.forget_silent()
+
+    def close(self):
+        """Close the socket."""
+        if self.transport is not None:
+            self.transport.close()
+
+    def _introduced(self, address):
+        own = self.transport.get_extra_info("sockname")[:2]
+        if address == own or address in self.table.peers_by_address:
+            return
+        self.table.add(address)
+        self.greet(address)
+
+    def _send(self, address, wants_reply):
+        digest = self.make_digest()
+        self.sequence += 1
+        digest.sequence = self.sequence
+        digest.wants_reply = wants_reply
+        digest.peers = [
+            list(peer.address) for peer in self.table.some(self.PEERS_TOLD)
+        ]
+        data = encode_digest(digest)
+        self.sent_bytes += len(data)
+        try:
+            self.transport.sendto(data, address)
+        except OSError as exc:
+            log_event(Event.DATAGRAM_FAILED, error=repr(exc))
--- /dev/null
+++ b/boragetrail/direct/relay.py
@@ -0,0 +1,173 @@
+"""Give rows to other routers, and get rows from them.
+
+A router that the platform's store turns away, or that lags behind, learns
+from a router that knows more.
+"""
+
+import asyncio
+
+import aiohttp
+import aiohttp.web
+import cbor2
+
+from boragetrail.direct.ports import (
+    ChangeSet,
+    Row,
+    RowSource,
+    SourceFailure,
+    Table,
+)
+
+__all__ = ["PeerSource", "RelayServer", "Puller"]
+
+CALL_TIMEOUT_S = 0.6
+CONTENT_TYPE = "application/cbor"
+PATH = "/rows"
+
+
+def encode_changes(change_set):
+    """Return a change set as bytes."""
+    rows = [[row.key, row.version, row.data] for row in change_set.rows]
+    return cbor2.dumps([change_set.version, rows])
+
+
+def decode_changes(data):
+    """Return a change set, or a failure if the bytes can't be read."""
+    try:
+        version, rows = cbor2.loads(data)
+        decoded = [Row(*row) for row in rows]
+    except (ValueError, TypeError, cbor2.CBORDecodeError) as exc:
+        return SourceFailure(f"rows of a peer: {exc!r}")
+    return ChangeSet(decoded, version, False)
+
+
+class RelayServer:
+    """Serve the rows of a directory, the dump and the metrics.
+
+    :param directory: :class:`~boragetrail.direct.directory.Directory`
+    :param dump: function that returns the state of the process
+    :param metrics: function that returns (body, header fields)
+    """
+
+    def __init__(self, directory, dump, metrics):
+        self.directory = directory
+        self.dump = dump
+        self.metrics = metrics
+        self.runner = None
+
+    async def open(self, host, port):
+        """Open the port."""
+        app = aiohttp.web.Application()
+        app.router.add_get(PATH, self._rows)
+        app.router.add_get("/dump", self._dump)
+        app.router.add_get("/metrics", self._metrics)
+        self.runner = aiohttp.web.AppRunner(app, access_log=None)
+        await self.runner.setup()
+        await aiohttp.web.TCPSite(self.runner, host, port).start()
+
+    async def close(self):
+        """Close the port."""
+        if self.runner is not None:
+            await self.runner.cleanup()
+
+    async def _rows(self, request):
+        try:
+            table = Table(request.query.get("table", ""))
+            since = int(request.query.get("since", "-1"))
+        except ValueError:
+            return aiohttp.web.Response(status=400)
+        rows = self.directory.mirrors[table].since(since)
+        return aiohttp.web.Response(
+            body=encode_changes(rows), content_type=CONTENT_TYPE
+        )
+
+    async def _dump(self, request):
+        return aiohttp.web.json_response(self.dump())
+
+    async def _metrics(self, request):
+        body, headers = self.metrics(request.headers.getall("Accept", []))
+        return aiohttp.web.Response(body=body, headers=headers)
+
+
+class PeerSource(RowSource):
+    """Read rows from one other router.
+
+    :param session: ``aiohttp.ClientSession``
+    :param host: its host
+    :param port: port of its :class:`RelayServer`
+    """
+
+    def __init__(self, session, host, port):
+        self.session = session
+        self.url = f"http://{host}:{port}{PATH}"
+
+    async def read(self, table):
+        """Return all rows; see the base class."""
+        return await self.changes(table, -1, 0.0)
+
+    async def changes(self, table, since, wait_s):
+        """Return newer rows at once; see the base class."""
+        query = {"table": table.value, "since": str(since)}
+        timeout = aiohttp.ClientTimeout(total=CALL_TIMEOUT_S)
+        try:
+            async with self.session.get(
+                self.url, params=query, timeout=timeout
+            ) as answer:
+                data = await answer.read()
+        except (aiohttp.ClientError, asyncio.TimeoutError) as exc:
+            return SourceFailure(f"GET {self.url}: {exc!r}")
+        if answer.status != 200:
+            return SourceFailure(f"GET {self.url}: status {answer.status}")
+        return decode_changes(data)
+
+
+class Puller:
+    """Fetch rows from peers that know more than this router.
+
+    :param directory: :class:`~boragetrail.direct.directory.Directory`
+    :param peers: :class:`~boragetrail.direct.peers.PeerTable`
+    :param make_source: function from a peer to a
+        :class:`~boragetrail.direct.ports.RowSource`
+    :param random: random generator
+    """
+
+    # Time in which the store itself usually tells a change.
+    PATIENCE_S = 0.15
+
+    def __init__(self, directory, peers, make_source, random):
+        self.directory = directory
+        self.peers = peers
+        self.make_source = make_source
+        self.random = random
+        self.pulling = set()
+
+    async def pull_if_behind(self):
+        """Fetch the tables of which a peer knows a newer version."""
+        for table in Table:
+            if self._ahead(table) and table not in self.pulling:
+                self.pulling.add(table)
+                try:
+                    await self._pull(table)
+                finally:
+                    self.pulling.discard(table)
+
+    def is_behind(self):
+        """Return whether a peer knows more and no fetch is under way."""
+        return any(
+            self._ahead(table) for table in Table if table not in self.pulling
+        )
+
+    async def _pull(self, table):
+        await asyncio.sleep(self.PATIENCE_S)
+        ahead = self._ahead(table)
+        if not ahead:
+            return
+        source = self.make_source(self.random.choice(ahead))
+        version = self.directory.mirrors[table].version
+        result = await source.changes(table, version, 0.0)
+        if not isinstance(result, SourceFailure):
+            self.directory.apply(table, result)
+
+    def _ahead(self, table):
+        version = self.directory.mirrors[table].version
+        return self.peers.ahead(table.value, version)
--- a/boragetrail/events.py
+++ b/boragetrail/events.py
@@ -17,6 +17,9 @@
     TASK_FAILED = (103, "ERROR", "A background task failed and restarts.")
     REQUEST_DONE = (200, "INFO", "A request got its whole answer.")
     REQUEST_FAILED = (201, "WARNING", "A request got a refusal or error.")
+    REQUEST_REPEATED = (202, "INFO", "A request goes to another server.")
+    REQUEST_CANCELLED = (203, "INFO", "The caller left before the answer.")
+    HANDLER_FAILED = (204, "ERROR", "An error in the code cut a request.")
     LINK_OPENED = (300, "INFO", "A connection to an agent opened.")
     LINK_LOST = (301, "WARNING", "A connection to an agent was lost.")
     LINK_SILENT = (302, "WARNING", "A connection to an agent went silent.")
@@ -26,9 +29,21 @@
     CONFIG_STALE = (402, "ERROR", "Configuration is not confirmed as current.")
     CONFIG_FRESH = (403, "INFO", "Configuration is confirmed again.")
     STORE_FAILED = (404, "WARNING", "A call to the platform failed.")
+    STORE_LOST = (405, "WARNING", "A table of the platform is not heard.")
+    STORE_REGAINED = (406, "INFO", "A table of the platform is heard again.")
+    ROW_UNREADABLE = (407, "ERROR", "A row of the platform can't be read.")
+    ZONE_OUT = (408, "INFO", "A zone is taken out of service.")
+    ZONE_BACK = (409, "INFO", "A zone is back in service.")
+    PEER_HEARD = (410, "INFO", "Another router is heard.")
+    PEER_GONE = (411, "INFO", "Another router was silent for long.")
+    DATAGRAM_FAILED = (412, "WARNING", "A datagram could not be sent.")
+    RELOADED = (413, "INFO", "Settings were read again.")
+    SETTINGS_REFUSED = (414, "ERROR", "Changed settings are not valid.")
     SERVER_COLD = (500, "WARNING", "A backend server was found cold.")
     SERVER_WARM = (501, "INFO", "A backend server is warm.")
     SERVER_LEAVING = (502, "INFO", "A backend server refuses new work.")
+    SERVER_LISTED = (503, "INFO", "The platform's entry of a server changed.")
+    SERVER_GONE = (504, "INFO", "The platform's entry of a server is gone.")
     ORDER_UNKNOWN = (600, "ERROR", "An order's outcome is unknown.")
     ORDER_FENCED = (601, "WARNING", "An order with an old fencing number.")
     LEASE_TAKEN = (602, "INFO", "A lease on engine orders was taken.")
@@ -41,18 +56,20 @@
         self.text = text
 
 
-def start_log(log_format, level):
-    """Send log events to standard error.
+def start_log(log_format, level, stream=None):
+    """Send log events to a stream.
 
     :param log_format: ``json`` for JSON lines, else ``text``
     :param level: least level that is written
+    :param stream: where to; standard error by default
     """
     logger.remove()
+    stream = sys.stderr if stream is None else stream
     if log_format == "json":
-        logger.add(sys.stderr, level=level, serialize=True)
+        logger.add(stream, level=level, serialize=True)
         return
     template = "{time:HH:mm:ss.SSS} {level: <7} {message} {extra}"
-    logger.add(sys.stderr, level=level, format=template)
+    logger.add(stream, level=level, format=template)
 
 
 def log_event(event, **fields):
--- a/boragetrail/operators/placement.py
+++ b/boragetrail/operators/placement.py
@@ -4,10 +4,10 @@
 
 from boragetrail.errors import LinkFailure, PlatformFailure
 from boragetrail.events import Event, log_event
-from boragetrail.platform import WeightClient
 from boragetrail.policy.placement import rendezvous_score
 from boragetrail.reasons import Reason
 from boragetrail.router.link import Lost
+from boragetrail.store import WeightClient
 from boragetrail.wire.messages import EngineOrder
 
 __all__ = [
--- a/boragetrail/platform/__init__.py
+++ b/boragetrail/platform/__init__.py
@@ -1,16 +1,7 @@
-"""Clients of the platform's services."""
+"""Adapter to the users' platform: names, formats and calls."""
 
-from boragetrail.platform.objects import ObjectClient
-from boragetrail.platform.table import Put, Row, TableClient
-from boragetrail.platform.vms import Vm, VmClient
-from boragetrail.platform.weights import WeightClient
+from boragetrail.platform.decode import PlatformDecoder
+from boragetrail.platform.names import HEADER_NAMES
+from boragetrail.platform.store import PlatformStore
 
-__all__ = [
-    "ObjectClient",
-    "Put",
-    "Row",
-    "TableClient",
-    "Vm",
-    "VmClient",
-    "WeightClient",
-]
+__all__ = ["HEADER_NAMES", "PlatformDecoder", "PlatformStore"]
--- /dev/null
+++ b/boragetrail/platform/names.py
@@ -0,0 +1,72 @@
+"""Names on the platform's wire."""
+
+from boragetrail.direct.model import RequestKind
+from boragetrail.direct.ports import HeaderNames, Table
+
+__all__ = [
+    "CONFIGURATION_KEY",
+    "EVACUATION_PREFIX",
+    "HEADER_NAMES",
+    "KINDS_BY_WORD",
+    "MEMBERS_TABLE",
+    "READY_WORD",
+    "TABLE_NAMES",
+]
+
+HEADER_NAMES = HeaderNames(
+    request_id="X-Boragetrail-Attempt-Id",
+    deadline_ms="X-Boragetrail-Deadline-Ms",
+    key="Api-Key",
+    customer="X-Boragetrail-Tenant",
+    expected_server="X-Boragetrail-Expect-Instance",
+    server_id="X-Boragetrail-Instance-Id",
+    seal="X-Boragetrail-Response-Seal",
+    not_run="X-Boragetrail-Not-Executed",
+    load="X-Boragetrail-Server-Load",
+    cold_ms="X-Boragetrail-Cold-Ms",
+    prompt_parts="X-Boragetrail-Prefix-Hash",
+    tokens="X-Boragetrail-Token-Count",
+    last_event_id="Last-Event-Id",
+    priority="X-Boragetrail-Request-Priority",
+    reserved=frozenset(
+        (
+            "x-boragetrail-tenant",
+            "x-boragetrail-expect-instance",
+            "x-boragetrail-instance-id",
+            "x-boragetrail-response-seal",
+            "x-boragetrail-not-executed",
+            "x-boragetrail-server-load",
+            "x-boragetrail-cold-ms",
+            "x-boragetrail-request-priority",
+            "x-boragetrail-expect-version",
+            "x-boragetrail-weight-versions",
+            "x-boragetrail-pin-ms",
+            "x-boragetrail-hold",
+            "x-boragetrail-kv-backup",
+            "kv-from",
+            "kv-fetch",
+        )
+    ),
+    end_to_end=frozenset(
+        (
+            "x-boragetrail-attempt-id",
+            "x-boragetrail-model",
+            "x-boragetrail-token-count",
+            "x-boragetrail-prefix-hash",
+            "x-boragetrail-length-hint",
+            "last-event-id",
+        )
+    ),
+)
+
+TABLE_NAMES = {Table.OPERATORS: "op", Table.SERVERS: "servers"}
+MEMBERS_TABLE = "routers"
+CONFIGURATION_KEY = "config"
+EVACUATION_PREFIX = "evacuate/"
+READY_WORD = "ready"
+
+KINDS_BY_WORD = {
+    "idempotent": RequestKind.IDEMPOTENT,
+    "non_idempotent": RequestKind.AT_MOST_ONCE,
+    "streaming": RequestKind.STREAM,
+}
--- /dev/null
+++ b/boragetrail/platform/store.py
@@ -0,0 +1,119 @@
+"""Call the platform's metadata store."""
+
+import asyncio
+import base64
+import json
+
+import aiohttp
+
+from boragetrail.direct.ports import (
+    ChangeSet,
+    MemberRegistry,
+    Row,
+    RowSource,
+    SourceFailure,
+)
+from boragetrail.platform.names import MEMBERS_TABLE, TABLE_NAMES
+
+__all__ = ["PlatformStore"]
+
+CALL_TIMEOUT_S = 1.0
+HISTORY_LOST = 410
+PAGE_ROWS = 500
+
+
+class PlatformStore(RowSource, MemberRegistry):
+    """Read tables of the store, and keep the list of routers there.
+
+    :param session: ``aiohttp.ClientSession``
+    :param address: ``host:port`` of the store
+    :ivar calls: number of calls made so far
+    """
+
+    def __init__(self, session, address):
+        self.session = session
+        self.base = f"http://{address}"
+        self.calls = 0
+
+    async def read(self, table):
+        """Return all rows of a table; see the base class."""
+        return await self._read_table(TABLE_NAMES[table])
+
+    async def changes(self, table, since, wait_s):
+        """Return changed rows; see the base class."""
+        query = {
+            "table": TABLE_NAMES[table],
+            "sinceRev": str(since),
+            "waitMs": str(int(wait_s * 1000)),
+        }
+        data = await self._call("GET", "/-/rows-feed", wait_s, params=query)
+        if isinstance(data, SourceFailure):
+            return data
+        return _change_set(data, False)
+
+    async def announce(self, host):
+        """Write a row for a router; see the base class."""
+        row = {"table": MEMBERS_TABLE, "part": "", "key": host, "data": ""}
+        body = {"expect": [], "write": [row], "remove": []}
+        data = await self._call("POST", "/-/rows-tx", 0.0, json=body)
+        return not isinstance(data, SourceFailure)
+
+    async def members(self):
+        """Return the hosts of routers; see the base class."""
+        rows = await self._read_table(MEMBERS_TABLE)
+        if isinstance(rows, SourceFailure):
+            return []
+        return [row.key for row in rows.rows]
+
+    async def _read_table(self, name):
+        rows = []
+        version = None
+        query = {"table": name, "part": "", "limit": str(PAGE_ROWS)}
+        while True:
+            data = await self._call("GET", "/-/rows-get", 0.0, params=query)
+            if isinstance(data, SourceFailure):
+                return data
+            page = _change_set(data, True)
+            if isinstance(page, SourceFailure):
+                return page
+            rows.extend(page.rows)
+            # Later pages may be newer; the feed goes on from the first.
+            version = page.version if version is None else version
+            if not data.get("hasMore") or not page.rows:
+                return ChangeSet(rows, version, True)
+            # The range begins with the key itself.
+            query["source"] = page.rows[-1].key + "\x00"
+
+    async def _call(self, method, path, wait_s, **options):
+        url = self.base + path
+        timeout = aiohttp.ClientTimeout(total=wait_s + CALL_TIMEOUT_S)
+        self.calls += 1
+        try:
+            async with self.session.request(
+                method, url, timeout=timeout, **options
+            ) as answer:
+                body = await answer.read()
+        except (aiohttp.ClientError, asyncio.TimeoutError, OSError) as exc:
+            return SourceFailure(f"{method} {path}: {exc!r}")
+        if answer.status != 200:
+            detail = f"{method} {path}: status {answer.status}"
+            return SourceFailure(detail, answer.status == HISTORY_LOST)
+        try:
+            return json.loads(body)
+        except ValueError as exc:
+            return SourceFailure(f"{method} {path}: {exc!r}")
+
+
+def _change_set(data, whole):
+    try:
+        rows = [_row(each) for each in data["rows"]]
+        return ChangeSet(rows, int(data["ver"]), whole)
+    except (ValueError, TypeError, KeyError) as exc:
+        return SourceFailure(f"rows of the store: {exc!r}")
+
+
+def _row(data):
+    if data.get("deleted"):
+        return Row(data["key"], int(data["ver"]), None)
+    content = base64.b64decode(data.get("data") or "")
+    return Row(data["key"], int(data["ver"]), content)
--- a/boragetrail/process/base.py
+++ b/boragetrail/process/base.py
@@ -10,7 +10,7 @@
 from boragetrail.configuration import Document, Freshness
 from boragetrail.events import Event, log_event
 from boragetrail.gossip import GossipSocket, Peer, Spread
-from boragetrail.platform import ObjectClient, TableClient, VmClient
+from boragetrail.store import ObjectClient, TableClient, VmClient
 from boragetrail.process.admin import AdminServer
 from boragetrail.process.configuration import ConfigurationController
 from boragetrail.process.membership import MembershipController
--- a/boragetrail/process/configuration.py
+++ b/boragetrail/process/configuration.py
@@ -8,7 +8,7 @@
 from boragetrail.configuration import History
 from boragetrail.errors import PlatformFailure
 from boragetrail.events import Event, log_event
-from boragetrail.platform.transport import call
+from boragetrail.store.transport import call
 
 __all__ = ["ConfigurationController"]
 
--- a/boragetrail/process/membership.py
+++ b/boragetrail/process/membership.py
@@ -11,8 +11,8 @@
 
 from boragetrail.errors import PlatformFailure
 from boragetrail.gossip import Peer
-from boragetrail.platform.transport import call
-from boragetrail.platform.vms import Vm
+from boragetrail.store.transport import call
+from boragetrail.store.vms import Vm
 from boragetrail.utils import split_address
 
 __all__ = ["Member", "MembershipController"]
@@ -54,7 +54,7 @@
 class MembershipController:
     """Know the members of the fleet and which can take work.
 
-    :param vms: :class:`~boragetrail.platform.VmClient`
+    :param vms: :class:`~boragetrail.store.VmClient`
     :param doc: :class:`~boragetrail.configuration.Document`
     :param spread: :class:`~boragetrail.gossip.Spread`
     :param session: ``aiohttp.ClientSession`` to ask seeds
--- a/boragetrail/reasons.py
+++ b/boragetrail/reasons.py
@@ -32,6 +32,18 @@
         "The customer has no binding to this service.",
     )
     NO_SERVICE = ("no-service", 404, Ran.NO, "The service does not exist.")
+    NO_ROUTE = (
+        "no-route",
+        404,
+        Ran.NO,
+        "No route has this host and path.",
+    )
+    BODY_LATE = (
+        "body-late",
+        408,
+        Ran.NO,
+        "The body did not arrive in time.",
+    )
     BAD_REQUEST = ("bad-request", 400, Ran.NO, "The request is malformed.")
     BODY_TOO_LARGE = (
         "body-too-large",
--- a/boragetrail/router/claims.py
+++ b/boragetrail/router/claims.py
@@ -4,7 +4,7 @@
 import time
 
 from boragetrail.errors import PlatformFailure
-from boragetrail.platform import Put, Row
+from boragetrail.store import Put, Row
 
 __all__ = ["ClaimController", "distinct_batches"]
 
--- a/boragetrail/router/tests/test_claims.py
+++ b/boragetrail/router/tests/test_claims.py
@@ -3,8 +3,8 @@
 import asyncio
 
 from boragetrail.errors import PlatformFailure
-from boragetrail.platform import Row
 from boragetrail.router.claims import ClaimController
+from boragetrail.store import Row
 from boragetrail.utils import TaskGroup
 
 
--- /dev/null
+++ b/boragetrail/settings/direct.py
@@ -0,0 +1,116 @@
+"""Settings of a router that speaks HTTP to backend servers itself.
+
+They are checked with ``fastjsonschema``, which needs a tenth of the memory
+of ``jsonschema``; these routers run where memory is dear.
+"""
+
+import importlib.resources
+import json
+
+import fastjsonschema
+import pyjson5
+
+from boragetrail.settings.errors import SettingsError
+
+__all__ = ["Bounds", "DirectSettings", "load_direct_settings"]
+
+SCHEMA = "direct.json"
+
+
+class Bounds:
+    """Limits that the fleet keeps as a whole.
+
+    :ivar retry_ratio: repeats for each request of a service
+    :ivar retry_window_s: window of that ratio in seconds
+    :ivar retry_extra: repeats beyond the ratio in a window
+    :ivar cold_factor: multiple of a cold server's rate
+    :ivar cold_margin: requests a second beyond that multiple
+    """
+
+    __slots__ = (
+        "retry_ratio",
+        "retry_window_s",
+        "retry_extra",
+        "cold_factor",
+        "cold_margin",
+    )
+
+    def __init__(self, data):
+        for name in self.__slots__:
+            setattr(self, name, data[name])
+
+
+class DirectSettings:
+    """Settings of one router; times in seconds.
+
+    :ivar callers: address for callers
+    :ivar health: address for the balancer's question
+    :ivar gossip: address for datagrams of other routers
+    :ivar relay: address for rows, state dump and metrics
+    :ivar store: address of the platform's store
+    :ivar seed_hosts: hosts of some other routers
+    :ivar grace_s: time from the signal to stop until the process is ended
+    """
+
+    __slots__ = (
+        "name",
+        "zone",
+        "callers",
+        "health",
+        "gossip",
+        "relay",
+        "store",
+        "seed_hosts",
+        "bounds",
+        "grace_s",
+        "log_format",
+        "log_level",
+    )
+
+    def __init__(self, data):
+        listen = data["listen"]
+        log = data.get("log", {})
+        self.name = data["name"]
+        self.zone = data["zone"]
+        self.callers = listen["callers"]
+        self.health = listen["health"]
+        self.gossip = listen["gossip"]
+        self.relay = listen["relay"]
+        self.store = data["store"]
+        seeds = data.get("seeds", [])
+        self.seed_hosts = [seed.partition(":")[0] for seed in seeds]
+        self.bounds = Bounds(data["bounds"])
+        self.grace_s = data["grace_s"]
+        self.log_format = log.get("format", "json")
+        self.log_level = log.get("level", "INFO")
+
+
+def load_direct_settings(path):
+    """Load a settings file.
+
+    :param path: path of the file
+    :returns: (:class:`DirectSettings` or ``None``, list of
+        :class:`~boragetrail.settings.errors.SettingsError`)
+    """
+    try:
+        with open(path, encoding="utf-8") as file:
+            data = pyjson5.decode(file.read())
+    except OSError as exc:
+        return None, [SettingsError(path, exc.strerror)]
+    except pyjson5.Json5Exception as exc:
+        return None, [SettingsError(path, f"is not JSON: {exc}")]
+    error = check_direct_settings(data)
+    return (None, [error]) if error else (DirectSettings(data), [])
+
+
+def check_direct_settings(data):
+    """Return the first error of decoded settings, or ``None``."""
+    files = importlib.resources.files("boragetrail.settings")
+    schema = json.loads(files.joinpath(SCHEMA).read_text())
+    validate = fastjsonschema.compile(schema, use_default=False)
+    try:
+        validate(data)
+    except fastjsonschema.JsonSchemaValueException as exc:
+        path = ".".join(str(part) for part in exc.path[1:]) or "$"
+        return SettingsError(path, exc.message)
+    return None
--- a/boragetrail/settings/load.py
+++ b/boragetrail/settings/load.py
@@ -7,7 +7,9 @@
 import jsonschema
 import pyjson5
 
-__all__ = ["Listen", "Platform", "Settings", "SettingsError", "load_settings"]
+from boragetrail.settings.errors import SettingsError
+
+__all__ = ["Listen", "Platform", "Settings", "load_settings"]
 
 TOKEN_VARIABLE = "BORAGETRAIL_OPERATOR_TOKEN"
 DEFAULT_BODY_BYTES = 8 * 1024 * 1024
@@ -16,23 +18,6 @@
 DEFAULT_DRAIN_S = 60.0
 
 
-class SettingsError:
-    """One error of a settings file.
-
-    :param path: path of the key concerned, or of the file
-    :param message: what is wrong with it
-    """
-
-    __slots__ = ("path", "message")
-
-    def __init__(self, path, message):
-        self.path = path
-        self.message = message
-
-    def __str__(self):
-        return f"{self.path}: {self.message}"
-
-
 class Listen:
     """Addresses that a process listens at; empty where it has none."""
 
--- /dev/null
+++ b/boragetrail/store/__init__.py
@@ -0,0 +1,16 @@
+"""Clients of the platform's services."""
+
+from boragetrail.store.objects import ObjectClient
+from boragetrail.store.table import Put, Row, TableClient
+from boragetrail.store.vms import Vm, VmClient
+from boragetrail.store.weights import WeightClient
+
+__all__ = [
+    "ObjectClient",
+    "Put",
+    "Row",
+    "TableClient",
+    "Vm",
+    "VmClient",
+    "WeightClient",
+]
--- a/boragetrail/platform/table.py
+++ b/boragetrail/store/table.py
@@ -1,7 +1,7 @@
 """Client of the platform's transactional table service."""
 
 from boragetrail.errors import PlatformFailure
-from boragetrail.platform.transport import call
+from boragetrail.store.transport import call
 
 __all__ = ["Row", "Put", "TableClient"]
 
--- a/boragetrail/platform/vms.py
+++ b/boragetrail/store/vms.py
@@ -1,7 +1,7 @@
 """Client of the platform's lagging list of VMs."""
 
 from boragetrail.errors import PlatformFailure
-from boragetrail.platform.transport import call
+from boragetrail.store.transport import call
 
 __all__ = ["Vm", "VmClient"]
 
