Stop a router without cutting requests that arrive as its port closes

Found by test: with more routers than a cold server bears requests a second, all parts together exceeded the limit (28 in a second, 24.5 allowed); now only the first routers in rank have a part.

Ruled out: the balancer's lag (both cuts came at the close of the port).

Tests: stand-ins of the store and of a server, in which a router runs in one process; the planned stop tests fail on the old code.

--- a/boragetrail/direct/daemon.py
+++ b/boragetrail/direct/daemon.py
@@ -28,6 +28,7 @@
 # Time before the end of the grace at which the last requests are cut.
 CUT_BEFORE_S = 0.25
 POLL_S = 0.05
+CLOSE_TIMEOUT_S = 0.1
 SWEEP_S = 5.0
 ANNOUNCE_PAUSE_S = 1.0
 
@@ -51,6 +52,7 @@
         self.stop_asked = asyncio.Event()
         self.metrics = DirectMetrics()
         self.peers = PeerTable(self.clock, self.random)
+        self.peers.own = split_address(settings.gossip)
         self.directory = Directory(platform.PlatformDecoder(), self.clock)
         self.fleet = Fleet(
             self.directory, self.peers, settings.zone, self.clock
@@ -73,7 +75,7 @@
         self.session = None
         self.store = None
         self.puller = None
-        self.feeds = []
+        self.feeds_by_table = {}
         self.health = None
 
     async def run(self):
@@ -105,17 +107,23 @@
         self.session = aiohttp.ClientSession()
         self.store = self.platform.PlatformStore(self.session, settings.store)
         self.puller = Puller(
-            self.directory, self.peers, self._peer_source, self.random
+            self.directory,
+            self.peers,
+            self._peer_source,
+            self._is_away,
+            self.random,
         )
-        self.feeds = [
-            Feed(table, self.store, self.directory, self.clock, self.random)
+        self.feeds_by_table = {
+            table: Feed(
+                table, self.store, self.directory, self.clock, self.random
+            )
             for table in Table
-        ]
+        }
         await self.socket.open(*split_address(settings.gossip))
         await self.relay.open(*split_address(settings.relay))
         await self._open_health()
         await self.frontend.open(*split_address(settings.callers))
-        for feed in self.feeds:
+        for feed in self.feeds_by_table.values():
             self.tasks.start(feed.run(), f"feed {feed.table.value}")
         self.tasks.start(self.socket.run(), "gossip")
         self.tasks.start(self._join(), "join")
@@ -136,7 +144,7 @@
         started_s = self.clock()
         self.frontend.stopping = True
         await asyncio.sleep(BALANCER_LAG_S)
-        self.frontend.stop_accepting()
+        await self.frontend.stop_accepting()
         last_s = started_s + self.settings.grace_s - CUT_BEFORE_S
         while self.frontend.active and self.clock() < last_s:
             await asyncio.sleep(POLL_S)
@@ -161,7 +169,7 @@
                     "age_s": feed.age_s(),
                     "lost": feed.lost,
                 }
-                for feed in self.feeds
+                for feed in self.feeds_by_table.values()
             },
             "servers": {
                 key: {
@@ -196,6 +204,9 @@
     def _peer_source(self, peer):
         return PeerSource(self.session, peer.address[0], peer.relay_port)
 
+    def _is_away(self, table):
+        return self.feeds_by_table[table].is_away()
+
     def _reload(self):
         settings, errors = self.reload()
         if settings is None:
@@ -228,7 +239,9 @@
 
     async def _open_health(self):
         server = aiohttp.web.Server(self._health, access_log=None)
-        runner = aiohttp.web.ServerRunner(server)
+        runner = aiohttp.web.ServerRunner(
+            server, shutdown_timeout=CLOSE_TIMEOUT_S
+        )
         await runner.setup()
         host, port = split_address(self.settings.health)
         await aiohttp.web.TCPSite(runner, host, port).start()
--- a/boragetrail/direct/directory.py
+++ b/boragetrail/direct/directory.py
@@ -37,6 +37,8 @@
     # Seconds after the return of the store in which missing entries of
     # living servers come back.
     LAPSE_GRACE_S = 2.5
+    # The same for what another router tells while the store is away.
+    TOLD_LAPSE_GRACE_S = 1.2
     # A shorter absence of the store makes no entry lapse.
     LAPSE_OUTAGE_S = 2.0
 
@@ -47,8 +49,7 @@
         self.configuration = None
         self.servers_by_id = {}
         self.evacuated_zones = set()
-        self.returned_s = float("-inf")
-        self.listeners = []
+        self.lapse_until_s = float("-inf")
 
     def apply(self, table, change_set):
         """Take over rows of a table.
@@ -61,15 +62,17 @@
                 self._server_changed(row)
             else:
                 self._operators_changed(row)
-        if changed:
-            for listener in self.listeners:
-                listener(table, changed)
         return changed
 
     def store_returned(self, outage_s):
         """Note that the store answers again after an outage in seconds."""
         if outage_s >= self.LAPSE_OUTAGE_S:
-            self.returned_s = self.clock()
+            self.lapse_until_s = self.clock() + self.LAPSE_GRACE_S
+
+    def store_away(self):
+        """Note that rows come from another router instead of the store."""
+        until_s = self.clock() + self.TOLD_LAPSE_GRACE_S
+        self.lapse_until_s = max(self.lapse_until_s, until_s)
 
     def versions(self):
         """Return the newest row's version of each table, by its name."""
@@ -150,16 +153,16 @@
         known = self.servers_by_id.get(row.key)
         if known is None:
             return
-        now = self.clock()
-        lapses = now - self.returned_s < self.LAPSE_GRACE_S
-        if lapses and known.record.ready:
-            known.lapsed_until_s = self.returned_s + self.LAPSE_GRACE_S
+        may_return = self.clock() < self.lapse_until_s
+        kept = may_return and known.record.ready
+        if kept:
+            known.lapsed_until_s = self.lapse_until_s
         else:
             del self.servers_by_id[row.key]
         log_event(
             Event.SERVER_GONE,
             server=row.key,
-            kept=lapses and known.record.ready,
+            kept=kept,
             row_version=row.version,
         )
 
--- a/boragetrail/direct/dispatch.py
+++ b/boragetrail/direct/dispatch.py
@@ -236,9 +236,10 @@
         bounds = self.bounds
         most = request.service.cold_rate * bounds.cold_factor
         most += bounds.cold_margin
-        routers = self.fleet.peers.size()
+        peers = self.fleet.peers
         for state in self._order(request, cold):
-            if state.cold_part.take(most, routers):
+            rank = peers.rank(state.record.id)
+            if state.cold_part.take(most, peers.size(), rank):
                 return state
         return None
 
--- a/boragetrail/direct/feed.py
+++ b/boragetrail/direct/feed.py
@@ -34,6 +34,7 @@
         self.heard_s = clock()
         self.pause_s = self.FIRST_PAUSE_S
         self.lost = False
+        self.failing = False
         self.needs_all = True
 
     def age_s(self):
@@ -50,6 +51,11 @@
             self._answered()
             self.directory.apply(self.table, result)
 
+    def is_away(self):
+        """Return whether the source has failed for long."""
+        away_s = self.directory.LAPSE_OUTAGE_S
+        return self.failing and self.age_s() >= away_s
+
     async def _next(self):
         mirror = self.directory.mirrors[self.table]
         if self.needs_all:
@@ -69,8 +75,9 @@
         outage_s = self.age_s()
         self.heard_s = self.clock()
         self.pause_s = self.FIRST_PAUSE_S
-        if outage_s > self.WAIT_S:
+        if self.failing:
             self.directory.store_returned(outage_s)
+            self.failing = False
         if self.lost:
             self.lost = False
             log_event(
@@ -80,6 +87,8 @@
     async def _failed(self, failure):
         if failure.history_lost:
             self.needs_all = True
+        else:
+            self.failing = True
         if not self.lost and self.age_s() > self.LOST_S:
             self.lost = True
             log_event(
--- a/boragetrail/direct/frontend.py
+++ b/boragetrail/direct/frontend.py
@@ -19,6 +19,9 @@
 KEEPALIVE_S = 90.0
 LINGER_S = 2.0
 BACKLOG = 1024
+CLOSE_TIMEOUT_S = 0.05
+# Turns of the event loop from the arrival of a request to its handler.
+HANDLER_START_TURNS = 4
 CONTINUE = b"HTTP/1.1 100 Continue\r\n\r\n"
 
 
@@ -29,7 +32,7 @@
     :param dispatcher: :class:`~boragetrail.direct.dispatch.Dispatcher`
     :param metrics: :class:`~boragetrail.direct.metrics.DirectMetrics`
     :param clock: function that returns monotonic seconds
-    :ivar active: number of requests that have no whole answer yet
+    :ivar busy: connections with a request that has no whole answer yet
     :ivar stopping: whether connections end after their next answer
     """
 
@@ -38,12 +41,17 @@
         self.dispatcher = dispatcher
         self.metrics = metrics
         self.clock = clock
-        self.active = 0
+        self.busy = set()
         self.stopping = False
         self.server = None
         self.listener = None
         self.detached = set()
 
+    @property
+    def active(self):
+        """Return the number of requests that have no whole answer yet."""
+        return len(self.busy) + len(self.detached)
+
     async def open(self, host, port):
         """Open the port."""
         loop = asyncio.get_running_loop()
@@ -62,25 +70,35 @@
             self.server, host, port, backlog=BACKLOG
         )
 
-    def stop_accepting(self):
-        """Close the port and end idle connections."""
+    async def stop_accepting(self):
+        """Close the port and end the connections without a request."""
         self.listener.close()
         self.server.pre_shutdown()
+        # Requests that were read before now start their handlers.
+        for _ in range(HANDLER_START_TURNS):
+            await asyncio.sleep(0)
+        # pre_shutdown leaves idle connections open and unread.
+        for connection in self.server.connections:
+            if connection not in self.busy:
+                connection.force_close()
 
     async def close(self):
         """End all connections."""
         if self.server is not None:
             self.listener.close()
-            await self.server.shutdown(timeout=0)
+            for connection in self.server.connections:
+                connection.force_close()
+            await self.server.shutdown(timeout=CLOSE_TIMEOUT_S)
 
     async def _handle(self, http):
-        self.active += 1
+        connection = http.protocol
+        self.busy.add(connection)
         request = DirectRequest(http, self.clock())
         caller = CallerAnswer(http, self.stopping)
         try:
             return await self._answer(request, caller)
         finally:
-            self.active -= 1
+            self.busy.discard(connection)
 
     async def _answer(self, request, caller):
         try:
--- a/boragetrail/direct/peers.py
+++ b/boragetrail/direct/peers.py
@@ -11,6 +11,7 @@
 import cbor2
 
 from boragetrail.events import Event, log_event
+from boragetrail.policy.placement import rendezvous_score
 
 __all__ = ["Digest", "PeerTable", "PeerSocket"]
 
@@ -95,6 +96,7 @@
 
     :param clock: function that returns monotonic seconds
     :param random: random generator
+    :ivar own: (host, port) at which this router gets datagrams
     """
 
     # A load that was told longer ago does not count any more.
@@ -111,6 +113,7 @@
         self.clock = clock
         self.random = random
         self.peers_by_address = {}
+        self.own = ("", 0)
         self.started_s = clock()
 
     def add(self, address):
@@ -154,16 +157,35 @@
 
     def size(self):
         """Return the number of routers, this one included."""
-        now = self.clock()
-        oldest = now - self.COUNT_S
-        counted = sum(
+        counted = len(self._counted()) + 1
+        if self._is_starting():
+            return max(self.SIZE_AT_START, counted)
+        return counted
+
+    def rank(self, key):
+        """Return this router's rank among all for a key; 0 is the first.
+
+        Routers that know of each other have different ranks. One that has
+        just started has none of the first ranks.
+        """
+        own = rendezvous_score(key, self.own)
+        before = sum(
             1
+            for peer in self._counted()
+            if rendezvous_score(key, peer.address) > own
+        )
+        return before + (self.SIZE_AT_START if self._is_starting() else 0)
+
+    def _is_starting(self):
+        return self.clock() - self.started_s < self.START_S
+
+    def _counted(self):
+        oldest = self.clock() - self.COUNT_S
+        return [
+            peer
             for peer in self.peers_by_address.values()
             if max(peer.heard_s, peer.known_s) >= oldest
-        )
-        if now - self.started_s < self.START_S:
-            return max(self.SIZE_AT_START, counted + 1)
-        return counted + 1
+        ]
 
     def some(self, count):
         """Return some routers by chance, as a list."""
--- a/boragetrail/direct/relay.py
+++ b/boragetrail/direct/relay.py
@@ -21,6 +21,7 @@
 __all__ = ["PeerSource", "RelayServer", "Puller"]
 
 CALL_TIMEOUT_S = 0.6
+CLOSE_TIMEOUT_S = 0.1
 CONTENT_TYPE = "application/cbor"
 PATH = "/rows"
 
@@ -61,7 +62,9 @@
         app.router.add_get(PATH, self._rows)
         app.router.add_get("/dump", self._dump)
         app.router.add_get("/metrics", self._metrics)
-        self.runner = aiohttp.web.AppRunner(app, access_log=None)
+        self.runner = aiohttp.web.AppRunner(
+            app, access_log=None, shutdown_timeout=CLOSE_TIMEOUT_S
+        )
         await self.runner.setup()
         await aiohttp.web.TCPSite(self.runner, host, port).start()
 
@@ -128,16 +131,19 @@
     :param peers: :class:`~boragetrail.direct.peers.PeerTable`
     :param make_source: function from a peer to a
         :class:`~boragetrail.direct.ports.RowSource`
+    :param is_away: function from a table to whether the store has failed
+        to tell it for long
     :param random: random generator
     """
 
     # Time in which the store itself usually tells a change.
     PATIENCE_S = 0.15
 
-    def __init__(self, directory, peers, make_source, random):
+    def __init__(self, directory, peers, make_source, is_away, random):
         self.directory = directory
         self.peers = peers
         self.make_source = make_source
+        self.is_away = is_away
         self.random = random
         self.pulling = set()
 
@@ -165,8 +171,11 @@
         source = self.make_source(self.random.choice(ahead))
         version = self.directory.mirrors[table].version
         result = await source.changes(table, version, 0.0)
-        if not isinstance(result, SourceFailure):
-            self.directory.apply(table, result)
+        if isinstance(result, SourceFailure):
+            return
+        if self.is_away(table):
+            self.directory.store_away()
+        self.directory.apply(table, result)
 
     def _ahead(self, table):
         version = self.directory.mirrors[table].version
--- /dev/null
+++ b/boragetrail/direct/tests/conftest.py
@@ -0,0 +1,199 @@
+"""A router with a store and servers, all in one process on loopback."""
+
+import asyncio
+import contextlib
+import socket
+
+import aiohttp
+import pytest
+
+from boragetrail.direct.daemon import DirectDaemon
+import boragetrail.platform as platform
+from boragetrail.platform.names import HEADER_NAMES
+from boragetrail.settings.direct import DirectSettings
+from standins.httpserver import HttpServer
+from standins.rowstore import RowStore
+
+HOST = "chat.example"
+KEY = "key-of-customer-1"
+WAIT_S = 5.0
+POLL_S = 0.01
+
+
+def free_port():
+    """Return a port that nobody listens at."""
+    with socket.socket() as probe:
+        probe.bind(("127.0.0.1", 0))
+        return probe.getsockname()[1]
+
+
+def route(name, kind, service="apps", **fields):
+    """Return a route as operators write it."""
+    return {
+        "name": name,
+        "host": HOST,
+        "pathPrefix": f"/{name}/",
+        "routeType": kind,
+        "service": service,
+        "timeoutMs": 2000,
+        "goalMs": 200,
+        "priority": 1,
+        "maxAttempts": 2,
+        "public": False,
+        "sticky": False,
+        "resumable": False,
+        **fields,
+    }
+
+
+def service(name, **fields):
+    """Return a service as operators write it."""
+    return {
+        "name": name,
+        "healthPath": "/healthz",
+        "maxConns": 64,
+        "coldPerS": 0.0,
+        **fields,
+    }
+
+
+def configuration(version=1, **fields):
+    """Return a configuration as operators write it."""
+    return {
+        "version": version,
+        "routes": [
+            route("status", "idempotent"),
+            route("order", "non_idempotent", maxAttempts=1),
+            route("stream", "streaming", maxAttempts=1),
+            route("resume", "streaming", resumable=True),
+            route("open", "idempotent", public=True),
+        ],
+        "services": [service("apps")],
+        "limits": {
+            "maxHeaderBytes": 4096,
+            "maxBodyBytes": 100000,
+            "headerTimeoutMs": 3000,
+            "idleTimeoutMs": 15000,
+        },
+        "tenants": [{"name": "customer-1", "apiKeys": [KEY]}],
+        **fields,
+    }
+
+
+class Site:
+    """A store, servers and routers of one test."""
+
+    def __init__(self):
+        self.store = RowStore()
+        self.servers = []
+        self.daemons = []
+        self.session = None
+        self.attempts = 0
+        self.gossip_port = free_port()
+
+    async def open(self, servers=2):
+        """Open the store and servers; the configuration is version 1."""
+        await self.store.open()
+        self.session = aiohttp.ClientSession()
+        self.store.put("op", "config", configuration())
+        for _ in range(servers):
+            await self.add_server()
+
+    async def add_server(self, **fields):
+        """Start a server and list it; returns the stand-in."""
+        server = HttpServer()
+        await server.open()
+        server.id = f"i-{len(self.servers)}"
+        self.servers.append(server)
+        self.store.put("servers", server.id, server.entry("apps", **fields))
+        return server
+
+    async def add_router(self, grace_s=8.0):
+        """Start a router and wait until it is ready."""
+        daemon = self.make_router(grace_s)
+        await daemon.open()
+        await self.until(daemon.is_ready)
+        count = len(self.servers)
+        await self.until(lambda: len(daemon.directory.servers_by_id) == count)
+        return daemon
+
+    def make_router(self, grace_s=8.0):
+        """Return a router that is not open yet, at a host of its own."""
+        host = f"127.0.0.{len(self.daemons) + 1}"
+        address = f"{host}:{self.gossip_port}"
+        data = {
+            "role": "direct",
+            "name": f"router-{len(self.daemons)}",
+            "zone": "z1",
+            "listen": {
+                "callers": f"{host}:{free_port()}",
+                "health": f"{host}:{free_port()}",
+                "gossip": address,
+                "relay": address,
+            },
+            "store": self.store.address,
+            "seeds": [daemon.settings.gossip for daemon in self.daemons],
+            "bounds": {
+                "retry_ratio": 0.2,
+                "retry_window_s": 10,
+                "retry_extra": 50,
+                "cold_factor": 1.5,
+                "cold_margin": 5,
+            },
+            "grace_s": grace_s,
+        }
+        settings = DirectSettings(data)
+        daemon = DirectDaemon(settings, platform, lambda: (settings, []))
+        self.daemons.append(daemon)
+        return daemon
+
+    async def close(self):
+        """Stop everything."""
+        for daemon in self.daemons:
+            if daemon.session is not None and not daemon.session.closed:
+                await daemon.close()
+        for server in self.servers:
+            await server.close()
+        await self.session.close()
+        await self.store.close()
+
+    async def until(self, condition):
+        """Wait until a condition holds."""
+        async with asyncio.timeout(WAIT_S):
+            while not condition():
+                await asyncio.sleep(POLL_S)
+
+    def fields(self, **fields):
+        """Return header fields of a request; a new id each time."""
+        self.attempts += 1
+        return {
+            "Host": HOST,
+            HEADER_NAMES.request_id: f"a{self.attempts:07d}",
+            HEADER_NAMES.deadline_ms: "2000",
+            HEADER_NAMES.key: KEY,
+            **fields,
+        }
+
+    @contextlib.asynccontextmanager
+    async def request(self, daemon, path, method="POST", **options):
+        """Send a request to a router; yields the answer's head."""
+        headers = self.fields(**options.pop("headers", {}))
+        url = f"http://{daemon.settings.callers}{path}"
+        async with self.session.request(
+            method, url, headers=headers, **options
+        ) as answer:
+            yield answer
+
+    async def call(self, daemon, path, **options):
+        """Send a request; returns (status, headers, body)."""
+        async with self.request(daemon, path, **options) as answer:
+            return answer.status, answer.headers, await answer.read()
+
+
+@pytest.fixture
+async def site():
+    """A site with two servers and no router."""
+    made = Site()
+    await made.open()
+    yield made
+    await made.close()
--- /dev/null
+++ b/boragetrail/direct/tests/test_feed.py
@@ -0,0 +1,221 @@
+"""Tests of following a table and of what a directory makes of it."""
+
+import json
+import random
+
+from boragetrail.direct.directory import Directory
+from boragetrail.direct.feed import Feed
+from boragetrail.direct.mirror import Mirror
+from boragetrail.direct.ports import ChangeSet, Row, SourceFailure, Table
+from boragetrail.platform import PlatformDecoder
+
+
+class Clock:
+    """A clock that tests move."""
+
+    def __init__(self):
+        self.now_s = 100.0
+
+    def __call__(self):
+        return self.now_s
+
+
+class ScriptedSource:
+    """A source that gives results in turn and takes time for each."""
+
+    def __init__(self, clock, *steps):
+        self.clock = clock
+        self.steps = list(steps)
+        self.reads = 0
+
+    async def read(self, table):
+        """Return the next result; counts as a read of all rows."""
+        self.reads += 1
+        return self._next()
+
+    async def changes(self, table, since, wait_s):
+        """Return the next result."""
+        return self._next()
+
+    def _next(self):
+        if not self.steps:
+            raise EndOfScript
+        took_s, result = self.steps.pop(0)
+        self.clock.now_s += took_s
+        return result
+
+
+class EndOfScript(Exception):
+    """The script of a source is over."""
+
+
+def entry(**fields):
+    """Return an entry of a server as bytes."""
+    data = {
+        "service": "apps",
+        "address": "127.0.0.1:80",
+        "zone": "z1",
+        "slots": 8,
+        "state": "ready",
+        "coldLeftMs": 0,
+        **fields,
+    }
+    return json.dumps(data).encode()
+
+
+def changes(version, *rows, whole=False):
+    """Return a change set."""
+    return ChangeSet(list(rows), version, whole)
+
+
+class TestFeed:
+    """Quiet times, outages and lost history."""
+
+    def make(self, *steps):
+        """Return (feed, directory, clock, source) for a script."""
+        clock = Clock()
+        directory = Directory(PlatformDecoder(), clock)
+        source = ScriptedSource(clock, *steps)
+        feed = Feed(Table.SERVERS, source, directory, clock, random.Random(1))
+        feed.FIRST_PAUSE_S = feed.MOST_PAUSE_S = feed.pause_s = 0.0
+        return feed, directory, clock, source
+
+    async def play(self, feed):
+        """Run a feed to the end of its script."""
+        try:
+            await feed.run()
+        except EndOfScript:
+            pass
+
+    async def test_quiet_waits_are_no_outage(self):
+        # Waits that end without news once made a removed entry stay.
+        first = changes(1, Row("i-1", 1, entry()), whole=True)
+        feed, directory, _, _ = self.make(
+            (0.0, first),
+            (2.05, changes(1)),
+            (2.05, changes(1)),
+            (0.5, changes(2, Row("i-1", 2, None))),
+        )
+        await self.play(feed)
+        assert not directory.servers_of("apps")
+
+    async def test_entries_that_lapse_in_an_outage_are_kept_a_while(self):
+        first = changes(1, Row("i-1", 1, entry()), whole=True)
+        down = SourceFailure("status 503")
+        feed, directory, clock, _ = self.make(
+            (0.0, first),
+            (1.0, down),
+            (3.0, down),
+            (0.5, changes(2, Row("i-1", 2, None))),
+        )
+        await self.play(feed)
+        assert len(directory.servers_of("apps")) == 1
+        clock.now_s += directory.LAPSE_GRACE_S
+        assert not directory.servers_of("apps")
+
+    async def test_leaving_entry_is_not_kept_after_an_outage(self):
+        leaving = entry(state="draining")
+        first = changes(1, Row("i-1", 1, leaving), whole=True)
+        feed, directory, _, _ = self.make(
+            (0.0, first),
+            (5.0, SourceFailure("status 503")),
+            (0.5, changes(2, Row("i-1", 2, None))),
+        )
+        await self.play(feed)
+        assert not directory.servers_of("apps")
+
+    async def test_lost_history_is_read_whole(self):
+        first = changes(1, Row("i-1", 1, entry()), whole=True)
+        second = changes(7, Row("i-2", 6, entry()), whole=True)
+        feed, directory, _, source = self.make(
+            (0.0, first),
+            (0.1, SourceFailure("status 410", True)),
+            (0.1, second),
+        )
+        await self.play(feed)
+        assert source.reads == 2
+        assert list(directory.servers_by_id) == ["i-2"]
+
+    async def test_outdated_read_changes_nothing(self):
+        first = changes(5, Row("i-1", 5, entry()), whole=True)
+        outdated = changes(3, whole=True)
+        feed, directory, _, source = self.make(
+            (0.0, first),
+            (0.1, SourceFailure("status 410", True)),
+            (0.1, outdated),
+        )
+        await self.play(feed)
+        assert source.reads == 3
+        assert list(directory.servers_by_id) == ["i-1"]
+
+
+class TestDirectory:
+    """Rows that can't be read, and versions that never go back."""
+
+    def make(self):
+        """Return an empty directory."""
+        return Directory(PlatformDecoder(), Clock())
+
+    def test_unreadable_entry_names_no_server(self):
+        directory = self.make()
+        rows = [
+            Row("a", 1, b"\xff"),
+            Row("b", 2, b"[]"),
+            Row("c", 3, entry(address=7)),
+            Row("d", 4, entry(service=None)),
+            Row("e", 5, entry(state="odd")),
+            Row("f", 6, entry(slots="many")),
+            Row("g", 7, entry()),
+        ]
+        directory.apply(Table.SERVERS, changes(7, *rows))
+        usable = [
+            known.record.id
+            for known in directory.servers_of("apps")
+            if known.record.ready
+        ]
+        assert usable == ["g"]
+
+    def test_unreadable_configuration_leaves_the_old_one(self):
+        directory = self.make()
+        good = {
+            "version": 3,
+            "routes": [],
+            "services": [],
+            "limits": {
+                "maxHeaderBytes": 1,
+                "maxBodyBytes": 1,
+                "headerTimeoutMs": 1,
+                "idleTimeoutMs": 1,
+            },
+        }
+        row = Row("config", 1, json.dumps(good).encode())
+        directory.apply(Table.OPERATORS, changes(1, row))
+        bad = Row("config", 2, b'{"version": 4}')
+        directory.apply(Table.OPERATORS, changes(2, bad))
+        assert directory.configuration.version == 3
+
+    def test_zone_is_out_and_back(self):
+        directory = self.make()
+        out = Row("evacuate/z1", 4, b"{}")
+        directory.apply(Table.OPERATORS, changes(4, out))
+        assert directory.evacuated_zones == {"z1"}
+        directory.apply(
+            Table.OPERATORS, changes(5, Row("evacuate/z1", 5, None))
+        )
+        # A slow peer tells the older row once more.
+        directory.apply(Table.OPERATORS, changes(4, out))
+        assert directory.evacuated_zones == set()
+
+
+class TestMirror:
+    """Copies of tables."""
+
+    def test_since_brings_another_copy_up_to_date(self):
+        ahead, behind = Mirror(), Mirror()
+        rows = [Row("a", 1, b"1"), Row("b", 2, b"2"), Row("a", 3, None)]
+        ahead.apply(changes(4, *rows))
+        behind.apply(changes(2, *rows[:2]))
+        changed = behind.apply(ahead.since(behind.version))
+        assert [row.key for row in changed] == ["a"]
+        assert behind.version == ahead.version == 4
+        assert behind.newest == 3
--- /dev/null
+++ b/boragetrail/direct/tests/test_path.py
@@ -0,0 +1,461 @@
+"""Tests of the path of a request through a router."""
+
+import asyncio
+
+import aiohttp
+import pytest
+
+from boragetrail.direct.tests.conftest import HOST, KEY, configuration, route
+from boragetrail.platform.names import HEADER_NAMES
+from standins.httpserver import whole_answer
+
+
+def refused(request):
+    """Return the answer of a server that did not run a request."""
+    fields = [f"{HEADER_NAMES.not_run}: 1"]
+    return whole_answer(request, b"", "503 Service Unavailable", fields)
+
+
+async def refuse(request):
+    """Refuse a request as not run."""
+    return refused(request)
+
+
+async def fail(request):
+    """Answer with an error after running a request."""
+    return whole_answer(request, b"oops", "500 Internal Server Error")
+
+
+async def cut(request):
+    """Cut the connection without an answer."""
+    return None
+
+
+async def hang(request):
+    """Never answer."""
+    await asyncio.sleep(60)
+
+
+def stream_of(*events, end=True, cut_after=False):
+    """Return a behaviour that streams events in chunks."""
+
+    async def behave(request):
+        head = "\r\n".join(
+            [
+                "HTTP/1.1 200 OK",
+                f"{HEADER_NAMES.request_id}: {request.id}",
+                f"{HEADER_NAMES.seal}: seal",
+                "Content-Type: text/event-stream",
+                "Transfer-Encoding: chunked",
+            ]
+        )
+        request.writer.write(head.encode() + b"\r\n\r\n")
+        for event in events:
+            request.writer.write(b"%x\r\n%s\r\n" % (len(event), event))
+            await request.writer.drain()
+            await asyncio.sleep(0.01)
+        if cut_after:
+            return None
+        return b"0\r\n\r\n" if end else b""
+
+    return behave
+
+
+EVENTS = [b"id: %d\ndata: e%d\n\n" % (n, n) for n in range(1, 5)]
+
+
+class TestWholeAnswers:
+    """Answers with a length."""
+
+    async def test_answer_passes_unchanged(self, site):
+        daemon = await site.add_router()
+        status, headers, body = await site.call(
+            daemon, "/order/a%2Fb//c?x=1&y=", data=b"screens"
+        )
+        assert (status, body) == (200, b"done")
+        assert headers[HEADER_NAMES.seal].startswith("seal-")
+        (seen,) = site.servers[0].requests + site.servers[1].requests
+        assert seen.line == "POST /order/a%2Fb//c?x=1&y= HTTP/1.1"
+        assert seen.body == b"screens"
+
+    async def test_router_sets_its_own_fields(self, site):
+        daemon = await site.add_router()
+        forged = {
+            HEADER_NAMES.customer: "somebody",
+            HEADER_NAMES.expected_server: "i-9",
+            "Kv-From": "10.0.0.1:1/x",
+            "X-Boragetrail-Hold": "h",
+            "Connection": "keep-alive, X-Boragetrail-Model",
+            "X-Boragetrail-Model": "m",
+        }
+        await site.call(daemon, "/order/1", headers=forged)
+        (seen,) = site.servers[0].requests + site.servers[1].requests
+        assert seen.headers[HEADER_NAMES.customer.lower()] == "customer-1"
+        expected = seen.headers[HEADER_NAMES.expected_server.lower()]
+        assert expected in ("i-0", "i-1")
+        assert "kv-from" not in seen.headers
+        assert "x-boragetrail-hold" not in seen.headers
+        assert HEADER_NAMES.key.lower() not in seen.headers
+        assert seen.headers["x-boragetrail-model"] == "m"
+        left_ms = int(seen.headers[HEADER_NAMES.deadline_ms.lower()])
+        assert 1500 < left_ms <= 2000
+
+    async def test_chunked_body_gets_a_length(self, site):
+        daemon = await site.add_router()
+
+        async def parts():
+            yield b"one"
+            yield b"two"
+
+        status, _, _ = await site.call(daemon, "/order/1", data=parts())
+        (seen,) = site.servers[0].requests + site.servers[1].requests
+        assert status == 200
+        assert seen.body == b"onetwo"
+        assert seen.headers["content-length"] == "6"
+
+
+class TestRefusals:
+    """Requests that reach no server."""
+
+    async def test_no_configuration_is_not_a_missing_route(self, site):
+        site.store.status = 503
+        daemon = site.make_router()
+        await daemon.open()
+        status, headers, _ = await site.call(daemon, "/order/1")
+        assert status == 503
+        assert float(headers["Retry-After"]) > 0
+        assert not daemon.is_ready()
+        site.store.status = 0
+        await site.until(daemon.is_ready)
+
+    async def test_unknown_route_key_and_limits(self, site):
+        daemon = await site.add_router()
+        assert (await site.call(daemon, "/nowhere/1"))[0] == 404
+        assert (await site.call(daemon, "/orderly"))[0] == 404
+        bad_key = {HEADER_NAMES.key: "other"}
+        status, _, _ = await site.call(daemon, "/order/1", headers=bad_key)
+        assert status == 401
+        status, _, _ = await site.call(daemon, "/open/1", headers=bad_key)
+        assert status == 200
+        large = {"X-Large": "x" * 5000}
+        status, _, _ = await site.call(daemon, "/order/1", headers=large)
+        assert status == 431
+        status, _, _ = await site.call(daemon, "/order/1", data=b"x" * 100001)
+        assert status == 413
+
+    async def test_longest_prefix_wins(self, site):
+        daemon = await site.add_router()
+        routes = configuration()["routes"]
+        routes.append(route("order/urgent", "idempotent", public=True))
+        site.store.put("op", "config", configuration(2, routes=routes))
+        await site.until(lambda: daemon.directory.configuration.version == 2)
+        path = "/order/urgent/1"
+        no_key = {HEADER_NAMES.key: "other"}
+        assert (await site.call(daemon, path, headers=no_key))[0] == 200
+
+    async def test_all_servers_refuse(self, site):
+        daemon = await site.add_router()
+        for server in site.servers:
+            server.default = refuse
+        status, headers, _ = await site.call(daemon, "/order/1")
+        assert status == 503
+        assert float(headers["Retry-After"]) > 0
+        assert HEADER_NAMES.seal not in headers
+        arrivals = [len(server.requests) for server in site.servers]
+        assert arrivals == [1, 1]
+
+
+class TestRepeats:
+    """What is sent to a second server, and what is not."""
+
+    async def test_true_refusal_goes_elsewhere(self, site):
+        daemon = await site.add_router()
+        for server in site.servers:
+            server.behaviours.append(refuse)
+        site.servers[0].behaviours.clear()
+        for _ in range(6):
+            assert (await site.call(daemon, "/order/1"))[0] == 200
+
+    async def test_lost_answer_of_an_order_is_not_repeated(self, site):
+        daemon = await site.add_router()
+        for server in site.servers:
+            server.default = cut
+        status, _, _ = await site.call(daemon, "/order/1")
+        assert status == 502
+        assert sum(len(server.requests) for server in site.servers) == 1
+
+    async def test_cut_keepalive_connection_does_not_repeat(self, site):
+        # An HTTP client that sends again by itself runs an order twice.
+        daemon = await site.add_router()
+        for server in site.servers:
+            server.behaviours.extend([whole, cut])
+        statuses = [(await site.call(daemon, "/order/1"))[0] for _ in range(8)]
+        arrivals = sum(len(server.requests) for server in site.servers)
+        assert arrivals == 8
+        assert statuses.count(502) == 2
+
+    async def test_failed_status_request_is_tried_once_more(self, site):
+        daemon = await site.add_router()
+        for server in site.servers:
+            server.behaviours.append(fail)
+        status, _, body = await site.call(daemon, "/status/1", method="GET")
+        assert (status, body) == (500, b"oops")
+        assert sum(len(server.requests) for server in site.servers) == 2
+        status, _, _ = await site.call(daemon, "/status/2", method="GET")
+        assert status == 200
+
+    async def test_unreachable_server_is_passed_over(self, site):
+        daemon = await site.add_router()
+        await site.servers[0].close()
+        for _ in range(4):
+            assert (await site.call(daemon, "/order/1"))[0] == 200
+        assert len(site.servers[1].requests) == 4
+
+    async def test_other_server_at_the_address(self, site):
+        daemon = await site.add_router()
+
+        async def misdirected(request):
+            return whole_answer(request, b"", "421 Misdirected Request")
+
+        site.servers[0].default = misdirected
+        for _ in range(4):
+            assert (await site.call(daemon, "/order/1"))[0] == 200
+        assert len(site.servers[0].requests) <= 1
+
+
+async def whole(request):
+    """Answer a request whole."""
+    return whole_answer(request)
+
+
+class TestBrokenAnswers:
+    """Answers that must not look whole, or belong to other requests."""
+
+    async def test_answer_of_another_request_is_skipped(self, site):
+        daemon = await site.add_router()
+
+        async def late_and_own(request):
+            other = whole_answer(request, b"other").replace(
+                request.id.encode(), b"another"
+            )
+            return other + whole_answer(request, b"own")
+
+        for server in site.servers:
+            server.default = late_and_own
+        _, _, body = await site.call(daemon, "/order/1")
+        assert body == b"own"
+
+    async def test_bytes_after_an_answer_serve_nobody(self, site):
+        daemon = await site.add_router()
+
+        async def twice(request):
+            request.writer.write(whole_answer(request, b"own"))
+            await asyncio.sleep(0.05)
+            return whole_answer(request, b"again")
+
+        for server in site.servers:
+            server.default = twice
+        for _ in range(3):
+            status, _, body = await site.call(daemon, "/order/1")
+            assert (status, body) == (200, b"own")
+            await asyncio.sleep(0.08)
+
+    async def test_reset_without_a_length_is_not_the_end(self, site):
+        daemon = await site.add_router()
+
+        def unframed(reset):
+            async def behave(request):
+                head = whole_answer(request, b"").replace(
+                    b"Content-Length: 0\r\n", b""
+                )
+                head = head.replace(b"Content-Length: 0", b"X: y")
+                request.writer.write(head + b"half")
+                await asyncio.sleep(0.05)
+                if reset:
+                    set_reset_on_close(request.writer)
+                request.writer.close()
+                return b""
+
+            return behave
+
+        for server in site.servers:
+            server.default = unframed(True)
+        assert (await site.call(daemon, "/order/1"))[0] == 502
+        for server in site.servers:
+            server.default = unframed(False)
+        status, _, body = await site.call(daemon, "/order/1")
+        assert (status, body) == (200, b"half")
+
+    async def test_success_without_a_seal(self, site):
+        daemon = await site.add_router()
+
+        async def unsealed(request):
+            answer = whole_answer(request)
+            return answer.replace(HEADER_NAMES.seal.encode(), b"X-Other")
+
+        for server in site.servers:
+            server.default = unsealed
+        assert (await site.call(daemon, "/order/1"))[0] == 502
+
+    async def test_unmarked_503_is_not_passed_as_not_run(self, site):
+        daemon = await site.add_router()
+
+        async def busy(request):
+            return whole_answer(request, b"", "503 Service Unavailable")
+
+        for server in site.servers:
+            server.default = busy
+        status, headers, _ = await site.call(daemon, "/order/1")
+        assert status == 502
+        assert HEADER_NAMES.seal not in headers
+
+
+def set_reset_on_close(writer):
+    """Let the close of a connection send a reset."""
+    import socket
+    import struct
+
+    sock = writer.get_extra_info("socket")
+    linger = struct.pack("ii", 1, 0)
+    sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, linger)
+
+
+class TestStreams:
+    """Streams of events."""
+
+    async def test_events_pass_as_they_come(self, site):
+        daemon = await site.add_router()
+        for server in site.servers:
+            server.default = stream_of(*EVENTS)
+        status, _, body = await site.call(daemon, "/stream/1")
+        assert status == 200
+        assert body == b"".join(EVENTS)
+
+    async def test_cut_stream_is_cut_towards_the_caller(self, site):
+        daemon = await site.add_router()
+        for server in site.servers:
+            server.default = stream_of(*EVENTS[:2], cut_after=True)
+        with pytest.raises(aiohttp.ClientPayloadError):
+            await site.call(daemon, "/stream/1")
+        assert sum(len(server.requests) for server in site.servers) == 1
+
+    async def test_resumable_stream_goes_on_elsewhere(self, site):
+        daemon = await site.add_router()
+        half = EVENTS[2][:5]
+        for server in site.servers:
+            server.behaviours.append(
+                stream_of(*EVENTS[:2], half, cut_after=True)
+            )
+            server.default = stream_of(*EVENTS[2:])
+        site.servers[1].behaviours.clear()
+        site.servers[1].default = resume_from_header
+        site.servers[0].default = resume_from_header
+        for _ in range(4):
+            status, _, body = await site.call(daemon, "/resume/1")
+            assert (status, body) == (200, b"".join(EVENTS))
+
+    async def test_caller_that_leaves_frees_the_server(self, site):
+        daemon = await site.add_router()
+        gone = asyncio.Event()
+
+        async def watch(request):
+            await stream_of(EVENTS[0], end=False)(request)
+            # The peer's close shows as the end of what can be written.
+            while not request.writer.transport.is_closing():
+                await asyncio.sleep(0.01)
+                request.writer.write(b"1\r\n \r\n")
+            gone.set()
+            return None
+
+        for server in site.servers:
+            server.default = watch
+        async with site.request(daemon, "/stream/1") as answer:
+            await answer.content.readany()
+            answer.connection.transport.abort()
+        async with asyncio.timeout(0.5):
+            await gone.wait()
+        await site.until(lambda: not daemon.frontend.active)
+        assert not daemon.fleet.in_flight_by_id()
+
+
+async def resume_from_header(request):
+    """Stream the events after the one that the request names."""
+    last = int(request.headers.get("last-event-id") or 0)
+    return await stream_of(*EVENTS[last:])(request)
+
+
+class TestDeadlines:
+    """Requests whose time is up."""
+
+    async def test_final_answer_at_the_deadline(self, site):
+        daemon = await site.add_router()
+        for server in site.servers:
+            server.default = hang
+        soon = {HEADER_NAMES.deadline_ms: "200"}
+        status, _, _ = await site.call(daemon, "/order/1", headers=soon)
+        assert status == 504
+        await site.until(lambda: not daemon.fleet.in_flight_by_id())
+
+
+class TestPlannedStop:
+    """A router that is asked to stop."""
+
+    async def test_request_that_arrives_as_the_port_closes(self, site):
+        # Its handler had not started, so its connection looked idle.
+        daemon = await site.add_router()
+        reader, writer = await connect(daemon)
+        writer.write(raw_request("/order/1", "crossing"))
+        await asyncio.sleep(0)
+        await site.until(lambda: daemon.frontend.server.connections)
+        await daemon.frontend.stop_accepting()
+        head = await reader.read(12)
+        ran = [
+            request.id
+            for server in site.servers
+            for request in server.requests
+        ]
+        assert (head == b"HTTP/1.1 200") == (ran == ["crossing"])
+        writer.close()
+
+    async def test_idle_connections_end_with_the_port(self, site):
+        daemon = await site.add_router()
+        reader, writer = await connect(daemon)
+        await site.until(lambda: daemon.frontend.server.connections)
+        await daemon.frontend.stop_accepting()
+        async with asyncio.timeout(1.0):
+            assert await reader.read() == b""
+        writer.close()
+
+    async def test_answers_under_way_are_finished(self, site):
+        daemon = await site.add_router()
+        for server in site.servers:
+            server.default = stream_of(*EVENTS)
+        async with site.request(daemon, "/stream/1") as answer:
+            await daemon.frontend.stop_accepting()
+            assert await answer.read() == b"".join(EVENTS)
+
+    async def test_connections_end_after_their_answer(self, site):
+        daemon = await site.add_router()
+        daemon.frontend.stopping = True
+        assert not daemon.is_ready()
+        _, headers, _ = await site.call(daemon, "/order/1")
+        assert headers["Connection"] == "close"
+
+
+async def connect(daemon):
+    """Open a raw connection to a router."""
+    host, _, port = daemon.settings.callers.partition(":")
+    return await asyncio.open_connection(host, int(port))
+
+
+def raw_request(path, request_id):
+    """Return a request as bytes."""
+    lines = [
+        f"POST {path} HTTP/1.1",
+        f"Host: {HOST}",
+        f"{HEADER_NAMES.request_id}: {request_id}",
+        f"{HEADER_NAMES.deadline_ms}: 2000",
+        f"{HEADER_NAMES.key}: {KEY}",
+        "Content-Length: 0",
+    ]
+    return "\r\n".join(lines).encode() + b"\r\n\r\n"
--- /dev/null
+++ b/boragetrail/direct/tests/test_peers.py
@@ -0,0 +1,124 @@
+"""Tests of what routers tell each other."""
+
+import random
+
+from boragetrail.direct.peers import Digest, PeerTable
+from boragetrail.direct.peers import decode_digest, encode_digest
+from boragetrail.direct.ports import SourceFailure, Table
+from boragetrail.direct.tests.conftest import configuration
+from boragetrail.direct.tests.test_feed import Clock
+
+
+def digest(**fields):
+    """Return a digest of a router."""
+    data = {
+        "incarnation": "run-1",
+        "sequence": 1,
+        "gossip_port": 7000,
+        "relay_port": 7000,
+        "versions_by_table": {},
+        "loads_by_id": {},
+        "peers": [],
+        "leaving": False,
+        "wants_reply": False,
+        **fields,
+    }
+    return Digest(**data)
+
+
+class TestPeerTable:
+    """Sizes of the fleet, loads and versions."""
+
+    def make(self):
+        """Return (table, clock)."""
+        clock = Clock()
+        return PeerTable(clock, random.Random(1)), clock
+
+    def test_older_digest_changes_nothing(self):
+        table, _ = self.make()
+        table.heard(digest(sequence=5, loads_by_id={"s": 3}), "10.0.0.1")
+        table.heard(digest(sequence=4, loads_by_id={"s": 9}), "10.0.0.1")
+        assert table.loads("s") == 3
+
+    def test_restarted_router_counts_from_one(self):
+        table, _ = self.make()
+        table.heard(digest(sequence=5), "10.0.0.1")
+        peer, is_new = table.heard(digest(incarnation="run-2"), "10.0.0.1")
+        assert is_new and peer.sequence == 1
+
+    def test_size_is_not_underestimated_at_the_start(self):
+        table, clock = self.make()
+        assert table.size() == table.SIZE_AT_START
+        clock.now_s += table.START_S
+        for number in range(3):
+            table.heard(digest(), f"10.0.0.{number}")
+        assert table.size() == 4
+
+    def test_silent_router_counts_for_a_while(self):
+        # One that is cut off may still send to servers.
+        table, clock = self.make()
+        table.heard(digest(loads_by_id={"s": 3}), "10.0.0.1")
+        clock.now_s += 10.0
+        assert table.size() == 2
+        assert table.loads("s") == 0
+        clock.now_s += table.COUNT_S
+        assert table.size() == 1
+
+    def test_ranks_differ_between_routers(self):
+        ranks = []
+        for own in range(5):
+            table, clock = self.make()
+            table.own = (f"10.0.0.{own}", 7000)
+            clock.now_s += table.START_S
+            for other in range(5):
+                if other != own:
+                    table.heard(digest(), f"10.0.0.{other}")
+            ranks.append(table.rank("server"))
+        assert sorted(ranks) == [0, 1, 2, 3, 4]
+
+    def test_unreadable_datagrams(self):
+        assert decode_digest(b"\xff\x00") is None
+        assert decode_digest(b"\x80") is None
+        assert decode_digest(encode_digest(digest())) == digest()
+
+
+class TestRelay:
+    """Rows that come from other routers while the store is away."""
+
+    async def test_router_that_the_store_turns_away(self, site):
+        await site.add_router()
+        second = await site.add_router()
+        await site.until(lambda: second.peers.peers_by_address)
+        for feed in second.feeds_by_table.values():
+            feed.source = TurnedAway()
+        site.store.put("op", "config", configuration(2))
+        site.store.put("op", "evacuate/z9", {})
+        await site.until(lambda: second.directory.configuration.version == 2)
+        await site.until(lambda: second.directory.evacuated_zones == {"z9"})
+
+    async def test_router_that_starts_without_the_store(self, site):
+        await site.add_router()
+        site.store.status = 503
+        second = site.make_router()
+        await second.open()
+        await site.until(second.is_ready)
+        assert (await site.call(second, "/order/1"))[0] == 200
+
+    async def test_versions_told_are_those_of_rows(self, site):
+        # The store's own counter grows with every table's writes.
+        first = await site.add_router()
+        site.store.put("other", "x", 1)
+        versions = first.directory.versions()
+        assert versions[Table.OPERATORS.value] == 1
+
+
+class TurnedAway:
+    """A source that refuses this router."""
+
+    async def read(self, table):
+        """Fail."""
+        return await self.changes(table, 0, 0)
+
+    async def changes(self, table, since, wait_s):
+        """Fail."""
+        return SourceFailure("status 503")
--- a/boragetrail/policy/fleetlimits.py
+++ b/boragetrail/policy/fleetlimits.py
@@ -43,31 +43,35 @@
     :param clock: function that returns monotonic seconds
 
     >>> part = RatePart(lambda: 0.0)
-    >>> [part.take(24.5, 4) for _ in range(6)]
+    >>> [part.take(24.5, 4, 0) for _ in range(6)]
     [True, True, True, True, False, False]
     """
 
     # Part of the limit that is used; datagrams in flight and connections
     # that are slow to open move requests into the next second.
     USED = 0.75
+    WINDOW_S = 1.0
 
     def __init__(self, clock):
         self.clock = clock
         self.recent = collections.deque()
 
-    def take(self, limit_per_s, routers):
+    def take(self, limit_per_s, routers, rank):
         """Return whether one more request may be sent, and count it.
 
+        If the parts are smaller than one request a second, only the first
+        routers in rank have one.
+
         :param limit_per_s: most requests in any second, of all routers
         :param routers: number of routers that may send
+        :param rank: this router's rank among them; 0 is the first
         """
-        part = self.USED * limit_per_s / max(1, routers)
-        if part <= 0:
-            return False
-        most = max(1, math.floor(part))
-        window_s = max(1.0, 1.0 / part)
+        total = math.floor(self.USED * limit_per_s)
+        most = total // max(1, routers)
+        if not most:
+            most = 1 if rank < total else 0
         now = self.clock()
-        while self.recent and now - self.recent[0] > window_s:
+        while self.recent and now - self.recent[0] > self.WINDOW_S:
             self.recent.popleft()
         if len(self.recent) >= most:
             return False
--- /dev/null
+++ b/standins/httpserver.py
@@ -0,0 +1,119 @@
+"""Stand-in for a backend server that speaks the platform's HTTP."""
+
+import asyncio
+import collections
+
+from boragetrail.platform.names import HEADER_NAMES
+
+__all__ = ["HttpServer", "ServerRequest", "whole_answer"]
+
+HEAD_END = b"\r\n\r\n"
+
+
+class ServerRequest:
+    """Hold one request as it arrived."""
+
+    __slots__ = ("line", "headers", "body", "writer")
+
+    def __init__(self, line, headers, body, writer):
+        self.line = line
+        self.headers = headers
+        self.body = body
+        self.writer = writer
+
+    @property
+    def id(self):
+        """Return the id that the answer repeats."""
+        return self.headers.get(HEADER_NAMES.request_id.lower(), "")
+
+
+def whole_answer(request, body=b"done", status="200 OK", fields=()):
+    """Return an answer as bytes, with id, seal and length.
+
+    :param fields: further header fields as ``Name: value``
+    """
+    lines = [
+        f"HTTP/1.1 {status}",
+        f"{HEADER_NAMES.request_id}: {request.id}",
+        f"{HEADER_NAMES.seal}: seal-{request.id}",
+        f"Content-Length: {len(body)}",
+        *fields,
+    ]
+    return "\r\n".join(lines).encode() + HEAD_END + body
+
+
+class HttpServer:
+    """Answer each request by the next behaviour of a list.
+
+    A behaviour is a coroutine function that gets the
+    :class:`ServerRequest` and returns bytes to send, or ``None`` to cut
+    the connection. Without one, requests get a whole answer.
+
+    :ivar requests: requests so far
+    :ivar behaviours: what the next requests get
+    :ivar default: what the others get
+    """
+
+    def __init__(self):
+        self.requests = []
+        self.behaviours = collections.deque()
+        self.default = _done
+        self.connections = 0
+        self.server = None
+        self.address = ""
+
+    async def open(self, host="127.0.0.1"):
+        """Listen at a free port."""
+        self.server = await asyncio.start_server(self._serve, host, 0)
+        port = self.server.sockets[0].getsockname()[1]
+        self.address = f"{host}:{port}"
+
+    async def close(self):
+        """Stop listening."""
+        self.server.close()
+
+    def entry(self, service, zone="z1", **fields):
+        """Return what the server writes of itself into the store."""
+        return {
+            "service": service,
+            "address": self.address,
+            "zone": zone,
+            "version": "v1",
+            "slots": 8,
+            "state": "ready",
+            "coldLeftMs": 0,
+            **fields,
+        }
+
+    async def _serve(self, reader, writer):
+        self.connections += 1
+        try:
+            while True:
+                request = await _read(reader, writer)
+                self.requests.append(request)
+                behaviour = self.default
+                if self.behaviours:
+                    behaviour = self.behaviours.popleft()
+                data = await behaviour(request)
+                if data is None:
+                    writer.transport.abort()
+                    return
+                writer.write(data)
+        except (asyncio.IncompleteReadError, ConnectionError):
+            writer.close()
+
+
+async def _done(request):
+    return whole_answer(request)
+
+
+async def _read(reader, writer):
+    head = (await reader.readuntil(HEAD_END)).decode("latin-1")
+    line, *fields = head.strip().split("\r\n")
+    headers = {}
+    for field in fields:
+        name, _, value = field.partition(":")
+        headers[name.lower()] = value.strip()
+    length = int(headers.get("content-length", 0))
+    body = await reader.readexactly(length)
+    return ServerRequest(line, headers, body, writer)
