Keep no removed entry when only this router was cut off from the store

The store had been up all the while, as the other routers knew.

Change: routers tell for how long they have heard the store without fail; an outage that another router did not see lets no entry lapse. No entry is kept for more than 1.7 s.

Ruled out: a late feed (both edges of the zone had the row within 2 ms).

--- a/boragetrail/direct/daemon.py
+++ b/boragetrail/direct/daemon.py
@@ -110,12 +110,17 @@
             self.directory,
             self.peers,
             self._peer_source,
-            self._is_away,
+            self._may_lapse,
             self.random,
         )
         self.feeds_by_table = {
             table: Feed(
-                table, self.store, self.directory, self.clock, self.random
+                table,
+                self.store,
+                self.directory,
+                self.clock,
+                self.random,
+                self.peers.store_was_up,
             )
             for table in Table
         }
@@ -192,6 +197,7 @@
             relay_port=split_address(self.settings.relay)[1],
             versions_by_table=self.directory.versions(),
             loads_by_id=self.fleet.in_flight_by_id(),
+            steady_s=self.feeds_by_table[Table.SERVERS].steady_s(),
             peers=[],
             leaving=self.frontend.stopping,
             wants_reply=False,
@@ -204,8 +210,12 @@
     def _peer_source(self, peer):
         return PeerSource(self.session, peer.address[0], peer.relay_port)
 
-    def _is_away(self, table):
-        return self.feeds_by_table[table].is_away()
+    def _may_lapse(self, table):
+        """Return whether told deletions may be lapses of living servers."""
+        feed = self.feeds_by_table[table]
+        if not feed.is_away():
+            return False
+        return not self.peers.store_was_up(feed.age_s())
 
     def _reload(self):
         settings, errors = self.reload()
--- a/boragetrail/direct/directory.py
+++ b/boragetrail/direct/directory.py
@@ -36,9 +36,11 @@
 
     # Seconds after the return of the store in which missing entries of
     # living servers come back.
-    LAPSE_GRACE_S = 2.5
+    LAPSE_GRACE_S = 2.2
     # The same for what another router tells while the store is away.
     TOLD_LAPSE_GRACE_S = 1.2
+    # Longest time in seconds for which a missing entry is kept.
+    MOST_KEPT_S = 1.7
     # A shorter absence of the store makes no entry lapse.
     LAPSE_OUTAGE_S = 2.0
 
@@ -153,10 +155,11 @@
         known = self.servers_by_id.get(row.key)
         if known is None:
             return
-        may_return = self.clock() < self.lapse_until_s
-        kept = may_return and known.record.ready
+        now = self.clock()
+        kept = now < self.lapse_until_s and known.record.ready
         if kept:
-            known.lapsed_until_s = self.lapse_until_s
+            most_s = now + self.MOST_KEPT_S
+            known.lapsed_until_s = min(self.lapse_until_s, most_s)
         else:
             del self.servers_by_id[row.key]
         log_event(
--- a/boragetrail/direct/feed.py
+++ b/boragetrail/direct/feed.py
@@ -16,6 +16,8 @@
     :param directory: :class:`~boragetrail.direct.directory.Directory`
     :param clock: function that returns monotonic seconds
     :param random: random generator for pauses
+    :param was_up: function from an outage in seconds to whether other
+        routers heard the source all the while
     :ivar heard_s: monotonic time of the last answer of the source
     """
 
@@ -25,13 +27,15 @@
     # Without an answer for so long, the table counts as lost.
     LOST_S = 3.0
 
-    def __init__(self, table, source, directory, clock, random):
+    def __init__(self, table, source, directory, clock, random, was_up):
         self.table = table
         self.source = source
         self.directory = directory
         self.clock = clock
         self.random = random
+        self.was_up = was_up
         self.heard_s = clock()
+        self.steady_since_s = clock()
         self.pause_s = self.FIRST_PAUSE_S
         self.lost = False
         self.failing = False
@@ -51,6 +55,12 @@
             self._answered()
             self.directory.apply(self.table, result)
 
+    def steady_s(self):
+        """Return seconds since the source last failed; 0 while it does."""
+        if self.failing:
+            return 0.0
+        return self.clock() - self.steady_since_s
+
     def is_away(self):
         """Return whether the source has failed for long."""
         away_s = self.directory.LAPSE_OUTAGE_S
@@ -76,8 +86,10 @@
         self.heard_s = self.clock()
         self.pause_s = self.FIRST_PAUSE_S
         if self.failing:
-            self.directory.store_returned(outage_s)
             self.failing = False
+            self.steady_since_s = self.heard_s
+            if not self.was_up(outage_s):
+                self.directory.store_returned(outage_s)
         if self.lost:
             self.lost = False
             log_event(
--- a/boragetrail/direct/peers.py
+++ b/boragetrail/direct/peers.py
@@ -28,6 +28,7 @@
     :param relay_port: port that it gives rows at
     :param versions_by_table: version of the newest row of each table
     :param loads_by_id: requests in flight at each busy server
+    :param steady_s: seconds for which it has heard the store without fail
     :param peers: addresses of some other routers, as [host, port]
     :param leaving: whether it stops
     :param wants_reply: whether the receiver should tell the same at once
@@ -39,6 +40,7 @@
     relay_port: int
     versions_by_table: dict
     loads_by_id: dict
+    steady_s: float
     peers: list
     leaving: bool
     wants_reply: bool
@@ -58,8 +60,10 @@
         digest = Digest(*cbor2.loads(data))
     except (ValueError, TypeError, cbor2.CBORDecodeError):
         return None
-    is_valid = isinstance(digest.versions_by_table, dict) and isinstance(
-        digest.loads_by_id, dict
+    is_valid = (
+        isinstance(digest.versions_by_table, dict)
+        and isinstance(digest.loads_by_id, dict)
+        and isinstance(digest.steady_s, (int, float))
     )
     return digest if is_valid else None
 
@@ -76,6 +80,7 @@
         "known_s",
         "versions_by_table",
         "loads_by_id",
+        "steady_s",
         "leaving",
     )
 
@@ -88,6 +93,7 @@
         self.known_s = now_s
         self.versions_by_table = {}
         self.loads_by_id = {}
+        self.steady_s = 0.0
         self.leaving = False
 
 
@@ -99,8 +105,8 @@
     :ivar own: (host, port) at which this router gets datagrams
     """
 
-    # A load that was told longer ago does not count any more.
-    LOAD_AGE_S = 1.5
+    # What was told longer ago does not count any more.
+    TRUSTED_AGE_S = 1.5
     # Routers unheard for so long are taken as gone.
     FORGET_S = 30.0
     # A router counts with the fleet after its last datagram for so long.
@@ -142,13 +148,14 @@
         peer.relay_port = digest.relay_port
         peer.versions_by_table = digest.versions_by_table
         peer.loads_by_id = digest.loads_by_id
+        peer.steady_s = digest.steady_s
         peer.leaving = digest.leaving
         peer.heard_s = self.clock()
         return peer, is_new
 
     def loads(self, server_id):
         """Return the requests that others lately had at a server."""
-        oldest = self.clock() - self.LOAD_AGE_S
+        oldest = self.clock() - self.TRUSTED_AGE_S
         return sum(
             peer.loads_by_id.get(server_id, 0)
             for peer in self.peers_by_address.values()
@@ -194,7 +201,7 @@
 
     def ahead(self, table, version):
         """Return peers that lately told a row newer than a version."""
-        oldest = self.clock() - self.LOAD_AGE_S
+        oldest = self.clock() - self.TRUSTED_AGE_S
         return [
             peer
             for peer in self.peers_by_address.values()
@@ -202,6 +209,18 @@
             and peer.versions_by_table.get(table, -1) > version
         ]
 
+    def store_was_up(self, outage_s):
+        """Return whether others heard the store during an outage here.
+
+        :param outage_s: seconds since this router heard the store
+        """
+        now = self.clock()
+        return any(
+            peer.steady_s + now - peer.heard_s >= outage_s
+            for peer in self.peers_by_address.values()
+            if now - peer.heard_s <= self.TRUSTED_AGE_S and peer.steady_s > 0
+        )
+
     def forget_silent(self):
         """Drop routers that were not heard for a long time."""
         oldest = self.clock() - self.FORGET_S
--- a/boragetrail/direct/relay.py
+++ b/boragetrail/direct/relay.py
@@ -131,19 +131,19 @@
     :param peers: :class:`~boragetrail.direct.peers.PeerTable`
     :param make_source: function from a peer to a
         :class:`~boragetrail.direct.ports.RowSource`
-    :param is_away: function from a table to whether the store has failed
-        to tell it for long
+    :param may_lapse: function from a table to whether deletions may be
+        lapses of living servers
     :param random: random generator
     """
 
     # Time in which the store itself usually tells a change.
     PATIENCE_S = 0.15
 
-    def __init__(self, directory, peers, make_source, is_away, random):
+    def __init__(self, directory, peers, make_source, may_lapse, random):
         self.directory = directory
         self.peers = peers
         self.make_source = make_source
-        self.is_away = is_away
+        self.may_lapse = may_lapse
         self.random = random
         self.pulling = set()
 
@@ -173,7 +173,7 @@
         result = await source.changes(table, version, 0.0)
         if isinstance(result, SourceFailure):
             return
-        if self.is_away(table):
+        if self.may_lapse(table):
             self.directory.store_away()
         self.directory.apply(table, result)
 
--- a/boragetrail/direct/tests/test_feed.py
+++ b/boragetrail/direct/tests/test_feed.py
@@ -71,12 +71,19 @@
 class TestFeed:
     """Quiet times, outages and lost history."""
 
-    def make(self, *steps):
+    def make(self, *steps, was_up=False):
         """Return (feed, directory, clock, source) for a script."""
         clock = Clock()
         directory = Directory(PlatformDecoder(), clock)
         source = ScriptedSource(clock, *steps)
-        feed = Feed(Table.SERVERS, source, directory, clock, random.Random(1))
+        feed = Feed(
+            Table.SERVERS,
+            source,
+            directory,
+            clock,
+            random.Random(1),
+            lambda outage_s: was_up,
+        )
         feed.FIRST_PAUSE_S = feed.MOST_PAUSE_S = feed.pause_s = 0.0
         return feed, directory, clock, source
 
@@ -113,6 +120,33 @@
         clock.now_s += directory.LAPSE_GRACE_S
         assert not directory.servers_of("apps")
 
+    async def test_entry_removed_while_others_heard_the_store(self):
+        # A router cut off from the store kept an entry for 2.3 s that the
+        # server itself had removed.
+        first = changes(1, Row("i-1", 1, entry()), whole=True)
+        down = SourceFailure("status 503")
+        feed, directory, _, _ = self.make(
+            (0.0, first),
+            (4.0, down),
+            (0.5, changes(1)),
+            (0.1, changes(2, Row("i-1", 2, None))),
+            was_up=True,
+        )
+        await self.play(feed)
+        assert not directory.servers_of("apps")
+
+    async def test_entry_is_never_kept_for_two_seconds(self):
+        first = changes(1, Row("i-1", 1, entry()), whole=True)
+        feed, directory, clock, _ = self.make(
+            (0.0, first),
+            (4.0, SourceFailure("status 503")),
+            (0.5, changes(1)),
+            (0.1, changes(2, Row("i-1", 2, None))),
+        )
+        await self.play(feed)
+        clock.now_s += 1.8
+        assert not directory.servers_of("apps")
+
     async def test_leaving_entry_is_not_kept_after_an_outage(self):
         leaving = entry(state="draining")
         first = changes(1, Row("i-1", 1, leaving), whole=True)
--- a/boragetrail/direct/tests/test_peers.py
+++ b/boragetrail/direct/tests/test_peers.py
@@ -18,6 +18,7 @@
         "relay_port": 7000,
         "versions_by_table": {},
         "loads_by_id": {},
+        "steady_s": 0.0,
         "peers": [],
         "leaving": False,
         "wants_reply": False,
@@ -64,6 +65,18 @@
         clock.now_s += table.COUNT_S
         assert table.size() == 1
 
+    def test_outage_of_this_router_alone(self):
+        table, _ = self.make()
+        table.heard(digest(steady_s=5.0), "10.0.0.1")
+        assert table.store_was_up(4.0)
+        assert not table.store_was_up(8.0)
+
+    def test_first_to_hear_a_store_that_returned(self):
+        # Its hearing the store now says nothing of the time before.
+        table, _ = self.make()
+        table.heard(digest(steady_s=0.3), "10.0.0.1")
+        assert not table.store_was_up(4.0)
+
     def test_ranks_differ_between_routers(self):
         ranks = []
         for own in range(5):
