--- a/boragetrail/cli.py
+++ b/boragetrail/cli.py
@@ -51,20 +51,9 @@
 @app.command()
 def direct(settings: str = typer.Argument(help="Settings file.")):
     """Run a router that calls backend servers itself."""
-    from boragetrail.direct.daemon import DirectDaemon
-    import boragetrail.platform as platform
-    from boragetrail.settings import load_direct_settings
+    from boragetrail.direct.command import run_router
 
-    def load():
-        return load_direct_settings(settings)
-
-    loaded = _loaded(settings, load())
-    start_log(loaded.log_format, loaded.log_level, sys.stdout)
-
-    async def run():
-        await DirectDaemon(loaded, platform, load).run()
-
-    asyncio.run(run())
+    raise typer.Exit(run_router(settings))
 
 
 @app.command()
@@ -114,11 +103,7 @@
 def _load(path):
     from boragetrail.settings import load_settings
 
-    return _loaded(path, load_settings(path))
-
-
-def _loaded(path, result):
-    loaded, errors = result
+    loaded, errors = load_settings(path)
     if loaded is None:
         for error in errors:
             typer.echo(f"{path}: {error}", err=True)
