Place chats by the tokens to read, and copy cached parts between engines

Requests were placed by counts: at small loads the bound of 1.25 x mean + 1 sent a chat away from its engine, and each engine that came or left moved chats.

Change: policy/prefix.py places by tokens that an engine has to read before the first token, with what routers tell each other of parts and of pending tokens; parts that another listed engine keeps are copied from it.

After a restart of all routers their knowledge is gone; that comes next.

--- a/boragetrail/direct/daemon.py
+++ b/boragetrail/direct/daemon.py
@@ -71,7 +71,7 @@
         self.relay = RelayServer(
             self.directory, self.dump, self.metrics.render
         )
-        self.socket = PeerSocket(self.peers, self._digest, self._ahead)
+        self.socket = PeerSocket(self.peers, self._digest, self._heard)
         self.session = None
         self.store = None
         self.puller = None
@@ -184,7 +184,7 @@
                 }
                 for key, known in self.directory.servers_by_id.items()
             },
-            "in_flight": self.fleet.in_flight_by_id(),
+            "loads": self.fleet.loads_by_id(),
             "routers": self.peers.size(),
             "store_calls": self.store.calls,
         }
@@ -196,14 +196,17 @@
             gossip_port=split_address(self.settings.gossip)[1],
             relay_port=split_address(self.settings.relay)[1],
             versions_by_table=self.directory.versions(),
-            loads_by_id=self.fleet.in_flight_by_id(),
+            loads_by_id=self.fleet.loads_by_id(),
+            placements=self.dispatcher.recent_placements(),
             steady_s=self.feeds_by_table[Table.SERVERS].steady_s(),
             peers=[],
             leaving=self.frontend.stopping,
             wants_reply=False,
         )
 
-    def _ahead(self):
+    def _heard(self, digest):
+        for part, server_id in digest.placements:
+            self.fleet.parts.note(part, server_id)
         if self.puller.is_behind():
             self.tasks.start(self.puller.pull_if_behind(), "pull")
 
--- a/boragetrail/direct/dispatch.py
+++ b/boragetrail/direct/dispatch.py
@@ -1,6 +1,7 @@
 """Choose servers for a request and pass the answer on."""
 
 import asyncio
+import collections
 
 from boragetrail.direct.attempt import Attempt, AttemptState, Verdict
 from boragetrail.direct.eventstream import WholeEvents
@@ -8,9 +9,11 @@
 from boragetrail.direct.model import RequestKind
 from boragetrail.errors import Failure, Refusal
 from boragetrail.events import Event, log_event
-from boragetrail.policy.affinity import AffinePlacement, LeastLoaded
 from boragetrail.policy.fleetlimits import RepeatPart
+from boragetrail.policy.leastloaded import LeastLoaded
+from boragetrail.policy.prefix import PrefixPlacement
 from boragetrail.reasons import Ran, Reason
+from boragetrail.utils import join_address
 
 __all__ = ["Dispatcher", "Progress"]
 
@@ -20,11 +23,15 @@
 REUSE_S = 3.0
 REUSE_AT_MOST_ONCE_S = 1.0
 LEAST_LEFT_S = 0.02
+# How long and how many placements are told to other routers.
+PLACEMENT_TOLD_S = 1.0
+PLACEMENTS_TOLD = 40
 
 
 class Progress:
     """Hold what happened to a request so far.
 
+    :ivar prompt: parts of the prompt as (id, tokens); empty if none
     :ivar tried: ids of servers that were tried
     :ivar arrivals: number of attempts that were sent
     :ivar runs: number of attempts that may have run
@@ -34,6 +41,7 @@
     """
 
     __slots__ = (
+        "prompt",
         "tried",
         "tries",
         "arrivals",
@@ -44,7 +52,8 @@
         "error",
     )
 
-    def __init__(self):
+    def __init__(self, prompt):
+        self.prompt = prompt
         self.tried = set()
         self.tries = 0
         self.arrivals = 0
@@ -55,6 +64,32 @@
         self.error = ""
 
 
+class PendingWork:
+    """Count a request at a server until it ends.
+
+    :param state: :class:`~boragetrail.direct.fleet.ServerState`
+    :param tokens: prompt tokens that the server has to read for it
+    """
+
+    __slots__ = ("state", "tokens")
+
+    def __init__(self, state, tokens):
+        self.state = state
+        self.tokens = tokens
+        state.in_flight += 1
+        state.pending_tokens += tokens
+
+    def answered(self):
+        """Note that the prompt was read."""
+        self.state.pending_tokens -= self.tokens
+        self.tokens = 0
+
+    def end(self):
+        """Note that the request ended."""
+        self.answered()
+        self.state.in_flight -= 1
+
+
 class Dispatcher:
     """Send requests to servers.
 
@@ -71,9 +106,20 @@
         self.bounds = bounds
         self.clock = clock
         self.rewriter = HeaderRewriter(names)
-        self.affine = AffinePlacement()
+        self.by_prefix = PrefixPlacement(fleet.parts)
         self.least_loaded = LeastLoaded(random)
         self.repeats_by_service = {}
+        self.placements = collections.deque(maxlen=PLACEMENTS_TOLD)
+
+    def recent_placements(self):
+        """Return what other routers should know of parts of prompts.
+
+        :returns: list of (part, server id)
+        """
+        oldest = self.clock() - PLACEMENT_TOLD_S
+        while self.placements and self.placements[0][0] < oldest:
+            self.placements.popleft()
+        return list({entry[1:] for entry in self.placements})
 
     async def run(self, request, caller):
         """Serve a request, or say why it failed.
@@ -82,7 +128,7 @@
         :param caller: :class:`~boragetrail.direct.caller.CallerAnswer`
         :returns: :class:`~boragetrail.errors.Failure` or ``None``
         """
-        progress = Progress()
+        progress = Progress(self._prompt(request))
         self._repeats(request.service).request_seen()
         try:
             async with asyncio.timeout_at(request.deadline_s):
@@ -116,14 +162,19 @@
         progress.tries += 1
         attempt = Attempt(state, self.names, request.id)
         progress.attempt = attempt
-        state.in_flight += 1
+        copy_from, unread = self._plan(request, progress, record.id)
+        work = PendingWork(state, unread)
         try:
-            return await self._exchange(request, caller, progress, attempt)
+            return await self._exchange(
+                request, caller, progress, attempt, work, copy_from
+            )
         finally:
-            state.in_flight -= 1
+            work.end()
             attempt.abort()
 
-    async def _exchange(self, request, caller, progress, attempt):
+    async def _exchange(
+        self, request, caller, progress, attempt, work, copy_from
+    ):
         state = attempt.server
         repeatable = request.route.repeatable
         newest_s = REUSE_S if repeatable else REUSE_AT_MOST_ONCE_S
@@ -133,10 +184,11 @@
         left_s = request.deadline_s - self.clock()
         resume_after = progress.events.last_id if caller.started else ""
         head = self.rewriter.request_head(
-            request, state.record.id, left_s, resume_after
+            request, state.record.id, left_s, resume_after, copy_from
         )
         progress.arrivals += 1
         verdict = await attempt.exchange(head + request.body)
+        work.answered()
         if verdict is Verdict.ANSWER:
             progress.runs += 1
             self._note_cold(state, attempt.answer)
@@ -232,31 +284,53 @@
         ]
         warm = [state for state in usable if state not in cold]
         if warm:
-            return self._order(request, warm)[0]
+            return self._order(progress, warm)[0]
         bounds = self.bounds
         most = request.service.cold_rate * bounds.cold_factor
         most += bounds.cold_margin
         peers = self.fleet.peers
-        for state in self._order(request, cold):
+        for state in self._order(progress, cold):
             rank = peers.rank(state.record.id)
             if state.cold_part.take(most, peers.size(), rank):
                 return state
         return None
 
-    def _order(self, request, states):
+    def _order(self, progress, states):
         by_id = {state.record.id: state for state in states}
-        views = [self.fleet.view(state) for state in states]
-        parts = []
-        if request.route.affine:
-            text = request.http.headers.get(self.names.prompt_parts, "")
-            parts = prompt_parts(text)
-        if parts:
-            key = parts[-2][0] if len(parts) > 1 else parts[-1][0]
-            ordered = self.affine.order(key, views)
+        if progress.prompt:
+            engines = [self.fleet.engine_view(state) for state in states]
+            ordered = self.by_prefix.order(progress.prompt, engines)
         else:
-            ordered = self.least_loaded.order("", views)
+            views = [self.fleet.view(state) for state in states]
+            ordered = self.least_loaded.order(views)
         return [by_id[view.id] for view in ordered]
 
+    def _prompt(self, request):
+        if not request.route.affine:
+            return []
+        text = request.http.headers.get(self.names.prompt_parts, "")
+        return prompt_parts(text)
+
+    def _plan(self, request, progress, server_id):
+        """Return (address to copy parts of the prompt from, work in tokens).
+
+        Also notes the parts as kept by the server. The address is empty if
+        nothing is copied.
+        """
+        prompt = progress.prompt
+        if not prompt:
+            return "", 0
+        sources = self.fleet.sources(request.service.name)
+        source_id = self.by_prefix.source(prompt, server_id, sources)
+        unread = self.by_prefix.unread(prompt, server_id, source_id)
+        self.by_prefix.placed(prompt, server_id)
+        now = self.clock()
+        for part, _ in prompt[:-1]:
+            self.placements.append((now, part, server_id))
+        if source_id is None:
+            return "", unread
+        return join_address(*sources[source_id]), unread
+
     def _no_server(self, request, progress):
         if progress.runs:
             detail = "no other server can take the request"
--- a/boragetrail/direct/fleet.py
+++ b/boragetrail/direct/fleet.py
@@ -1,8 +1,9 @@
 """What a router knows of servers from its own work and from its peers."""
 
 from boragetrail.direct.channel import ChannelPool
-from boragetrail.policy.affinity import ServerView
 from boragetrail.policy.fleetlimits import RatePart
+from boragetrail.policy.leastloaded import ServerView
+from boragetrail.policy.prefix import EngineView, PartMap
 
 __all__ = ["Fleet", "ServerState"]
 
@@ -13,6 +14,8 @@
     :param record: :class:`~boragetrail.direct.model.ServerRecord`
     :param clock: function that returns monotonic seconds
     :ivar in_flight: requests that this router has there
+    :ivar pending_tokens: prompt tokens that they have to read there, as
+        long as they have not answered
     :ivar doubt: consecutive failures that put the server last for a time
     """
 
@@ -24,6 +27,7 @@
         self.clock = clock
         self.pool = ChannelPool(record.address, clock)
         self.in_flight = 0
+        self.pending_tokens = 0
         self.doubt = 0
         self.doubt_until_s = 0.0
         self.cold_until_s = 0.0
@@ -54,11 +58,10 @@
     """Own the states of the servers that a directory lists.
 
     :param directory: :class:`~boragetrail.direct.directory.Directory`
-    :param peers: object whose ``loads(server_id)`` returns the requests
-        that other routers have at a server, and ``size()`` the number of
-        routers
+    :param peers: :class:`~boragetrail.direct.peers.PeerTable`
     :param zone: availability zone of the router
     :param clock: function that returns monotonic seconds
+    :ivar parts: which servers have which parts of prompts
     """
 
     def __init__(self, directory, peers, zone, clock):
@@ -67,6 +70,7 @@
         self.zone = zone
         self.clock = clock
         self.states_by_id = {}
+        self.parts = PartMap(clock)
 
     def usable(self, service):
         """Return the states of servers that may get new work, as a list."""
@@ -77,6 +81,17 @@
             if known.record.ready and known.record.zone not in zones_out
         ]
 
+    def sources(self, service):
+        """Return the addresses of servers to copy parts from, by id.
+
+        Those that are leaving or in zones without new work are among them.
+        """
+        return {
+            known.record.id: known.record.address
+            for known in self.directory.servers_of(service)
+            if not self._is_doubtful(known.record.id)
+        }
+
     def is_cold(self, state):
         """Return whether a server is cold."""
         now = self.clock()
@@ -85,17 +100,27 @@
         return max(listed, state.cold_until_s) > now
 
     def view(self, state):
-        """Return a :class:`~boragetrail.policy.affinity.ServerView`."""
+        """Return a :class:`~boragetrail.policy.leastloaded.ServerView`."""
         record = state.record
-        load = state.in_flight + self.peers.loads(record.id)
+        load = state.in_flight + self.peers.load(record.id).requests
         in_zone = record.zone == self.zone
         doubt = int(state.is_doubtful())
-        return ServerView(record.id, load, record.slots, in_zone, doubt)
-
-    def in_flight_by_id(self):
-        """Return this router's requests at each busy server."""
+        return ServerView(record.id, load, in_zone, doubt)
+
+    def engine_view(self, state):
+        """Return a :class:`~boragetrail.policy.prefix.EngineView`."""
+        others = self.peers.load(state.record.id)
+        return EngineView(
+            state.record.id,
+            state.in_flight + others.requests,
+            state.pending_tokens + others.pending_tokens,
+            int(state.is_doubtful()),
+        )
+
+    def loads_by_id(self):
+        """Return (requests, pending tokens) at each busy server."""
         return {
-            key: state.in_flight
+            key: (state.in_flight, state.pending_tokens)
             for key, state in self.states_by_id.items()
             if state.in_flight
         }
@@ -110,16 +135,22 @@
         ]
         for key in gone:
             self.states_by_id.pop(key).pool.close()
+            self.parts.forget(key)
 
     def close(self):
         """Close all idle connections."""
         for state in self.states_by_id.values():
             state.pool.close()
 
+    def _is_doubtful(self, server_id):
+        state = self.states_by_id.get(server_id)
+        return state is not None and state.is_doubtful()
+
     def _state(self, known):
         record = known.record
         state = self.states_by_id.get(record.id)
         if state is None or not _is_same_run(state.record, record):
+            self.parts.forget(record.id)
             state = ServerState(record, self.clock)
             self.states_by_id[record.id] = state
         state.record = record
--- a/boragetrail/direct/headers.py
+++ b/boragetrail/direct/headers.py
@@ -33,11 +33,15 @@
         self.dropped = frozenset(name.encode() for name in own)
         self.kept = frozenset(name.encode() for name in names.end_to_end)
 
-    def request_head(self, request, server_id, left_s, resume_after=""):
+    def request_head(
+        self, request, server_id, left_s, resume_after="", copy_from=""
+    ):
         """Return the head of a request to a server as bytes.
 
         :param left_s: seconds left to the deadline
         :param resume_after: last event that the caller has, or empty
+        :param copy_from: address of the engine whose cached parts of the
+            prompt are copied, or empty
         """
         http = request.http
         names = self.names
@@ -56,6 +60,8 @@
             lines.append(f"{names.customer}: {customer}".encode())
         if resume_after:
             lines.append(f"{names.last_event_id}: {resume_after}".encode())
+        if copy_from:
+            lines.append(f"{names.copy_from}: {copy_from}".encode())
         if request.body or http.body_exists:
             lines.append(f"Content-Length: {len(request.body)}".encode())
         return b"\r\n".join(lines) + b"\r\n\r\n"
--- a/boragetrail/direct/peers.py
+++ b/boragetrail/direct/peers.py
@@ -27,7 +27,9 @@
     :param gossip_port: port that it gets datagrams at
     :param relay_port: port that it gives rows at
     :param versions_by_table: version of the newest row of each table
-    :param loads_by_id: requests in flight at each busy server
+    :param loads_by_id: (requests, pending tokens) at each busy server
+    :param placements: parts of prompts that it lately sent, as
+        [part, server id]
     :param steady_s: seconds for which it has heard the store without fail
     :param peers: addresses of some other routers, as [host, port]
     :param leaving: whether it stops
@@ -40,6 +42,7 @@
     relay_port: int
     versions_by_table: dict
     loads_by_id: dict
+    placements: list
     steady_s: float
     peers: list
     leaving: bool
@@ -68,6 +71,18 @@
     return digest if is_valid else None
 
 
+@dataclasses.dataclass(slots=True)
+class Load:
+    """Count work at a server.
+
+    :param requests: requests in flight
+    :param pending_tokens: prompt tokens that they have to read
+    """
+
+    requests: int
+    pending_tokens: int
+
+
 class Peer:
     """Hold what is known of one other router."""
 
@@ -153,14 +168,16 @@
         peer.heard_s = self.clock()
         return peer, is_new
 
-    def loads(self, server_id):
-        """Return the requests that others lately had at a server."""
+    def load(self, server_id):
+        """Return a :class:`Load` that others lately had at a server."""
         oldest = self.clock() - self.TRUSTED_AGE_S
-        return sum(
-            peer.loads_by_id.get(server_id, 0)
-            for peer in self.peers_by_address.values()
-            if peer.heard_s >= oldest
-        )
+        total = Load(0, 0)
+        for peer in self.peers_by_address.values():
+            if peer.heard_s >= oldest:
+                requests, tokens = peer.loads_by_id.get(server_id, (0, 0))
+                total.requests += requests
+                total.pending_tokens += tokens
+        return total
 
     def size(self):
         """Return the number of routers, this one included."""
@@ -240,17 +257,17 @@
     :param table: :class:`PeerTable`
     :param make_digest: function that returns this router's
         :class:`Digest` without its list of peers
-    :param on_ahead: called with the peers' versions after each digest
+    :param on_digest: called with each digest that is news
     """
 
     ROUND_S = 0.3
     FANOUT = 4
     PEERS_TOLD = 6
 
-    def __init__(self, table, make_digest, on_ahead):
+    def __init__(self, table, make_digest, on_digest):
         self.table = table
         self.make_digest = make_digest
-        self.on_ahead = on_ahead
+        self.on_digest = on_digest
         self.transport = None
         self.sequence = 0
         self.sent_bytes = 0
@@ -287,7 +304,7 @@
             )
         if digest.wants_reply:
             self._send(peer.address, False)
-        self.on_ahead()
+        self.on_digest(digest)
 
     def greet(self, address):
         """Ask a router to tell what it knows."""
--- a/boragetrail/direct/ports.py
+++ b/boragetrail/direct/ports.py
@@ -141,6 +141,7 @@
     :param tokens: tokens of the prompt and most tokens of the answer
     :param last_event_id: event after which a stream goes on
     :param priority: rank at the server; 0 goes first
+    :param copy_from: address of the engine to copy cached parts from
     :param reserved: names that a caller may not send, in lower case
     :param end_to_end: names that always reach the server, in lower case
     """
@@ -159,5 +160,6 @@
     tokens: str
     last_event_id: str
     priority: str
+    copy_from: str
     reserved: frozenset
     end_to_end: frozenset
--- a/boragetrail/direct/tests/test_path.py
+++ b/boragetrail/direct/tests/test_path.py
@@ -375,7 +375,7 @@
         async with asyncio.timeout(0.5):
             await gone.wait()
         await site.until(lambda: not daemon.frontend.active)
-        assert not daemon.fleet.in_flight_by_id()
+        assert not daemon.fleet.loads_by_id()
 
 
 async def resume_from_header(request):
@@ -394,7 +394,7 @@
         soon = {HEADER_NAMES.deadline_ms: "200"}
         status, _, _ = await site.call(daemon, "/order/1", headers=soon)
         assert status == 504
-        await site.until(lambda: not daemon.fleet.in_flight_by_id())
+        await site.until(lambda: not daemon.fleet.loads_by_id())
 
 
 class TestPlannedStop:
--- a/boragetrail/direct/tests/test_peers.py
+++ b/boragetrail/direct/tests/test_peers.py
@@ -18,6 +18,7 @@
         "relay_port": 7000,
         "versions_by_table": {},
         "loads_by_id": {},
+        "placements": [],
         "steady_s": 0.0,
         "peers": [],
         "leaving": False,
@@ -37,9 +38,9 @@
 
     def test_older_digest_changes_nothing(self):
         table, _ = self.make()
-        table.heard(digest(sequence=5, loads_by_id={"s": 3}), "10.0.0.1")
-        table.heard(digest(sequence=4, loads_by_id={"s": 9}), "10.0.0.1")
-        assert table.loads("s") == 3
+        table.heard(digest(sequence=5, loads_by_id={"s": (3, 0)}), "10.0.0.1")
+        table.heard(digest(sequence=4, loads_by_id={"s": (9, 0)}), "10.0.0.1")
+        assert table.load("s").requests == 3
 
     def test_restarted_router_counts_from_one(self):
         table, _ = self.make()
@@ -58,10 +59,10 @@
     def test_silent_router_counts_for_a_while(self):
         # One that is cut off may still send to servers.
         table, clock = self.make()
-        table.heard(digest(loads_by_id={"s": 3}), "10.0.0.1")
+        table.heard(digest(loads_by_id={"s": (3, 0)}), "10.0.0.1")
         clock.now_s += 10.0
         assert table.size() == 2
-        assert table.loads("s") == 0
+        assert table.load("s").requests == 0
         clock.now_s += table.COUNT_S
         assert table.size() == 1
 
--- a/boragetrail/platform/names.py
+++ b/boragetrail/platform/names.py
@@ -28,6 +28,7 @@
     tokens="X-Boragetrail-Token-Count",
     last_event_id="Last-Event-Id",
     priority="X-Boragetrail-Request-Priority",
+    copy_from="Kv-Fetch",
     reserved=frozenset(
         (
             "x-boragetrail-tenant",
