Learn cached parts after a restart

Change: a router that starts asks the others for their map of parts; if all have restarted, each engine is asked once, by one router.

Ruled out: asking only when the router's own map is empty (a trial asked nobody, since requests had come within 50 ms).

Also: tests of placement that name the patterns of load they answer.

--- a/boragetrail/direct/daemon.py
+++ b/boragetrail/direct/daemon.py
@@ -14,6 +14,7 @@
 from boragetrail.direct.filters import FilterChain
 from boragetrail.direct.fleet import Fleet
 from boragetrail.direct.frontend import Frontend
+from boragetrail.direct.learn import PartLearner
 from boragetrail.direct.metrics import DirectMetrics
 from boragetrail.direct.peers import Digest, PeerSocket, PeerTable
 from boragetrail.direct.ports import Table
@@ -69,7 +70,7 @@
             chain, self.dispatcher, self.metrics, self.clock
         )
         self.relay = RelayServer(
-            self.directory, self.dump, self.metrics.render
+            self.directory, self.fleet.parts, self.dump, self.metrics.render
         )
         self.socket = PeerSocket(self.peers, self._digest, self._heard)
         self.session = None
@@ -77,6 +78,7 @@
         self.puller = None
         self.feeds_by_table = {}
         self.health = None
+        self.learning = None
 
     async def run(self):
         """Run until a signal asks for a graceful stop."""
@@ -133,6 +135,7 @@
         self.tasks.start(self.socket.run(), "gossip")
         self.tasks.start(self._join(), "join")
         self.tasks.start(self._sweep(), "sweep")
+        self.learning = self.tasks.start(self._learn(), "learn")
 
     async def close(self):
         """Stop the tasks and close everything."""
@@ -154,6 +157,10 @@
         while self.frontend.active and self.clock() < last_s:
             await asyncio.sleep(POLL_S)
 
+    async def until_learned(self):
+        """Wait until what servers keep was asked for after the start."""
+        await self.learning
+
     def is_ready(self):
         """Return whether the balancer may send new connections."""
         return not self.frontend.stopping and self.directory.is_complete()
@@ -245,6 +252,13 @@
         if host != own_host:
             self.socket.greet((host, port))
 
+    async def _learn(self):
+        while not self.directory.is_complete():
+            await asyncio.sleep(POLL_S)
+        engines = self.platform.PlatformEngines(self.session)
+        learner = PartLearner(self.fleet, self.peers, engines, self.session)
+        await learner.run(self.settings.first_start)
+
     async def _sweep(self):
         while True:
             await asyncio.sleep(SWEEP_S)
--- /dev/null
+++ b/boragetrail/direct/learn.py
@@ -0,0 +1,103 @@
+"""Learn after a start which servers keep which parts of prompts.
+
+Other routers know it; if all have restarted, the servers themselves are
+asked, each by one router.
+"""
+
+import asyncio
+
+import aiohttp
+import cbor2
+
+from boragetrail.events import Event, log_event
+
+__all__ = ["PARTS_PATH", "PartLearner", "decode_parts", "encode_parts"]
+
+CALL_TIMEOUT_S = 0.6
+PARTS_PATH = "/parts"
+
+
+def encode_parts(parts):
+    """Return what a :class:`~boragetrail.policy.prefix.PartMap` knows."""
+    return cbor2.dumps(parts.known())
+
+
+def decode_parts(data):
+    """Return a list of (part, server ids), empty if it can't be read."""
+    try:
+        decoded = cbor2.loads(data)
+        return [(str(part), list(ids)) for part, ids in decoded]
+    except (ValueError, TypeError, cbor2.CBORDecodeError) as exc:
+        log_event(Event.ROW_UNREADABLE, key=PARTS_PATH, error=repr(exc))
+        return []
+
+
+class PartLearner:
+    """Fill the map of parts after a start.
+
+    :param fleet: :class:`~boragetrail.direct.fleet.Fleet`
+    :param peers: :class:`~boragetrail.direct.peers.PeerTable`
+    :param engines: :class:`~boragetrail.direct.ports.EngineCalls`
+    :param session: ``aiohttp.ClientSession``
+    """
+
+    # Time in which other routers answer their greeting.
+    GREETING_S = 0.05
+    # Pauses after which routers that started together ask each other.
+    ASK_AGAIN_S = (0.3, 0.7, 2.0)
+
+    def __init__(self, fleet, peers, engines, session):
+        self.fleet = fleet
+        self.peers = peers
+        self.engines = engines
+        self.session = session
+
+    async def run(self, first_start):
+        """Learn once.
+
+        :param first_start: whether the whole system starts for the first
+            time, so that no server keeps anything
+        """
+        await asyncio.sleep(self.GREETING_S)
+        await self._ask_routers()
+        if not first_start and not self.peers.has_older(self.GREETING_S):
+            await self._ask_servers()
+        for pause_s in self.ASK_AGAIN_S:
+            await asyncio.sleep(pause_s)
+            await self._ask_routers()
+
+    async def _ask_routers(self):
+        peers = self.peers.heard_peers()
+        await asyncio.gather(*(self._ask_router(peer) for peer in peers))
+
+    async def _ask_router(self, peer):
+        url = f"http://{peer.address[0]}:{peer.relay_port}{PARTS_PATH}"
+        timeout = aiohttp.ClientTimeout(total=CALL_TIMEOUT_S)
+        try:
+            async with self.session.get(url, timeout=timeout) as answer:
+                data = await answer.read()
+        except (aiohttp.ClientError, asyncio.TimeoutError) as exc:
+            log_event(Event.PARTS_UNKNOWN, source=url, error=repr(exc))
+            return
+        for part, server_ids in decode_parts(data):
+            for server_id in server_ids:
+                self.fleet.parts.note(part, server_id)
+
+    async def _ask_servers(self):
+        configuration = self.fleet.directory.configuration
+        if configuration is None:
+            return
+        records = [
+            known.record
+            for service in configuration.services_by_name.values()
+            if service.is_model
+            for known in self.fleet.directory.servers_of(service.name)
+            if self.peers.is_first(known.record.id)
+        ]
+        await asyncio.gather(*(self._ask_server(each) for each in records))
+
+    async def _ask_server(self, record):
+        parts = await self.engines.cached_parts(record.address)
+        for part in parts:
+            self.fleet.parts.note(part, record.id)
+        log_event(Event.PARTS_LEARNED, server=record.id, parts=len(parts))
--- a/boragetrail/direct/peers.py
+++ b/boragetrail/direct/peers.py
@@ -200,6 +200,14 @@
         )
         return before + (self.SIZE_AT_START if self._is_starting() else 0)
 
+    def is_first(self, key):
+        """Return whether this router is the first of those known now."""
+        own = rendezvous_score(key, self.own)
+        return all(
+            rendezvous_score(key, peer.address) < own
+            for peer in self._counted()
+        )
+
     def _is_starting(self):
         return self.clock() - self.started_s < self.START_S
 
@@ -238,6 +246,23 @@
             if now - peer.heard_s <= self.TRUSTED_AGE_S and peer.steady_s > 0
         )
 
+    def heard_peers(self):
+        """Return the routers that told something lately, as a list."""
+        oldest = self.clock() - self.TRUSTED_AGE_S
+        return [
+            peer
+            for peer in self.peers_by_address.values()
+            if peer.heard_s >= oldest
+        ]
+
+    def has_older(self, margin_s):
+        """Return whether another router started clearly before this one.
+
+        :param margin_s: least difference in seconds
+        """
+        up_s = self.clock() - self.started_s + margin_s
+        return any(peer.steady_s > up_s for peer in self.heard_peers())
+
     def forget_silent(self):
         """Drop routers that were not heard for a long time."""
         oldest = self.clock() - self.FORGET_S
--- a/boragetrail/direct/ports.py
+++ b/boragetrail/direct/ports.py
@@ -11,6 +11,7 @@
 __all__ = [
     "ChangeSet",
     "Decoder",
+    "EngineCalls",
     "HeaderNames",
     "MemberRegistry",
     "Row",
@@ -99,6 +100,18 @@
         """Return the hosts as a list; empty if they can't be read."""
 
 
+class EngineCalls(abc.ABC):
+    """Ask model engines for what their answers do not tell."""
+
+    @abc.abstractmethod
+    async def cached_parts(self, address):
+        """Return the ids of the parts of prompts that an engine keeps.
+
+        :param address: (host, port)
+        :returns: list, empty if the engine can't be asked
+        """
+
+
 class Decoder(abc.ABC):
     """Turn rows of the platform into typed values.
 
--- a/boragetrail/direct/relay.py
+++ b/boragetrail/direct/relay.py
@@ -10,6 +10,7 @@
 import aiohttp.web
 import cbor2
 
+from boragetrail.direct.learn import PARTS_PATH, encode_parts
 from boragetrail.direct.ports import (
     ChangeSet,
     Row,
@@ -43,15 +44,17 @@
 
 
 class RelayServer:
-    """Serve the rows of a directory, the dump and the metrics.
+    """Serve rows, cached parts, the state dump and the metrics.
 
     :param directory: :class:`~boragetrail.direct.directory.Directory`
+    :param parts: :class:`~boragetrail.policy.prefix.PartMap`
     :param dump: function that returns the state of the process
     :param metrics: function that returns (body, header fields)
     """
 
-    def __init__(self, directory, dump, metrics):
+    def __init__(self, directory, parts, dump, metrics):
         self.directory = directory
+        self.parts = parts
         self.dump = dump
         self.metrics = metrics
         self.runner = None
@@ -60,6 +63,7 @@
         """Open the port."""
         app = aiohttp.web.Application()
         app.router.add_get(PATH, self._rows)
+        app.router.add_get(PARTS_PATH, self._parts)
         app.router.add_get("/dump", self._dump)
         app.router.add_get("/metrics", self._metrics)
         self.runner = aiohttp.web.AppRunner(
@@ -84,6 +88,11 @@
             body=encode_changes(rows), content_type=CONTENT_TYPE
         )
 
+    async def _parts(self, request):
+        return aiohttp.web.Response(
+            body=encode_parts(self.parts), content_type=CONTENT_TYPE
+        )
+
     async def _dump(self, request):
         return aiohttp.web.json_response(self.dump())
 
--- a/boragetrail/policy/prefix.py
+++ b/boragetrail/policy/prefix.py
@@ -55,6 +55,14 @@
         times = self.times_by_part.get(part, {})
         return {key for key, used_s in times.items() if used_s >= oldest}
 
+    def known(self):
+        """Return a list of (part, ids of the engines that keep it)."""
+        return [
+            (part, sorted(self.holders(part)))
+            for part in self.times_by_part
+            if self.holders(part)
+        ]
+
     def forget(self, engine_id):
         """Note that an engine is gone or has lost its cache."""
         for times in self.times_by_part.values():
@@ -129,7 +137,7 @@
         """
         kept = {}
         holders = None
-        for part, tokens in prompt[:-1]:
+        for part, tokens in prompt:
             found = self.parts.holders(part)
             holders = found if holders is None else holders & found
             for engine_id in holders:
@@ -166,7 +174,7 @@
 
     def placed(self, prompt, engine_id):
         """Note that an engine got a request."""
-        for part, _ in prompt[:-1]:
+        for part, _ in prompt:
             self.parts.note(part, engine_id)
 
     @staticmethod
--- /dev/null
+++ b/boragetrail/policy/tests/test_prefix.py
@@ -0,0 +1,146 @@
+"""Tests of placement by parts of prompts."""
+
+from boragetrail.policy.prefix import EngineView, PartMap, PrefixPlacement
+
+
+class Clock:
+    """A clock that tests move."""
+
+    def __init__(self):
+        self.now_s = 0.0
+
+    def __call__(self):
+        return self.now_s
+
+
+def engines(count, **running):
+    """Return idle engines ``e0``, ``e1``, ...; some with work."""
+    return [
+        EngineView(f"e{n}", running.get(f"e{n}", 0), 0, 0)
+        for n in range(count)
+    ]
+
+
+def prompt(deck, own="own", system="system"):
+    """Return a prompt of three parts."""
+    return [(system, 2500), (deck, 6000), (own, 500)]
+
+
+class Fleet:
+    """Routers that place chats and tell each other, or not."""
+
+    def __init__(self, routers, count):
+        self.clock = Clock()
+        self.placements = [
+            PrefixPlacement(PartMap(self.clock)) for _ in range(routers)
+        ]
+        self.engines = engines(count)
+
+    def place(self, router, parts):
+        """Place a request through one router; returns the engine's id."""
+        placement = self.placements[router]
+        best = placement.order(parts, self.engines)[0].id
+        placement.placed(parts, best)
+        return best
+
+
+class TestEmptyCaches:
+    """Start of a day: nothing is cached and nobody knows anything."""
+
+    def test_routers_agree_without_telling(self):
+        fleet = Fleet(4, 5)
+        for deck in range(20):
+            chosen = {
+                fleet.place(router, prompt(f"deck-{deck}", f"own-{router}"))
+                for router in range(4)
+            }
+            assert len(chosen) == 1
+
+    def test_prompts_that_wait_are_spread(self):
+        placement = PrefixPlacement(PartMap(Clock()))
+        fleet = engines(5)
+        for deck in range(50):
+            parts = prompt(f"deck-{deck}")
+            best = placement.order(parts, fleet)[0]
+            best.pending_tokens += placement.unread(parts, best.id, None)
+            best.running += 1
+            placement.placed(parts, best.id)
+        pending = [engine.pending_tokens for engine in fleet]
+        assert max(pending) < 1.4 * sum(pending) / len(pending)
+
+
+class TestHotPrefix:
+    """Herd onto one prefix."""
+
+    def test_second_engine_gets_a_copy_when_the_first_is_busy(self):
+        parts = PartMap(Clock())
+        placement = PrefixPlacement(parts)
+        chat = prompt("hot")
+        placement.placed(chat, "e0")
+        fleet = engines(3)
+        assert placement.order(chat, fleet)[0].id == "e0"
+        fleet[0].pending_tokens = 20000
+        second = placement.order(chat, fleet)[0].id
+        assert second != "e0"
+        assert placement.source(chat, second, {"e0", "e1", "e2"}) == "e0"
+
+    def test_no_engine_goes_over_the_bound(self):
+        placement = PrefixPlacement(PartMap(Clock()))
+        fleet = engines(5)
+        chat = prompt("hot")
+        placement.placed(chat, "e0")
+        for _ in range(200):
+            best = placement.order(chat, fleet)[0]
+            best.running += 1
+            mean = sum(each.running for each in fleet) / len(fleet)
+            assert best.running <= 2 * mean + 3
+
+
+class TestEnginesThatComeAndLeave:
+    """Releases, scaling and zones that are emptied."""
+
+    def test_new_engine_takes_no_chats_away(self):
+        fleet = Fleet(1, 4)
+        decks = [prompt(f"deck-{n}") for n in range(20)]
+        before = [fleet.place(0, deck) for deck in decks]
+        fleet.engines = engines(5)
+        assert [fleet.place(0, deck) for deck in decks] == before
+
+    def test_chats_of_a_leaving_engine_are_copied(self):
+        fleet = Fleet(1, 3)
+        first = fleet.place(0, prompt("deck"))
+        fleet.engines = [e for e in engines(3) if e.id != first]
+        second = fleet.place(0, prompt("deck"))
+        placement = fleet.placements[0]
+        other = ({"e0", "e1", "e2"} - {first, second}).pop()
+        assert second != first
+        assert placement.source(prompt("deck"), other, {first}) == first
+        assert placement.source(prompt("deck"), other, set()) is None
+
+    def test_restarted_engine_keeps_nothing(self):
+        parts = PartMap(Clock())
+        parts.note("deck", "e0")
+        parts.forget("e0")
+        assert parts.known() == []
+
+    def test_unused_parts_are_forgotten(self):
+        clock = Clock()
+        parts = PartMap(clock)
+        parts.note("deck", "e0")
+        clock.now_s = parts.KEEP_S + 1
+        assert parts.holders("deck") == set()
+
+
+class TestReturningChat:
+    """A chat that comes back with its own part cached."""
+
+    def test_it_returns_to_its_engine(self):
+        placement = PrefixPlacement(PartMap(Clock()))
+        fleet = engines(4)
+        first = placement.order(prompt("deck", "chat-1"), fleet)[0].id
+        placement.placed(prompt("deck", "chat-1"), first)
+        other = next(e.id for e in fleet if e.id != first)
+        placement.placed(prompt("deck", "chat-2"), other)
+        best = placement.order(prompt("deck", "chat-2"), fleet)[0].id
+        assert best == other
+        assert placement.unread(prompt("deck", "chat-2"), other, None) == 0
--- a/boragetrail/settings/direct.py
+++ b/boragetrail/settings/direct.py
@@ -49,6 +49,7 @@
     :ivar relay: address for rows, state dump and metrics
     :ivar store: address of the platform's store
     :ivar seed_hosts: hosts of some other routers
+    :ivar first_start: whether the whole system starts for the first time
     :ivar grace_s: time from the signal to stop until the process is ended
     """
 
@@ -63,6 +64,7 @@
         "seed_hosts",
         "bounds",
         "grace_s",
+        "first_start",
         "log_format",
         "log_level",
     )
@@ -81,6 +83,7 @@
         self.seed_hosts = [seed.partition(":")[0] for seed in seeds]
         self.bounds = Bounds(data["bounds"])
         self.grace_s = data["grace_s"]
+        self.first_start = data.get("first_start", False)
         self.log_format = log.get("format", "json")
         self.log_level = log.get("level", "INFO")
 
