Read the store often from two routers only; keep homes for unknown parts

Change: the first two routers in rank ask often; the others wait longer and pause after a change, told by datagrams meanwhile. What no engine is known to keep counts as kept by the first engine in rendezvous order.

--- a/boragetrail/direct/daemon.py
+++ b/boragetrail/direct/daemon.py
@@ -122,6 +122,7 @@
                 self.directory,
                 self.clock,
                 self.random,
+                self.peers.is_reader,
                 self.peers.store_was_up,
             )
             for table in Table
@@ -206,6 +207,7 @@
             loads_by_id=self.fleet.loads_by_id(),
             placements=self.dispatcher.recent_placements(),
             steady_s=self.feeds_by_table[Table.SERVERS].steady_s(),
+            up_s=self.peers.up_s(),
             peers=[],
             leaving=self.frontend.stopping,
             wants_reply=False,
--- a/boragetrail/direct/feed.py
+++ b/boragetrail/direct/feed.py
@@ -16,23 +16,31 @@
     :param directory: :class:`~boragetrail.direct.directory.Directory`
     :param clock: function that returns monotonic seconds
     :param random: random generator for pauses
+    :param is_reader: function that returns whether this router asks often
     :param was_up: function from an outage in seconds to whether other
         routers heard the source all the while
     :ivar heard_s: monotonic time of the last answer of the source
     """
 
-    WAIT_S = 2.0
+    # Limits of a wait for changes, and pauses after some, of routers that
+    # ask often for all and of the others.
+    READER_WAIT_S = 2.0
+    WAIT_S = 10.0
+    PAUSE_S = 0.8
     FIRST_PAUSE_S = 0.1
     MOST_PAUSE_S = 0.4
     # Without an answer for so long, the table counts as lost.
     LOST_S = 3.0
 
-    def __init__(self, table, source, directory, clock, random, was_up):
+    def __init__(
+        self, table, source, directory, clock, random, is_reader, was_up
+    ):
         self.table = table
         self.source = source
         self.directory = directory
         self.clock = clock
         self.random = random
+        self.is_reader = is_reader
         self.was_up = was_up
         self.heard_s = clock()
         self.steady_since_s = clock()
@@ -53,11 +61,17 @@
                 await self._failed(result)
                 continue
             self._answered()
-            self.directory.apply(self.table, result)
+            changed = self.directory.apply(self.table, result)
+            if changed and not self.is_reader():
+                # Other routers tell of changes meanwhile.
+                await asyncio.sleep(self.PAUSE_S)
 
     def steady_s(self):
-        """Return seconds since the source last failed; 0 while it does."""
-        if self.failing:
+        """Return for how long the source has answered without a failure.
+
+        It is 0 if that is not known, since the last answer is old.
+        """
+        if self.failing or self.age_s() > self.LOST_S:
             return 0.0
         return self.clock() - self.steady_since_s
 
@@ -77,9 +91,8 @@
                 return SourceFailure(f"{self.table.value}: read is outdated")
             self.needs_all = False
             return result
-        return await self.source.changes(
-            self.table, mirror.version, self.WAIT_S
-        )
+        wait_s = self.READER_WAIT_S if self.is_reader() else self.WAIT_S
+        return await self.source.changes(self.table, mirror.version, wait_s)
 
     def _answered(self):
         outage_s = self.age_s()
--- a/boragetrail/direct/peers.py
+++ b/boragetrail/direct/peers.py
@@ -16,6 +16,8 @@
 __all__ = ["Digest", "PeerTable", "PeerSocket"]
 
 MOST_DATAGRAM_BYTES = 8 * 1024
+# Common text by which routers rank themselves as readers of the store.
+READER_KEY = "store"
 
 
 @dataclasses.dataclass(slots=True)
@@ -30,7 +32,8 @@
     :param loads_by_id: (requests, pending tokens) at each busy server
     :param placements: parts of prompts that it lately sent, as
         [part, server id]
-    :param steady_s: seconds for which it has heard the store without fail
+    :param steady_s: seconds for which it has surely heard the store
+    :param up_s: seconds since it started
     :param peers: addresses of some other routers, as [host, port]
     :param leaving: whether it stops
     :param wants_reply: whether the receiver should tell the same at once
@@ -44,6 +47,7 @@
     loads_by_id: dict
     placements: list
     steady_s: float
+    up_s: float
     peers: list
     leaving: bool
     wants_reply: bool
@@ -67,6 +71,7 @@
         isinstance(digest.versions_by_table, dict)
         and isinstance(digest.loads_by_id, dict)
         and isinstance(digest.steady_s, (int, float))
+        and isinstance(digest.up_s, (int, float))
     )
     return digest if is_valid else None
 
@@ -96,6 +101,7 @@
         "versions_by_table",
         "loads_by_id",
         "steady_s",
+        "up_s",
         "leaving",
     )
 
@@ -109,6 +115,7 @@
         self.versions_by_table = {}
         self.loads_by_id = {}
         self.steady_s = 0.0
+        self.up_s = 0.0
         self.leaving = False
 
 
@@ -126,6 +133,9 @@
     FORGET_S = 30.0
     # A router counts with the fleet after its last datagram for so long.
     COUNT_S = 20.0
+    # Routers that ask the store often, and how old news of them may be.
+    READERS = 2
+    READER_AGE_S = 4.0
     # In the first seconds others may not be known yet.
     START_S = 3.0
     SIZE_AT_START = 8
@@ -164,6 +174,7 @@
         peer.versions_by_table = digest.versions_by_table
         peer.loads_by_id = digest.loads_by_id
         peer.steady_s = digest.steady_s
+        peer.up_s = digest.up_s
         peer.leaving = digest.leaving
         peer.heard_s = self.clock()
         return peer, is_new
@@ -208,8 +219,25 @@
             for peer in self._counted()
         )
 
+    def is_reader(self):
+        """Return whether this router asks the store often for all.
+
+        Those are the first in rank of the routers that hear the store.
+        """
+        now = self.clock()
+        own = rendezvous_score(READER_KEY, self.own)
+        before = sum(
+            1
+            for peer in self.peers_by_address.values()
+            if now - peer.heard_s <= self.READER_AGE_S
+            and peer.steady_s > 0
+            and not peer.leaving
+            and rendezvous_score(READER_KEY, peer.address) > own
+        )
+        return before < self.READERS
+
     def _is_starting(self):
-        return self.clock() - self.started_s < self.START_S
+        return self.up_s() < self.START_S
 
     def _counted(self):
         oldest = self.clock() - self.COUNT_S
@@ -260,8 +288,12 @@
 
         :param margin_s: least difference in seconds
         """
-        up_s = self.clock() - self.started_s + margin_s
-        return any(peer.steady_s > up_s for peer in self.heard_peers())
+        up_s = self.up_s() + margin_s
+        return any(peer.up_s > up_s for peer in self.heard_peers())
+
+    def up_s(self):
+        """Return seconds since this router started."""
+        return self.clock() - self.started_s
 
     def forget_silent(self):
         """Drop routers that were not heard for a long time."""
--- a/boragetrail/direct/tests/test_feed.py
+++ b/boragetrail/direct/tests/test_feed.py
@@ -82,6 +82,7 @@
             directory,
             clock,
             random.Random(1),
+            lambda: True,
             lambda outage_s: was_up,
         )
         feed.FIRST_PAUSE_S = feed.MOST_PAUSE_S = feed.pause_s = 0.0
--- a/boragetrail/direct/tests/test_peers.py
+++ b/boragetrail/direct/tests/test_peers.py
@@ -20,6 +20,7 @@
         "loads_by_id": {},
         "placements": [],
         "steady_s": 0.0,
+        "up_s": 0.0,
         "peers": [],
         "leaving": False,
         "wants_reply": False,
@@ -78,6 +79,23 @@
         table.heard(digest(steady_s=0.3), "10.0.0.1")
         assert not table.store_was_up(4.0)
 
+    def test_two_routers_read_the_store_for_all(self):
+        tables = []
+        for own in range(6):
+            table, _ = self.make()
+            table.own = (f"10.0.0.{own}", 7000)
+            for other in range(6):
+                if other != own:
+                    table.heard(digest(steady_s=9.0), f"10.0.0.{other}")
+            tables.append(table)
+        assert sum(table.is_reader() for table in tables) == 2
+
+    def test_all_read_the_store_if_nobody_else_hears_it(self):
+        table, _ = self.make()
+        for other in range(6):
+            table.heard(digest(steady_s=0.0), f"10.0.0.{other}")
+        assert table.is_reader()
+
     def test_ranks_differ_between_routers(self):
         ranks = []
         for own in range(5):
--- a/boragetrail/policy/prefix.py
+++ b/boragetrail/policy/prefix.py
@@ -75,9 +75,9 @@
     A request goes to the engine where the least work is done before its
     first token, that for the requests before it included. Parts that another
     engine keeps are copied from there, which costs less than reading them.
-    Parts that no engine is known to have go by rendezvous order [1]_, so
-    that routers which have not heard of each other's choices make the same
-    one.
+    Parts that no engine is known to have count as if the first engine in
+    rendezvous order [1]_ had them, so that routers which have not heard of
+    each other's choices make the same one.
 
     No engine gets more than a bounded multiple of the mean load.
 
@@ -117,15 +117,16 @@
         bound = self.LOAD_MULTIPLE * mean + self.LOAD_SLACK
         kept = self.kept_by_engine(prompt)
         most_kept = max(kept.values(), default=0)
-        home = None if kept else self._home(prompt, engines)
+        unknown = max(0, _shared_tokens(prompt) - most_kept)
+        home = self._home(prompt, engines) if unknown else None
 
         def rank(engine):
             over = engine.running + 1 > bound
             copied = most_kept - kept.get(engine.id, 0)
             waits = engine.pending_tokens + self.COPY_WEIGHT * copied
             waits += self.RUNNING_TOKENS * engine.running
-            if home is not None and engine.id != home:
-                waits += _shared_tokens(prompt)
+            if engine.id != home:
+                waits += unknown
             return (engine.doubt, over, waits)
 
         return sorted(engines, key=rank)
@@ -179,7 +180,7 @@
 
     @staticmethod
     def _home(prompt, engines):
-        """Return the engine for a prompt of which none keeps a part."""
+        """Return the engine for parts that none is known to keep."""
         part = prompt[-2][0] if len(prompt) > 1 else prompt[-1][0]
         return max(engines, key=lambda e: rendezvous_score(part, e.id)).id
 
--- a/boragetrail/policy/tests/test_prefix.py
+++ b/boragetrail/policy/tests/test_prefix.py
@@ -56,6 +56,18 @@
             }
             assert len(chosen) == 1
 
+    def test_routers_agree_although_a_common_part_is_known(self):
+        # Knowing the first part somewhere once made each router choose
+        # for itself.
+        fleet = Fleet(28, 26)
+        for router, placement in enumerate(fleet.placements):
+            placement.parts.note("system", f"e{router % 26}")
+        chosen = {
+            fleet.place(router, prompt("deck", f"own-{router}"))
+            for router in range(28)
+        }
+        assert len(chosen) == 1
+
     def test_prompts_that_wait_are_spread(self):
         placement = PrefixPlacement(PartMap(Clock()))
         fleet = engines(5)
