Tell all rows to a router that may have missed deletions

Change: a copy knows from which version on it knows all deletions; asked for rows from before, it gives all rows, and what is missing counts as deleted. Rows from before a whole read are not taken in again.

Ruled out: the pause of routers that don't read the store often (all rows around the missing ones had come).

--- a/boragetrail/direct/daemon.py
+++ b/boragetrail/direct/daemon.py
@@ -134,6 +134,9 @@
         for feed in self.feeds_by_table.values():
             self.tasks.start(feed.run(), f"feed {feed.table.value}")
         self.tasks.start(self.socket.run(), "gossip")
+        self.tasks.start(
+            self.socket.run_news(self.dispatcher.take_news), "news"
+        )
         self.tasks.start(self._join(), "join")
         self.tasks.start(self._sweep(), "sweep")
         self.learning = self.tasks.start(self._learn(), "learn")
--- a/boragetrail/direct/dispatch.py
+++ b/boragetrail/direct/dispatch.py
@@ -110,6 +110,12 @@
         self.least_loaded = LeastLoaded(random)
         self.repeats_by_service = {}
         self.placements = collections.deque(maxlen=PLACEMENTS_TOLD)
+        self.news = False
+
+    def take_news(self):
+        """Return whether there are placements that nobody was told of."""
+        news, self.news = self.news, False
+        return news
 
     def recent_placements(self):
         """Return what other routers should know of parts of prompts.
@@ -323,14 +329,20 @@
         sources = self.fleet.sources(request.service.name)
         source_id = self.by_prefix.source(prompt, server_id, sources)
         unread = self.by_prefix.unread(prompt, server_id, source_id)
+        self._note_new(prompt, server_id)
         self.by_prefix.placed(prompt, server_id)
-        now = self.clock()
-        for part, _ in prompt[:-1]:
-            self.placements.append((now, part, server_id))
         if source_id is None:
             return "", unread
         return join_address(*sources[source_id]), unread
 
+    def _note_new(self, prompt, server_id):
+        """Keep what other routers cannot know yet of shared parts."""
+        now = self.clock()
+        for part, _ in prompt[:-1]:
+            if server_id not in self.fleet.parts.holders(part):
+                self.placements.append((now, part, server_id))
+                self.news = True
+
     def _no_server(self, request, progress):
         if progress.runs:
             detail = "no other server can take the request"
--- a/boragetrail/direct/mirror.py
+++ b/boragetrail/direct/mirror.py
@@ -11,6 +11,7 @@
     :ivar rows_by_key: :class:`~boragetrail.direct.ports.Row` by key
     :ivar version: version up to which no change is missing; -1 at first
     :ivar newest: newest version of a row; -1 at first
+    :ivar floor: version after which all deletions are known
 
     >>> mirror = Mirror()
     >>> news = ChangeSet([Row("a", 5, b"new")], 5, False)
@@ -20,12 +21,15 @@
     []
     """
 
-    __slots__ = ("rows_by_key", "version", "newest")
+    __slots__ = ("rows_by_key", "version", "newest", "floor")
+
+    MOST_DELETIONS = 2000
 
     def __init__(self):
         self.rows_by_key = {}
         self.version = -1
         self.newest = -1
+        self.floor = -1
 
     def apply(self, change_set):
         """Take over newer rows.
@@ -36,19 +40,42 @@
         changed = [row for row in change_set.rows if self._take(row)]
         if change_set.whole:
             changed.extend(self._missing(change_set))
+            # Rows that came and went before are not known to be deleted.
+            self.floor = max(self.floor, change_set.version)
+        self._drop_old_deletions()
         self.version = max(self.version, change_set.version)
         return changed
 
     def since(self, version):
-        """Return the rows written after a version, as a change set."""
+        """Return the rows written after a version, as a change set.
+
+        It holds all rows if deletions after that version may be unknown.
+        """
+        whole = version < self.floor
         rows = [
-            row for row in self.rows_by_key.values() if row.version > version
+            row
+            for row in self.rows_by_key.values()
+            if whole or row.version > version
         ]
         rows.sort(key=lambda row: row.version)
-        return ChangeSet(rows, self.version, False)
+        return ChangeSet(rows, self.version, whole)
+
+    def _drop_old_deletions(self):
+        deleted = [
+            row for row in self.rows_by_key.values() if row.data is None
+        ]
+        if len(deleted) <= self.MOST_DELETIONS:
+            return
+        deleted.sort(key=lambda row: row.version)
+        for row in deleted[: len(deleted) // 2]:
+            del self.rows_by_key[row.key]
+            self.floor = max(self.floor, row.version)
 
     def _take(self, row):
         known = self.rows_by_key.get(row.key)
+        if known is None and row.version <= self.floor:
+            # The table was read whole later, without this row.
+            return False
         if known is not None and known.version >= row.version:
             return False
         self.rows_by_key[row.key] = row
--- a/boragetrail/direct/peers.py
+++ b/boragetrail/direct/peers.py
@@ -319,6 +319,8 @@
 
     ROUND_S = 0.3
     FANOUT = 4
+    NEWS_S = 0.1
+    NEWS_FANOUT = 32
     PEERS_TOLD = 6
 
     def __init__(self, table, make_digest, on_digest):
@@ -376,6 +378,17 @@
                 self._send(peer.address, False)
             self.table.forget_silent()
 
+    async def run_news(self, take_news):
+        """Tell many routers soon after something new.
+
+        :param take_news: function that returns whether there is news
+        """
+        while True:
+            await asyncio.sleep(self.NEWS_S)
+            if take_news():
+                for peer in self.table.some(self.NEWS_FANOUT):
+                    self._send(peer.address, False)
+
     def close(self):
         """Close the socket."""
         if self.transport is not None:
--- a/boragetrail/direct/relay.py
+++ b/boragetrail/direct/relay.py
@@ -30,17 +30,17 @@
 def encode_changes(change_set):
     """Return a change set as bytes."""
     rows = [[row.key, row.version, row.data] for row in change_set.rows]
-    return cbor2.dumps([change_set.version, rows])
+    return cbor2.dumps([change_set.version, change_set.whole, rows])
 
 
 def decode_changes(data):
     """Return a change set, or a failure if the bytes can't be read."""
     try:
-        version, rows = cbor2.loads(data)
+        version, whole, rows = cbor2.loads(data)
         decoded = [Row(*row) for row in rows]
     except (ValueError, TypeError, cbor2.CBORDecodeError) as exc:
         return SourceFailure(f"rows of a peer: {exc!r}")
-    return ChangeSet(decoded, version, False)
+    return ChangeSet(decoded, version, bool(whole))
 
 
 class RelayServer:
--- a/boragetrail/direct/tests/test_feed.py
+++ b/boragetrail/direct/tests/test_feed.py
@@ -245,6 +245,40 @@
 class TestMirror:
     """Copies of tables."""
 
+    def test_copy_that_began_after_a_deletion(self):
+        # A restarted router never had the row, so it knew no deletion to
+        # tell; the other kept the row for ever.
+        restarted, behind = Mirror(), Mirror()
+        behind.apply(changes(5, Row("gone", 3, b"1"), Row("a", 4, b"2")))
+        restarted.apply(changes(8, Row("a", 4, b"2"), whole=True))
+        restarted.apply(changes(9, Row("b", 9, b"3")))
+        changed = behind.apply(restarted.since(behind.version))
+        assert {row.key for row in changed} == {"gone", "b"}
+        assert behind.rows_by_key["gone"].data is None
+
+    def test_third_copy_learns_of_a_row_between(self):
+        first, second, third = Mirror(), Mirror(), Mirror()
+        second.apply(changes(2, Row("a", 1, b"1")))
+        third.apply(changes(5, Row("a", 1, b"1"), Row("short", 4, b"2")))
+        first.apply(changes(8, Row("a", 1, b"1"), whole=True))
+        second.apply(first.since(second.version))
+        changed = third.apply(second.since(third.version))
+        assert [row.key for row in changed] == ["short"]
+
+    def test_row_from_before_a_whole_read_stays_deleted(self):
+        mirror = Mirror()
+        mirror.apply(changes(8, whole=True))
+        assert mirror.apply(changes(9, Row("gone", 3, b"1"))) == []
+
+    def test_old_deletions_are_dropped(self):
+        mirror = Mirror()
+        count = mirror.MOST_DELETIONS + 1
+        rows = [Row(f"k{n}", n, None) for n in range(count)]
+        mirror.apply(changes(count, *rows))
+        assert len(mirror.rows_by_key) <= mirror.MOST_DELETIONS
+        assert mirror.since(0).whole
+        assert not mirror.since(count - 1).whole
+
     def test_since_brings_another_copy_up_to_date(self):
         ahead, behind = Mirror(), Mirror()
         rows = [Row("a", 1, b"1"), Row("b", 2, b"2"), Row("a", 3, None)]
--- a/boragetrail/policy/prefix.py
+++ b/boragetrail/policy/prefix.py
@@ -96,9 +96,9 @@
 
     # What one token counts that is copied from another engine, against one
     # that is read.
-    COPY_WEIGHT = 0.5
+    COPY_WEIGHT = 1.2
     # Tokens that one running request counts like.
-    RUNNING_TOKENS = 150
+    RUNNING_TOKENS = 60
     LOAD_MULTIPLE = 1.6
     LOAD_SLACK = 2.0
     # Fewer tokens than this are read rather than copied.
