Count silence, not time, against transfers of large rows

Calls had a limit on their whole time, so large rows were broken off and fetched again; routers fetched them from each other although the store was sending them.

Change: only silence ends a call; a router waits longer before it asks others while its own feed is asking; it asks those with the fastest links.

Not mended: two versions of 400 KB in a row still take a link of 5 Mbit/s 3 s.

Ruled out: processor time of reading a configuration.

--- a/boragetrail/direct/daemon.py
+++ b/boragetrail/direct/daemon.py
@@ -108,13 +108,6 @@
         settings = self.settings
         self.session = aiohttp.ClientSession()
         self.store = self.platform.PlatformStore(self.session, settings.store)
-        self.puller = Puller(
-            self.directory,
-            self.peers,
-            self._peer_source,
-            self._may_lapse,
-            self.random,
-        )
         self.feeds_by_table = {
             table: Feed(
                 table,
@@ -127,6 +120,14 @@
             )
             for table in Table
         }
+        self.puller = Puller(
+            self.directory,
+            self.peers,
+            self._peer_source,
+            self.feeds_by_table,
+            self._may_lapse,
+            self.random,
+        )
         await self.socket.open(*split_address(settings.gossip))
         await self.relay.open(*split_address(settings.relay))
         await self._open_health()
@@ -211,6 +212,7 @@
             placements=self.dispatcher.recent_placements(),
             steady_s=self.feeds_by_table[Table.SERVERS].steady_s(),
             up_s=self.peers.up_s(),
+            link_mbps=self.settings.link_mbps,
             peers=[],
             leaving=self.frontend.stopping,
             wants_reply=False,
--- a/boragetrail/direct/feed.py
+++ b/boragetrail/direct/feed.py
@@ -47,6 +47,7 @@
         self.pause_s = self.FIRST_PAUSE_S
         self.lost = False
         self.failing = False
+        self.asking = False
         self.needs_all = True
 
     def age_s(self):
@@ -56,7 +57,9 @@
     async def run(self):
         """Follow the table until the task is cancelled."""
         while True:
+            self.asking = True
             result = await self._next()
+            self.asking = False
             if isinstance(result, SourceFailure):
                 await self._failed(result)
                 continue
@@ -66,6 +69,10 @@
                 # Other routers tell of changes meanwhile.
                 await asyncio.sleep(self.PAUSE_S)
 
+    def is_asking(self):
+        """Return whether a change would be told by the source itself."""
+        return self.asking and not self.failing
+
     def steady_s(self):
         """Return for how long the source has answered without a failure.
 
--- a/boragetrail/direct/peers.py
+++ b/boragetrail/direct/peers.py
@@ -34,6 +34,7 @@
         [part, server id]
     :param steady_s: seconds for which it has surely heard the store
     :param up_s: seconds since it started
+    :param link_mbps: speed of its link in megabits a second
     :param peers: addresses of some other routers, as [host, port]
     :param leaving: whether it stops
     :param wants_reply: whether the receiver should tell the same at once
@@ -48,6 +49,7 @@
     placements: list
     steady_s: float
     up_s: float
+    link_mbps: float
     peers: list
     leaving: bool
     wants_reply: bool
@@ -72,6 +74,7 @@
         and isinstance(digest.loads_by_id, dict)
         and isinstance(digest.steady_s, (int, float))
         and isinstance(digest.up_s, (int, float))
+        and isinstance(digest.link_mbps, (int, float))
     )
     return digest if is_valid else None
 
@@ -102,6 +105,7 @@
         "loads_by_id",
         "steady_s",
         "up_s",
+        "link_mbps",
         "leaving",
     )
 
@@ -116,6 +120,7 @@
         self.loads_by_id = {}
         self.steady_s = 0.0
         self.up_s = 0.0
+        self.link_mbps = 0.0
         self.leaving = False
 
 
@@ -175,6 +180,7 @@
         peer.loads_by_id = digest.loads_by_id
         peer.steady_s = digest.steady_s
         peer.up_s = digest.up_s
+        peer.link_mbps = digest.link_mbps
         peer.leaving = digest.leaving
         peer.heard_s = self.clock()
         return peer, is_new
--- a/boragetrail/direct/relay.py
+++ b/boragetrail/direct/relay.py
@@ -21,7 +21,8 @@
 
 __all__ = ["PeerSource", "RelayServer", "Puller"]
 
-CALL_TIMEOUT_S = 0.6
+# Longest silence of a peer.
+SILENCE_S = 0.6
 CLOSE_TIMEOUT_S = 0.1
 CONTENT_TYPE = "application/cbor"
 PATH = "/rows"
@@ -120,7 +121,9 @@
     async def changes(self, table, since, wait_s):
         """Return newer rows at once; see the base class."""
         query = {"table": table.value, "since": str(since)}
-        timeout = aiohttp.ClientTimeout(total=CALL_TIMEOUT_S)
+        timeout = aiohttp.ClientTimeout(
+            total=None, sock_connect=SILENCE_S, sock_read=SILENCE_S
+        )
         try:
             async with self.session.get(
                 self.url, params=query, timeout=timeout
@@ -140,16 +143,28 @@
     :param peers: :class:`~boragetrail.direct.peers.PeerTable`
     :param make_source: function from a peer to a
         :class:`~boragetrail.direct.ports.RowSource`
+    :param feeds_by_table: :class:`~boragetrail.direct.feed.Feed` by table
     :param may_lapse: function from a table to whether deletions may be
         lapses of living servers
     :param random: random generator
     """
 
-    # Time in which the store itself usually tells a change.
-    PATIENCE_S = 0.15
-
-    def __init__(self, directory, peers, make_source, may_lapse, random):
+    # Time in which the store itself usually tells a change, if it is asked
+    # just now and if it is not.
+    PATIENCE_S = 1.0
+    PAUSED_PATIENCE_S = 0.1
+
+    def __init__(
+        self,
+        directory,
+        peers,
+        make_source,
+        feeds_by_table,
+        may_lapse,
+        random,
+    ):
         self.directory = directory
+        self.feeds_by_table = feeds_by_table
         self.peers = peers
         self.make_source = make_source
         self.may_lapse = may_lapse
@@ -173,10 +188,15 @@
         )
 
     async def _pull(self, table):
-        await asyncio.sleep(self.PATIENCE_S)
+        paused = not self.feeds_by_table[table].is_asking()
+        patience_s = self.PAUSED_PATIENCE_S if paused else self.PATIENCE_S
+        await asyncio.sleep(patience_s * self.random.uniform(0.7, 1.3))
         ahead = self._ahead(table)
         if not ahead:
             return
+        # Slow links have enough to do with their own callers.
+        fastest = max(peer.link_mbps for peer in ahead)
+        ahead = [peer for peer in ahead if peer.link_mbps >= fastest]
         source = self.make_source(self.random.choice(ahead))
         version = self.directory.mirrors[table].version
         result = await source.changes(table, version, 0.0)
--- a/boragetrail/direct/tests/test_peers.py
+++ b/boragetrail/direct/tests/test_peers.py
@@ -21,6 +21,7 @@
         "placements": [],
         "steady_s": 0.0,
         "up_s": 0.0,
+        "link_mbps": 100.0,
         "peers": [],
         "leaving": False,
         "wants_reply": False,
--- a/boragetrail/platform/store.py
+++ b/boragetrail/platform/store.py
@@ -17,7 +17,8 @@
 
 __all__ = ["PlatformStore"]
 
-CALL_TIMEOUT_S = 1.0
+# Longest silence of the store, beyond the wait that a call asks for.
+SILENCE_S = 1.0
 HISTORY_LOST = 410
 PAGE_ROWS = 500
 
@@ -86,7 +87,12 @@
 
     async def _call(self, method, path, wait_s, **options):
         url = self.base + path
-        timeout = aiohttp.ClientTimeout(total=wait_s + CALL_TIMEOUT_S)
+        # Large rows take long over a slow link, so only silence counts.
+        timeout = aiohttp.ClientTimeout(
+            total=None,
+            sock_connect=SILENCE_S,
+            sock_read=wait_s + SILENCE_S,
+        )
         self.calls += 1
         try:
             async with self.session.request(
--- a/boragetrail/settings/direct.py
+++ b/boragetrail/settings/direct.py
@@ -15,6 +15,7 @@
 __all__ = ["Bounds", "DirectSettings", "load_direct_settings"]
 
 SCHEMA = "direct.json"
+DEFAULT_LINK_MBPS = 1000.0
 
 
 class Bounds:
@@ -50,6 +51,7 @@
     :ivar store: address of the platform's store
     :ivar seed_hosts: hosts of some other routers
     :ivar first_start: whether the whole system starts for the first time
+    :ivar link_mbps: speed of the VM's link in megabits a second
     :ivar grace_s: time from the signal to stop until the process is ended
     """
 
@@ -65,6 +67,7 @@
         "bounds",
         "grace_s",
         "first_start",
+        "link_mbps",
         "log_format",
         "log_level",
     )
@@ -84,6 +87,7 @@
         self.bounds = Bounds(data["bounds"])
         self.grace_s = data["grace_s"]
         self.first_start = data.get("first_start", False)
+        self.link_mbps = data.get("link_mbps", DEFAULT_LINK_MBPS)
         self.log_format = log.get("format", "json")
         self.log_level = log.get("level", "INFO")
 
