Count what engines report of their load; weigh a sample of two idle ones

Change: routers take the load that an engine names in its answers and tell it on; engines that keep nothing of a prompt are chosen from two at random.

Tried without gain: reports alone.

--- a/boragetrail/direct/daemon.py
+++ b/boragetrail/direct/daemon.py
@@ -209,6 +209,7 @@
             relay_port=split_address(self.settings.relay)[1],
             versions_by_table=self.directory.versions(),
             loads_by_id=self.fleet.loads_by_id(),
+            reports_by_id=self.fleet.reports.recent(),
             placements=self.dispatcher.recent_placements(),
             steady_s=self.feeds_by_table[Table.SERVERS].steady_s(),
             up_s=self.peers.up_s(),
@@ -219,6 +220,8 @@
         )
 
     def _heard(self, digest):
+        for server_id, (requests, age_ms) in digest.reports_by_id.items():
+            self.fleet.reports.note(server_id, requests, age_ms / 1000.0)
         for part, server_id in digest.placements:
             self.fleet.parts.note(part, server_id)
         if self.puller.is_behind():
--- a/boragetrail/direct/dispatch.py
+++ b/boragetrail/direct/dispatch.py
@@ -7,6 +7,7 @@
 from boragetrail.direct.eventstream import WholeEvents
 from boragetrail.direct.headers import HeaderRewriter, prompt_parts
 from boragetrail.direct.model import RequestKind
+from boragetrail.direct.reports import parse_load
 from boragetrail.errors import Failure, Refusal
 from boragetrail.events import Event, log_event
 from boragetrail.policy.fleetlimits import RepeatPart
@@ -106,7 +107,7 @@
         self.bounds = bounds
         self.clock = clock
         self.rewriter = HeaderRewriter(names)
-        self.by_prefix = PrefixPlacement(fleet.parts)
+        self.by_prefix = PrefixPlacement(fleet.parts, random)
         self.least_loaded = LeastLoaded(random)
         self.repeats_by_service = {}
         self.placements = collections.deque(maxlen=PLACEMENTS_TOLD)
@@ -197,7 +198,7 @@
         work.answered()
         if verdict is Verdict.ANSWER:
             progress.runs += 1
-            self._note_cold(state, attempt.answer)
+            self._note_answer(state, attempt.answer)
             return await self._pass_on(request, caller, progress, attempt)
         return self._unanswered(progress, attempt, verdict)
 
@@ -207,7 +208,7 @@
             self.fleet.directory.forget(state.record.id)
             return Refusal(Reason.UNREACHABLE, "another server answers there")
         if verdict is Verdict.REFUSED:
-            self._note_cold(state, attempt.answer)
+            self._note_answer(state, attempt.answer)
             detail = f"server {state.record.id} refused it"
             return Refusal(Reason.OVERLOADED, detail, Ran.NO, RETRY_AFTER_S)
         state.failed()
@@ -358,7 +359,10 @@
         detail = "the deadline passed before a server took it"
         return Refusal(Reason.OVERLOADED, detail, Ran.NO, RETRY_AFTER_S)
 
-    def _note_cold(self, state, answer):
+    def _note_answer(self, state, answer):
+        load = parse_load(answer.headers.get(self.names.load, ""))
+        if load is not None:
+            self.fleet.reports.note(state.record.id, load)
         text = answer.headers.get(self.names.cold_ms, "")
         if text.isdigit():
             state.cold_heard(int(text) / 1000.0)
--- a/boragetrail/direct/fleet.py
+++ b/boragetrail/direct/fleet.py
@@ -1,6 +1,7 @@
 """What a router knows of servers from its own work and from its peers."""
 
 from boragetrail.direct.channel import ChannelPool
+from boragetrail.direct.reports import ReportTable
 from boragetrail.policy.fleetlimits import RatePart
 from boragetrail.policy.leastloaded import ServerView
 from boragetrail.policy.prefix import EngineView, PartMap
@@ -61,6 +62,7 @@
     :param peers: :class:`~boragetrail.direct.peers.PeerTable`
     :param zone: availability zone of the router
     :param clock: function that returns monotonic seconds
+    :ivar reports: what servers lately said of their load
     :ivar parts: which servers have which parts of prompts
     """
 
@@ -71,6 +73,7 @@
         self.clock = clock
         self.states_by_id = {}
         self.parts = PartMap(clock)
+        self.reports = ReportTable(clock)
 
     def usable(self, service):
         """Return the states of servers that may get new work, as a list."""
@@ -112,7 +115,10 @@
         others = self.peers.load(state.record.id)
         return EngineView(
             state.record.id,
-            state.in_flight + others.requests,
+            max(
+                state.in_flight + others.requests,
+                self.reports.requests(state.record.id),
+            ),
             state.pending_tokens + others.pending_tokens,
             int(state.is_doubtful()),
         )
--- a/boragetrail/direct/peers.py
+++ b/boragetrail/direct/peers.py
@@ -30,6 +30,8 @@
     :param relay_port: port that it gives rows at
     :param versions_by_table: version of the newest row of each table
     :param loads_by_id: (requests, pending tokens) at each busy server
+    :param reports_by_id: what busy servers lately said of their load, as
+        [requests, age in ms]
     :param placements: parts of prompts that it lately sent, as
         [part, server id]
     :param steady_s: seconds for which it has surely heard the store
@@ -46,6 +48,7 @@
     relay_port: int
     versions_by_table: dict
     loads_by_id: dict
+    reports_by_id: dict
     placements: list
     steady_s: float
     up_s: float
--- /dev/null
+++ b/boragetrail/direct/reports.py
@@ -0,0 +1,74 @@
+"""What servers themselves say of their load."""
+
+import dataclasses
+
+__all__ = ["LoadReport", "ReportTable", "parse_load"]
+
+
+@dataclasses.dataclass(slots=True)
+class LoadReport:
+    """Hold what a server said of its load.
+
+    :param requests: requests that run or wait there, of all callers
+    :param seen_s: monotonic time at which it said so
+    """
+
+    requests: int
+    seen_s: float
+
+
+def parse_load(text):
+    """Return running and waiting requests of a server, or ``None``.
+
+    >>> parse_load("3,1,8")
+    4
+    """
+    parts = text.split(",")
+    if len(parts) < 2 or not (parts[0].isdigit() and parts[1].isdigit()):
+        return None
+    return int(parts[0]) + int(parts[1])
+
+
+class ReportTable:
+    """Keep the newest report of each server, heard from it or from others.
+
+    :param clock: function that returns monotonic seconds
+    """
+
+    # A report that is older says nothing of the load now.
+    AGE_S = 0.8
+
+    def __init__(self, clock):
+        self.clock = clock
+        self.reports_by_id = {}
+
+    def note(self, server_id, requests, age_s=0.0):
+        """Take over a report unless a newer one is known."""
+        seen_s = self.clock() - age_s
+        known = self.reports_by_id.get(server_id)
+        if known is None or known.seen_s < seen_s:
+            self.reports_by_id[server_id] = LoadReport(requests, seen_s)
+
+    def requests(self, server_id):
+        """Return the requests that a server lately reported, or 0."""
+        report = self.reports_by_id.get(server_id)
+        if report is None or self.clock() - report.seen_s > self.AGE_S:
+            return 0
+        return report.requests
+
+    def recent(self):
+        """Return [requests, age in ms] by server id, of fresh reports.
+
+        Old ones are dropped.
+        """
+        now = self.clock()
+        fresh = {
+            key: report
+            for key, report in self.reports_by_id.items()
+            if now - report.seen_s <= self.AGE_S
+        }
+        self.reports_by_id = fresh
+        return {
+            key: [report.requests, int((now - report.seen_s) * 1000)]
+            for key, report in fresh.items()
+        }
--- a/boragetrail/direct/tests/test_peers.py
+++ b/boragetrail/direct/tests/test_peers.py
@@ -18,6 +18,7 @@
         "relay_port": 7000,
         "versions_by_table": {},
         "loads_by_id": {},
+        "reports_by_id": {},
         "placements": [],
         "steady_s": 0.0,
         "up_s": 0.0,
--- a/boragetrail/policy/prefix.py
+++ b/boragetrail/policy/prefix.py
@@ -79,18 +79,26 @@
     rendezvous order [1]_ had them, so that routers which have not heard of
     each other's choices make the same one.
 
-    No engine gets more than a bounded multiple of the mean load.
+    Engines that keep nothing of the prompt are weighed by a sample of two
+    [2]_, so that routers with the same news do not all choose the one that
+    seems idle. No engine gets more than a bounded multiple of the mean load.
 
     :param parts: :class:`PartMap`
+    :param random: random generator
 
     .. [1] D. Thaler, C. Ravishankar, "Using Name-Based Mappings to Increase
        Hit Rates", IEEE/ACM Transactions on Networking 6(1), 1998.
+    .. [2] M. Mitzenmacher, "The Power of Two Choices in Randomized Load
+       Balancing", IEEE Transactions on Parallel and Distributed Systems
+       12(10), 2001.
 
+    >>> import random
     >>> parts = PartMap(lambda: 0.0)
     >>> parts.note("deck", "e2")
     >>> engines = [EngineView(f"e{i}", 0, 0, 0) for i in range(4)]
     >>> prompt = [("deck", 6000), ("own", 500)]
-    >>> PrefixPlacement(parts).order(prompt, engines)[0].id
+    >>> placement = PrefixPlacement(parts, random.Random(1))
+    >>> placement.order(prompt, engines)[0].id
     'e2'
     """
 
@@ -104,8 +112,11 @@
     # Fewer tokens than this are read rather than copied.
     LEAST_COPIED = 200
 
-    def __init__(self, parts):
+    SAMPLE = 2
+
+    def __init__(self, parts, random):
         self.parts = parts
+        self.random = random
 
     def order(self, prompt, engines):
         """Return the engines, the best first.
@@ -119,6 +130,7 @@
         most_kept = max(kept.values(), default=0)
         unknown = max(0, _shared_tokens(prompt) - most_kept)
         home = self._home(prompt, engines) if unknown else None
+        weighed = self._weighed(engines, kept, most_kept, home)
 
         def rank(engine):
             over = engine.running + 1 > bound
@@ -127,7 +139,7 @@
             waits += self.RUNNING_TOKENS * engine.running
             if engine.id != home:
                 waits += unknown
-            return (engine.doubt, over, waits)
+            return (engine.doubt, over, engine.id not in weighed, waits)
 
         return sorted(engines, key=rank)
 
@@ -178,6 +190,17 @@
         for part, _ in prompt:
             self.parts.note(part, engine_id)
 
+    def _weighed(self, engines, kept, most_kept, home):
+        """Return the ids of the engines to choose from."""
+        named = {
+            engine.id
+            for engine in engines
+            if engine.id == home or kept.get(engine.id, 0) >= most_kept > 0
+        }
+        others = [each.id for each in engines if each.id not in named]
+        count = min(self.SAMPLE, len(others))
+        return named.union(self.random.sample(others, count))
+
     @staticmethod
     def _home(prompt, engines):
         """Return the engine for parts that none is known to keep."""
--- a/boragetrail/policy/tests/test_prefix.py
+++ b/boragetrail/policy/tests/test_prefix.py
@@ -1,5 +1,7 @@
 """Tests of placement by parts of prompts."""
 
+import random
+
 from boragetrail.policy.prefix import EngineView, PartMap, PrefixPlacement
 
 
@@ -32,7 +34,8 @@
     def __init__(self, routers, count):
         self.clock = Clock()
         self.placements = [
-            PrefixPlacement(PartMap(self.clock)) for _ in range(routers)
+            PrefixPlacement(PartMap(self.clock), random.Random(number))
+            for number in range(routers)
         ]
         self.engines = engines(count)
 
@@ -69,7 +72,7 @@
         assert len(chosen) == 1
 
     def test_prompts_that_wait_are_spread(self):
-        placement = PrefixPlacement(PartMap(Clock()))
+        placement = PrefixPlacement(PartMap(Clock()), random.Random(1))
         fleet = engines(5)
         for deck in range(50):
             parts = prompt(f"deck-{deck}")
@@ -86,7 +89,7 @@
 
     def test_second_engine_gets_a_copy_when_the_first_is_busy(self):
         parts = PartMap(Clock())
-        placement = PrefixPlacement(parts)
+        placement = PrefixPlacement(parts, random.Random(1))
         chat = prompt("hot")
         placement.placed(chat, "e0")
         fleet = engines(3)
@@ -97,7 +100,7 @@
         assert placement.source(chat, second, {"e0", "e1", "e2"}) == "e0"
 
     def test_no_engine_goes_over_the_bound(self):
-        placement = PrefixPlacement(PartMap(Clock()))
+        placement = PrefixPlacement(PartMap(Clock()), random.Random(1))
         fleet = engines(5)
         chat = prompt("hot")
         placement.placed(chat, "e0")
@@ -108,6 +111,22 @@
             assert best.running <= 2 * mean + 3
 
 
+class TestHerd:
+    """Many routers with the same news and one engine that seems idle."""
+
+    def test_idle_engine_is_not_chosen_by_all(self):
+        routers, count = 28, 26
+        fleet = Fleet(routers, count)
+        fleet.engines = engines(count, **{f"e{n}": 6 for n in range(1, count)})
+        for engine in fleet.engines[1:]:
+            engine.pending_tokens = 12000
+        chosen = [
+            fleet.place(router, prompt(f"deck-{router}", system=f"s-{router}"))
+            for router in range(routers)
+        ]
+        assert chosen.count("e0") <= 8
+
+
 class TestEnginesThatComeAndLeave:
     """Releases, scaling and zones that are emptied."""
 
@@ -147,7 +166,7 @@
     """A chat that comes back with its own part cached."""
 
     def test_it_returns_to_its_engine(self):
-        placement = PrefixPlacement(PartMap(Clock()))
+        placement = PrefixPlacement(PartMap(Clock()), random.Random(1))
         fleet = engines(4)
         first = placement.order(prompt("deck", "chat-1"), fleet)[0].id
         placement.placed(prompt("deck", "chat-1"), first)
