Log one line for each request, bounded and never waiting

Cause: loguru's own serialization writes about 1 KB a line and waits for a reader that stops; only failures were logged.

--- a/boragetrail/direct/command.py
+++ b/boragetrail/direct/command.py
@@ -39,7 +39,7 @@
         for error in errors:
             print(f"{path}: {error}", file=sys.stderr)
         return EXIT_BAD_SETTINGS
-    start_log(settings.log_format, settings.log_level, sys.stdout)
+    start_log(settings.log_format, settings.log_level)
 
     def reload():
         return load_direct_settings(path)
--- a/boragetrail/direct/dispatch.py
+++ b/boragetrail/direct/dispatch.py
@@ -170,6 +170,7 @@
         attempt = Attempt(state, self.names, request.id)
         progress.attempt = attempt
         copy_from, unread = self._plan(request, progress, record.id)
+        self._explain(request, progress, state, copy_from, unread)
         work = PendingWork(state, unread)
         try:
             return await self._exchange(
@@ -380,6 +381,21 @@
             self.repeats_by_service[service.name] = part
         return part
 
+    def _explain(self, request, progress, state, copy_from, unread):
+        """Keep the inputs of a choice for the line that ends a request."""
+        peers = self.fleet.peers
+        request.decision = {
+            "server": state.record.id,
+            "tries": progress.tries,
+            "in_flight": state.in_flight,
+            "others": peers.load(state.record.id).requests,
+            "news_age_s": peers.news_age_s(),
+            "doubtful": state.is_doubtful(),
+        }
+        if progress.prompt:
+            request.decision["unread_tokens"] = unread
+            request.decision["copied_from"] = copy_from
+
     def _log_repeat(self, request, progress, failure, state):
         log_event(
             Event.REQUEST_REPEATED,
--- a/boragetrail/direct/frontend.py
+++ b/boragetrail/direct/frontend.py
@@ -141,7 +141,9 @@
     def _settle(self, request, caller, failure):
         """Make sure that the caller gets an answer, or none at all."""
         code = failure.reason.code if failure is not None else "ok"
-        if failure is not None:
+        if failure is None:
+            self._log(Event.REQUEST_DONE, request, None)
+        else:
             self._log(Event.REQUEST_FAILED, request, failure)
             if caller.started:
                 caller.abort()
@@ -160,5 +162,6 @@
             fields["code"] = failure.reason.code
             fields["detail"] = failure.detail
             fields["ran"] = failure.ran.value
+        fields.update(request.decision)
         fields["after_s"] = round(self.clock() - request.received_s, 3)
         log_event(event, **fields)
--- a/boragetrail/direct/peers.py
+++ b/boragetrail/direct/peers.py
@@ -292,6 +292,11 @@
             if peer.heard_s >= oldest
         ]
 
+    def news_age_s(self):
+        """Return the age of the newest datagram; ``None`` if none came."""
+        heard = [peer.heard_s for peer in self.heard_peers()]
+        return round(self.clock() - max(heard), 2) if heard else None
+
     def has_older(self, margin_s):
         """Return whether another router started clearly before this one.
 
--- a/boragetrail/direct/request.py
+++ b/boragetrail/direct/request.py
@@ -11,6 +11,7 @@
     :ivar configuration: version that it is handled by
     :ivar route: :class:`~boragetrail.direct.model.Route`
     :ivar customer: :class:`~boragetrail.direct.model.Customer` or ``None``
+    :ivar decision: inputs of the last choice of a server, for the log
     :ivar deadline_s: monotonic time at which the answer must be whole
     """
 
@@ -24,6 +25,7 @@
         "customer",
         "body",
         "deadline_s",
+        "decision",
     )
 
     def __init__(self, http, received_s):
@@ -36,3 +38,4 @@
         self.customer = None
         self.body = b""
         self.deadline_s = 0.0
+        self.decision = {}
--- a/boragetrail/events.py
+++ b/boragetrail/events.py
@@ -5,6 +5,8 @@
 
 from loguru import logger
 
+from boragetrail.logsink import BoundedSink
+
 __all__ = ["Event", "log_event", "start_log", "catalogue_markdown"]
 
 
@@ -58,26 +60,25 @@
         self.text = text
 
 
-def start_log(log_format, level, stream=None):
-    """Send log events to a stream.
+def start_log(log_format, level):
+    """Send log events to standard output.
 
     :param log_format: ``json`` for JSON lines, else ``text``
     :param level: least level that is written
-    :param stream: where to; standard error by default
     """
     logger.remove()
-    stream = sys.stderr if stream is None else stream
     if log_format == "json":
-        logger.add(stream, level=level, serialize=True)
+        sink = BoundedSink(sys.stdout.fileno())
+        logger.add(sink, level=level, format="{message}")
         return
     template = "{time:HH:mm:ss.SSS} {level: <7} {message} {extra}"
-    logger.add(stream, level=level, format=template)
+    logger.add(sys.stdout, level=level, format=template)
 
 
 def log_event(event, **fields):
     """Write one numbered event with its fields."""
     bound = logger.bind(event=event.number, **fields)
-    bound.log(event.level, f"E{event.number} {event.text}")
+    bound.log(event.level, event.text)
 
 
 def catalogue_markdown():
