Send less to servers that fail a part of their requests

Change: routers count failures of the last seconds for each server and tell each other; a failure rate counts like prompt tokens, or like requests, when a server is chosen.

--- a/boragetrail/direct/dispatch.py
+++ b/boragetrail/direct/dispatch.py
@@ -24,6 +24,8 @@
 REUSE_S = 3.0
 REUSE_AT_MOST_ONCE_S = 1.0
 LEAST_LEFT_S = 0.02
+# What a server answers when the time of a request is up.
+OUT_OF_TIME = 504
 # How long and how many placements are told to other routers.
 PLACEMENT_TOLD_S = 1.0
 PLACEMENTS_TOLD = 40
@@ -232,14 +234,17 @@
             attempt.server.answered()
             caller.whole(answer.status, fields, body)
             return None
-        return self._server_error(caller, progress, answer, fields, body)
+        error = (answer.status, fields, body)
+        return self._server_error(caller, progress, attempt.server, error)
 
-    def _server_error(self, caller, progress, answer, fields, body):
+    def _server_error(self, caller, progress, server, error):
         """Keep an error of a server; a repeat may still succeed."""
+        status = error[0]
+        server.answered(failed=status >= 500 and status != OUT_OF_TIME)
         if caller.started:
-            return Failure(Reason.BACKEND_FAILED, f"status {answer.status}")
-        progress.failed = (answer.status, fields, body)
-        detail = f"the server answered {answer.status}"
+            return Failure(Reason.BACKEND_FAILED, f"status {status}")
+        progress.failed = error
+        detail = f"the server answered {status}"
         return Failure(Reason.BACKEND_FAILED, detail, Ran.YES)
 
     async def _pass_stream(self, caller, progress, attempt):
--- a/boragetrail/direct/fleet.py
+++ b/boragetrail/direct/fleet.py
@@ -4,6 +4,7 @@
 from boragetrail.direct.reports import ReportTable
 from boragetrail.policy.fleetlimits import RatePart
 from boragetrail.policy.leastloaded import ServerView
+from boragetrail.policy.outcomes import OutcomeWindow, failure_rate
 from boragetrail.policy.prefix import EngineView, PartMap
 
 __all__ = ["Fleet", "ServerState"]
@@ -29,6 +30,7 @@
         self.pool = ChannelPool(record.address, clock)
         self.in_flight = 0
         self.pending_tokens = 0
+        self.outcomes = OutcomeWindow(clock)
         self.doubt = 0
         self.doubt_until_s = 0.0
         self.cold_until_s = 0.0
@@ -36,13 +38,18 @@
 
     def failed(self):
         """Note that the server could not be reached or broke off."""
+        self.outcomes.add(True)
         self.doubt += 1
         pause_s = self.FIRST_DOUBT_S * 2 ** (self.doubt - 1)
         pause_s = min(self.MOST_DOUBT_S, pause_s)
         self.doubt_until_s = self.clock() + pause_s
 
-    def answered(self):
-        """Note a whole answer."""
+    def answered(self, failed=False):
+        """Note a whole answer.
+
+        :param failed: whether it is an error of the server
+        """
+        self.outcomes.add(failed)
         self.doubt = 0
         self.doubt_until_s = 0.0
 
@@ -108,7 +115,8 @@
         load = state.in_flight + self.peers.load(record.id).requests
         in_zone = record.zone == self.zone
         doubt = int(state.is_doubtful())
-        return ServerView(record.id, load, in_zone, doubt)
+        rate = self._failure_rate(state)
+        return ServerView(record.id, load, in_zone, doubt, rate)
 
     def engine_view(self, state):
         """Return a :class:`~boragetrail.policy.prefix.EngineView`."""
@@ -121,15 +129,32 @@
             ),
             state.pending_tokens + others.pending_tokens,
             int(state.is_doubtful()),
+            self._failure_rate(state),
+        )
+
+    def _failure_rate(self, state):
+        failures, answers = state.outcomes.counts()
+        others = self.peers.load(state.record.id)
+        return failure_rate(
+            failures + others.failures, answers + others.answers
         )
 
     def loads_by_id(self):
-        """Return (requests, pending tokens) at each busy server."""
-        return {
-            key: (state.in_flight, state.pending_tokens)
-            for key, state in self.states_by_id.items()
-            if state.in_flight
-        }
+        """Return the counts of a digest for each server in use.
+
+        They are (requests, pending tokens, failures, answers).
+        """
+        loads = {}
+        for key, state in self.states_by_id.items():
+            failures, answers = state.outcomes.counts()
+            if state.in_flight or answers:
+                loads[key] = (
+                    state.in_flight,
+                    state.pending_tokens,
+                    failures,
+                    answers,
+                )
+        return loads
 
     def drop_unlisted(self):
         """Close the connections to servers that are no longer listed."""
--- a/boragetrail/direct/peers.py
+++ b/boragetrail/direct/peers.py
@@ -29,7 +29,8 @@
     :param gossip_port: port that it gets datagrams at
     :param relay_port: port that it gives rows at
     :param versions_by_table: version of the newest row of each table
-    :param loads_by_id: (requests, pending tokens) at each busy server
+    :param loads_by_id: (requests, pending tokens, failures, answers) of
+        each server in use
     :param reports_by_id: what busy servers lately said of their load, as
         [requests, age in ms]
     :param placements: parts of prompts that it lately sent, as
@@ -88,10 +89,14 @@
 
     :param requests: requests in flight
     :param pending_tokens: prompt tokens that they have to read
+    :param failures: requests that the server failed in the last seconds
+    :param answers: all that it answered in the last seconds
     """
 
-    requests: int
-    pending_tokens: int
+    requests: int = 0
+    pending_tokens: int = 0
+    failures: int = 0
+    answers: int = 0
 
 
 class Peer:
@@ -191,12 +196,14 @@
     def load(self, server_id):
         """Return a :class:`Load` that others lately had at a server."""
         oldest = self.clock() - self.TRUSTED_AGE_S
-        total = Load(0, 0)
+        total = Load()
         for peer in self.peers_by_address.values():
             if peer.heard_s >= oldest:
-                requests, tokens = peer.loads_by_id.get(server_id, (0, 0))
-                total.requests += requests
-                total.pending_tokens += tokens
+                told = Load(*peer.loads_by_id.get(server_id, ()))
+                total.requests += told.requests
+                total.pending_tokens += told.pending_tokens
+                total.failures += told.failures
+                total.answers += told.answers
         return total
 
     def size(self):
--- a/boragetrail/policy/leastloaded.py
+++ b/boragetrail/policy/leastloaded.py
@@ -12,13 +12,15 @@
     :param id: id of the server
     :param load: requests that all routers are known to have there
     :param in_zone: whether it is in the router's zone
-    :param doubt: 0 if it answers well, more if it failed lately
+    :param doubt: 0 if it can be reached, 1 if that failed lately
+    :param failure_rate: part of requests that it is expected to fail
     """
 
     id: str
     load: float
     in_zone: bool
     doubt: int
+    failure_rate: float = 0.0
 
 
 class LeastLoaded:
@@ -30,6 +32,9 @@
     :param random: random generator
     """
 
+    # Requests that a certain failure counts like.
+    FAILURE_REQUESTS = 4.0
+
     def __init__(self, random):
         self.random = random
 
@@ -42,7 +47,7 @@
             views,
             key=lambda view: (
                 view.doubt,
-                view.load,
+                view.load + self.FAILURE_REQUESTS * view.failure_rate,
                 not view.in_zone,
                 self.random.random(),
             ),
--- a/boragetrail/policy/prefix.py
+++ b/boragetrail/policy/prefix.py
@@ -16,13 +16,15 @@
     :param running: requests that all routers are known to have there
     :param pending_tokens: prompt tokens of requests there that have not
         answered yet, as far as they are not cached
-    :param doubt: 0 if it answers well, more if it failed lately
+    :param doubt: 0 if it can be reached, 1 if that failed lately
+    :param failure_rate: part of requests that it is expected to fail
     """
 
     id: str
     running: int
     pending_tokens: int
     doubt: int
+    failure_rate: float = 0.0
 
 
 class PartMap:
@@ -107,6 +109,8 @@
     COPY_WEIGHT = 1.2
     # Tokens that one running request counts like.
     RUNNING_TOKENS = 60
+    # Tokens that a certain failure counts like.
+    FAILURE_TOKENS = 60000
     LOAD_MULTIPLE = 1.6
     LOAD_SLACK = 2.0
     # Fewer tokens than this are read rather than copied.
@@ -137,6 +141,7 @@
             copied = most_kept - kept.get(engine.id, 0)
             waits = engine.pending_tokens + self.COPY_WEIGHT * copied
             waits += self.RUNNING_TOKENS * engine.running
+            waits += self.FAILURE_TOKENS * engine.failure_rate
             if engine.id != home:
                 waits += unknown
             return (engine.doubt, over, engine.id not in weighed, waits)
--- /dev/null
+++ b/boragetrail/policy/tests/test_outcomes.py
@@ -0,0 +1,84 @@
+"""Tests of recognising servers that fail a part of their requests."""
+
+import random
+
+from boragetrail.policy.leastloaded import LeastLoaded, ServerView
+from boragetrail.policy.outcomes import OutcomeWindow, failure_rate
+from boragetrail.policy.prefix import EngineView, PartMap, PrefixPlacement
+
+
+class Clock:
+    """A clock that tests move."""
+
+    def __init__(self):
+        self.now_s = 0.0
+
+    def __call__(self):
+        return self.now_s
+
+
+class TestOutcomeWindow:
+    """Counts of the last seconds."""
+
+    def test_old_answers_leave_the_window(self):
+        clock = Clock()
+        window = OutcomeWindow(clock)
+        for _ in range(4):
+            window.add(True)
+        clock.now_s = window.HALF_S
+        window.add(False)
+        assert window.counts() == (4, 5)
+        clock.now_s = 2 * window.HALF_S
+        assert window.counts() == (0, 1)
+        clock.now_s = 10 * window.HALF_S
+        assert window.counts() == (0, 0)
+
+
+class TestGreyServers:
+    """Servers that fail requests while their health answers are good."""
+
+    RATES = {"e0": 0.35, "e1": 0.35, "e2": 0.35, "e3": 0.0}
+
+    def test_chats_leave_them(self):
+        clock = Clock()
+        chance = random.Random(3)
+        placement = PrefixPlacement(PartMap(clock), chance)
+        windows = {key: OutcomeWindow(clock) for key in self.RATES}
+        failed = 0
+        for number in range(150):
+            clock.now_s = number * 0.05
+            engines = [
+                EngineView(key, 1, 0, 0, failure_rate(*window.counts()))
+                for key, window in windows.items()
+            ]
+            prompt = [(f"deck-{number % 12}", 6000), (f"own-{number}", 500)]
+            best = placement.order(prompt, engines)[0].id
+            placement.placed(prompt, best)
+            fails = chance.random() < self.RATES[best]
+            windows[best].add(fails)
+            failed += fails
+        # An even share would fail 39 of 150.
+        assert failed <= 25
+
+    def test_errors_by_chance_concentrate_nothing(self):
+        clock = Clock()
+        chance = random.Random(3)
+        placement = LeastLoaded(chance)
+        windows = {f"s{n}": OutcomeWindow(clock) for n in range(3)}
+        sent = dict.fromkeys(windows, 0)
+        for number in range(300):
+            clock.now_s = number * 0.05
+            views = [
+                ServerView(
+                    key,
+                    chance.randint(0, 2),
+                    True,
+                    0,
+                    failure_rate(*window.counts()),
+                )
+                for key, window in windows.items()
+            ]
+            best = placement.order(views)[0].id
+            sent[best] += 1
+            windows[best].add(chance.random() < 0.14)
+        assert min(sent.values()) > 60
