Serve metrics at a fixed port; check settings of any role

test_examples_are_valid loads each example as the role that it names: the new example is of a role that the old loader refuses. The check is as strict.

--- a/boragetrail/cli.py
+++ b/boragetrail/cli.py
@@ -59,7 +59,9 @@
 @app.command()
 def check(settings: str = typer.Argument(help="Settings file.")):
     """Check a settings file; each error is shown with its key path."""
-    loaded = _load(settings)
+    from boragetrail.settings import load_any_settings
+
+    loaded = _loaded(settings, load_any_settings(settings))
     typer.echo(f"{settings}: {loaded.role} {loaded.name!r} is valid")
 
 
@@ -103,7 +105,11 @@
 def _load(path):
     from boragetrail.settings import load_settings
 
-    loaded, errors = load_settings(path)
+    return _loaded(path, load_settings(path))
+
+
+def _loaded(path, result):
+    loaded, errors = result
     if loaded is None:
         for error in errors:
             typer.echo(f"{path}: {error}", err=True)
--- a/boragetrail/direct/daemon.py
+++ b/boragetrail/direct/daemon.py
@@ -129,7 +129,10 @@
             self.random,
         )
         await self.socket.open(*split_address(settings.gossip))
-        await self.relay.open(*split_address(settings.relay))
+        addresses = [settings.relay, settings.metrics]
+        await self.relay.open(
+            [split_address(each) for each in addresses if each]
+        )
         await self._open_health()
         await self.frontend.open(*split_address(settings.callers))
         for feed in self.feeds_by_table.values():
--- a/boragetrail/direct/relay.py
+++ b/boragetrail/direct/relay.py
@@ -60,8 +60,11 @@
         self.metrics = metrics
         self.runner = None
 
-    async def open(self, host, port):
-        """Open the port."""
+    async def open(self, addresses):
+        """Open the ports.
+
+        :param addresses: list of (host, port)
+        """
         app = aiohttp.web.Application()
         app.router.add_get(PATH, self._rows)
         app.router.add_get(PARTS_PATH, self._parts)
@@ -71,7 +74,8 @@
             app, access_log=None, shutdown_timeout=CLOSE_TIMEOUT_S
         )
         await self.runner.setup()
-        await aiohttp.web.TCPSite(self.runner, host, port).start()
+        for host, port in addresses:
+            await aiohttp.web.TCPSite(self.runner, host, port).start()
 
     async def close(self):
         """Close the port."""
--- a/boragetrail/settings/__init__.py
+++ b/boragetrail/settings/__init__.py
@@ -3,11 +3,13 @@
 import importlib
 
 from boragetrail.settings.errors import SettingsError
+from boragetrail.settings.file import read_settings
 
 __all__ = [
     "DirectSettings",
     "Settings",
     "SettingsError",
+    "load_any_settings",
     "load_direct_settings",
     "load_settings",
 ]
@@ -20,6 +22,18 @@
 }
 
 
+def load_any_settings(path):
+    """Load a settings file of any role.
+
+    :param path: path of the file
+    :returns: (settings or ``None``, list of :class:`SettingsError`)
+    """
+    data, _ = read_settings(path)
+    is_direct = isinstance(data, dict) and data.get("role") == "direct"
+    name = "load_direct_settings" if is_direct else "load_settings"
+    return __getattr__(name)(path)
+
+
 def __getattr__(name):
     # Each kind of settings brings a checker that the other does not need.
     if name in _MODULES_BY_NAME:
--- a/boragetrail/settings/direct.py
+++ b/boragetrail/settings/direct.py
@@ -8,9 +8,9 @@
 import json
 
 import fastjsonschema
-import pyjson5
 
 from boragetrail.settings.errors import SettingsError
+from boragetrail.settings.file import read_settings
 
 __all__ = ["Bounds", "DirectSettings", "load_direct_settings"]
 
@@ -44,10 +44,12 @@
 class DirectSettings:
     """Settings of one router; times in seconds.
 
+    :ivar role: ``direct``
     :ivar callers: address for callers
     :ivar health: address for the balancer's question
     :ivar gossip: address for datagrams of other routers
     :ivar relay: address for rows, state dump and metrics
+    :ivar metrics: further address for the same, or empty
     :ivar store: address of the platform's store
     :ivar seed_hosts: hosts of some other routers
     :ivar first_start: whether the whole system starts for the first time
@@ -56,12 +58,14 @@
     """
 
     __slots__ = (
+        "role",
         "name",
         "zone",
         "callers",
         "health",
         "gossip",
         "relay",
+        "metrics",
         "store",
         "seed_hosts",
         "bounds",
@@ -75,12 +79,14 @@
     def __init__(self, data):
         listen = data["listen"]
         log = data.get("log", {})
+        self.role = data["role"]
         self.name = data["name"]
         self.zone = data["zone"]
         self.callers = listen["callers"]
         self.health = listen["health"]
         self.gossip = listen["gossip"]
         self.relay = listen["relay"]
+        self.metrics = listen.get("metrics", "")
         self.store = data["store"]
         seeds = data.get("seeds", [])
         self.seed_hosts = [seed.partition(":")[0] for seed in seeds]
@@ -99,14 +105,9 @@
     :returns: (:class:`DirectSettings` or ``None``, list of
         :class:`~boragetrail.settings.errors.SettingsError`)
     """
-    try:
-        with open(path, encoding="utf-8") as file:
-            data = pyjson5.decode(file.read())
-    except OSError as exc:
-        return None, [SettingsError(path, exc.strerror)]
-    except pyjson5.Json5Exception as exc:
-        return None, [SettingsError(path, f"is not JSON: {exc}")]
-    error = check_direct_settings(data)
+    data, error = read_settings(path)
+    if error is None:
+        error = check_direct_settings(data)
     return (None, [error]) if error else (DirectSettings(data), [])
 
 
--- a/boragetrail/settings/load.py
+++ b/boragetrail/settings/load.py
@@ -5,9 +5,9 @@
 import os
 
 import jsonschema
-import pyjson5
 
 from boragetrail.settings.errors import SettingsError
+from boragetrail.settings.file import read_settings
 
 __all__ = ["Listen", "Platform", "Settings", "load_settings"]
 
@@ -89,13 +89,9 @@
     :returns: (:class:`Settings` or ``None``, list of
         :class:`SettingsError`)
     """
-    try:
-        with open(path, encoding="utf-8") as file:
-            data = pyjson5.decode(file.read())
-    except OSError as exc:
-        return None, [SettingsError(path, exc.strerror)]
-    except pyjson5.Json5Exception as exc:
-        return None, [SettingsError(path, f"is not JSON: {exc}")]
+    data, error = read_settings(path)
+    if error is not None:
+        return None, [error]
     errors = check_settings(data)
     return (None, errors) if errors else (Settings(data), [])
 
--- /dev/null
+++ b/boragetrail/settings/tests/test_direct.py
@@ -0,0 +1,67 @@
+"""Tests of settings of routers without agents."""
+
+import json
+import pathlib
+import re
+
+from boragetrail.settings import load_any_settings, load_direct_settings
+
+ROOT = pathlib.Path(__file__).parents[3]
+EXAMPLE = ROOT / "examples" / "direct-router.json"
+TEMPLATE = ROOT / "deploy" / "router.json"
+PLACEHOLDER = re.compile(r"\{\{([A-Za-z.0-9]+)(\|json)?\}\}")
+FIELDS = {
+    "nodeName": "edge-a-1",
+    "zone": "a",
+    "ip": "10.1.0.40",
+    "portRange.0": 7340,
+    "listen.frontend": "10.1.0.40:8227",
+    "listen.ready": "10.1.0.40:8220",
+    "platform.address": "10.200.1.7:8223",
+    "seeds": ["10.1.0.40:8229", "10.2.0.29:8229"],
+    "firstStart": True,
+    "limits.linkMbps": 5,
+    "bounds.retryRatio": 0.2,
+    "bounds.retryWindowS": 10,
+    "bounds.retryExtra": 52,
+    "bounds.coldFactor": 1.5,
+    "bounds.coldMargin": 5,
+    "bounds.graceS": 8,
+}
+
+
+class TestDirectSettings:
+    """Files that are valid, and errors that name the field."""
+
+    def test_example(self):
+        settings, errors = load_any_settings(EXAMPLE)
+        assert errors == []
+        assert settings.role == "direct"
+        assert settings.seed_hosts == ["127.0.0.2"]
+
+    def test_template_of_the_platform(self, tmp_path):
+        def fill(match):
+            value = FIELDS[match[1]]
+            return json.dumps(value) if match[2] else str(value)
+
+        path = tmp_path / "node.yaml"
+        path.write_text(PLACEHOLDER.sub(fill, TEMPLATE.read_text()))
+        settings, errors = load_direct_settings(path)
+        assert errors == []
+        assert settings.gossip == "10.1.0.40:7340"
+        assert settings.seed_hosts == ["10.1.0.40", "10.2.0.29"]
+        assert settings.first_start
+
+    def test_error_names_the_field(self, tmp_path):
+        path = tmp_path / "bad.json"
+        text = EXAMPLE.read_text().replace('"grace_s": 8', '"grace_s": 0')
+        path.write_text(text)
+        settings, (error,) = load_direct_settings(path)
+        assert settings is None
+        assert error.path == "grace_s"
+
+    def test_file_that_is_no_json(self, tmp_path):
+        path = tmp_path / "bad.json"
+        path.write_bytes(b"\xff{")
+        _, (error,) = load_any_settings(path)
+        assert "is not JSON" in error.message
--- a/boragetrail/settings/tests/test_load.py
+++ b/boragetrail/settings/tests/test_load.py
@@ -6,7 +6,7 @@
 from typer.testing import CliRunner
 
 from boragetrail.cli import app
-from boragetrail.settings import load_settings
+from boragetrail.settings import load_any_settings, load_settings
 
 EXAMPLES = pathlib.Path(__file__).parents[3] / "examples"
 
@@ -18,7 +18,7 @@
         "path", sorted(EXAMPLES.glob("*.json")), ids=lambda path: path.name
     )
     def test_examples_are_valid(self, path):
-        settings, errors = load_settings(str(path))
+        settings, errors = load_any_settings(str(path))
         assert not errors
         assert settings.name
 
