--- a/boragetrail/direct/tests/test_path.py
+++ b/boragetrail/direct/tests/test_path.py
@@ -153,6 +153,22 @@
         no_key = {HEADER_NAMES.key: "other"}
         assert (await site.call(daemon, path, headers=no_key))[0] == 200
 
+    async def test_no_server_is_listed(self, site):
+        # A chat that names its prompt met an error in the code instead.
+        daemon = await site.add_router()
+        for server in site.servers:
+            site.store.remove("servers", server.id)
+        routes = [route("chat", "streaming", sticky=True, public=True)]
+        site.store.put("op", "config", configuration(2, routes=routes))
+        await site.until(lambda: daemon.directory.configuration.version == 2)
+        await site.until(lambda: not daemon.directory.servers_by_id)
+        prompt = {HEADER_NAMES.prompt_parts: "a1:100,b2:20"}
+        status, headers, _ = await site.call(
+            daemon, "/chat/1", headers=prompt
+        )
+        assert status == 503
+        assert float(headers["Retry-After"]) > 0
+
     async def test_all_servers_refuse(self, site):
         daemon = await site.add_router()
         for server in site.servers:
--- a/boragetrail/policy/prefix.py
+++ b/boragetrail/policy/prefix.py
@@ -128,7 +128,9 @@
         :param prompt: list of (part, tokens)
         :param engines: list of :class:`EngineView`
         """
-        mean = sum(each.running for each in engines) / max(1, len(engines))
+        if not engines:
+            return []
+        mean = sum(each.running for each in engines) / len(engines)
         bound = self.LOAD_MULTIPLE * mean + self.LOAD_SLACK
         kept = self.kept_by_engine(prompt)
         most_kept = max(kept.values(), default=0)
