Take ports for tests from below those of outgoing connections

Cause: test_failed_status_request_is_tried_once_more failed once in about 20 runs, with an error in its fixture too. A port that was free when it was chosen can become the source port of an outgoing connection before a router listens there; listening then fails with EADDRINUSE (shown with a socket that holds such a port).

Change: ports come from 10000 to 30000; outgoing ones begin at 32768.

--- a/boragetrail/direct/tests/conftest.py
+++ b/boragetrail/direct/tests/conftest.py
@@ -2,6 +2,8 @@
 
 import asyncio
 import contextlib
+import itertools
+import os
 import socket
 
 import aiohttp
@@ -20,11 +22,23 @@
 POLL_S = 0.01
 
 
+# Ports below those that outgoing connections get by chance, which could
+# take a port between its choice and its use.
+FIRST_PORT = 10000
+PORTS = 20000
+_next_port = itertools.count(os.getpid() * 131 % PORTS)
+
+
 def free_port():
     """Return a port that nobody listens at."""
-    with socket.socket() as probe:
-        probe.bind(("127.0.0.1", 0))
-        return probe.getsockname()[1]
+    for number in _next_port:
+        port = FIRST_PORT + number % PORTS
+        with socket.socket() as probe:
+            try:
+                probe.bind(("127.0.0.1", port))
+            except OSError:
+                continue
+            return port
 
 
 def route(name, kind, service="apps", **fields):
--- a/boragetrail/direct/tests/test_path.py
+++ b/boragetrail/direct/tests/test_path.py
@@ -163,9 +163,7 @@
         await site.until(lambda: daemon.directory.configuration.version == 2)
         await site.until(lambda: not daemon.directory.servers_by_id)
         prompt = {HEADER_NAMES.prompt_parts: "a1:100,b2:20"}
-        status, headers, _ = await site.call(
-            daemon, "/chat/1", headers=prompt
-        )
+        status, headers, _ = await site.call(daemon, "/chat/1", headers=prompt)
         assert status == 503
         assert float(headers["Retry-After"]) > 0
 
