--- /dev/null
+++ b/boragetrail/direct/choice.py
@@ -0,0 +1,131 @@
+"""Choose the server to try next for a request."""
+
+import collections
+import dataclasses
+
+from boragetrail.direct.headers import prompt_parts
+from boragetrail.policy.leastloaded import LeastLoaded
+from boragetrail.policy.prefix import PrefixPlacement
+from boragetrail.utils import join_address
+
+__all__ = ["Plan", "ServerChoice"]
+
+# How long and how many placements are told to other routers.
+PLACEMENT_TOLD_S = 1.0
+PLACEMENTS_TOLD = 40
+
+
+@dataclasses.dataclass(slots=True)
+class Plan:
+    """What a server does for a request before its first token.
+
+    :param copy_from: address of the server that cached parts of the prompt
+        are copied from, or empty
+    :param unread_tokens: work in prompt tokens read
+    """
+
+    copy_from: str = ""
+    unread_tokens: int = 0
+
+
+class ServerChoice:
+    """Choose servers, and remember where parts of prompts went.
+
+    :param fleet: :class:`~boragetrail.direct.fleet.Fleet`
+    :param names: :class:`~boragetrail.direct.ports.HeaderNames`
+    :param bounds: :class:`~boragetrail.settings.direct.Bounds`
+    :param clock: function that returns monotonic seconds
+    :param random: random generator
+    """
+
+    def __init__(self, fleet, names, bounds, clock, random):
+        self.fleet = fleet
+        self.names = names
+        self.bounds = bounds
+        self.clock = clock
+        self.by_prefix = PrefixPlacement(fleet.parts, random)
+        self.least_loaded = LeastLoaded(random)
+        self.placements = collections.deque(maxlen=PLACEMENTS_TOLD)
+        self.news = False
+
+    def take_news(self):
+        """Return whether there are placements that nobody was told of."""
+        news, self.news = self.news, False
+        return news
+
+    def recent_placements(self):
+        """Return what other routers should know of parts of prompts.
+
+        :returns: list of (part, server id)
+        """
+        oldest = self.clock() - PLACEMENT_TOLD_S
+        while self.placements and self.placements[0][0] < oldest:
+            self.placements.popleft()
+        return list({entry[1:] for entry in self.placements})
+
+    def choose(self, request, progress):
+        """Return the state of the server to try next, or ``None``."""
+        usable = [
+            state
+            for state in self.fleet.usable(request.service.name)
+            if state.record.id not in progress.tried
+        ]
+        limited = request.service.cold_rate > 0
+        cold = [
+            state for state in usable if limited and self.fleet.is_cold(state)
+        ]
+        warm = [state for state in usable if state not in cold]
+        if warm:
+            return self._order(progress, warm)[0]
+        return self._choose_cold(request, progress, cold)
+
+    def _choose_cold(self, request, progress, cold):
+        """Return a cold server of whose rate a part is left, or ``None``."""
+        bounds = self.bounds
+        most = request.service.cold_rate * bounds.cold_factor
+        most += bounds.cold_margin
+        peers = self.fleet.peers
+        for state in self._order(progress, cold):
+            rank = peers.rank(state.record.id)
+            if state.cold_part.take(most, peers.size(), rank):
+                return state
+        return None
+
+    def _order(self, progress, states):
+        by_id = {state.record.id: state for state in states}
+        if progress.prompt:
+            engines = [self.fleet.engine_view(state) for state in states]
+            ordered = self.by_prefix.order(progress.prompt, engines)
+        else:
+            views = [self.fleet.view(state) for state in states]
+            ordered = self.least_loaded.order(views)
+        return [by_id[view.id] for view in ordered]
+
+    def prompt(self, request):
+        """Return the parts of a request's prompt; empty if none."""
+        if not request.route.affine:
+            return []
+        text = request.http.headers.get(self.names.prompt_parts, "")
+        return prompt_parts(text)
+
+    def plan(self, request, progress, server_id):
+        """Return a :class:`Plan`, and note the parts as kept there."""
+        prompt = progress.prompt
+        if not prompt:
+            return Plan()
+        sources = self.fleet.sources(request.service.name)
+        source_id = self.by_prefix.source(prompt, server_id, sources)
+        unread = self.by_prefix.unread(prompt, server_id, source_id)
+        self._note_new(prompt, server_id)
+        self.by_prefix.placed(prompt, server_id)
+        if source_id is None:
+            return Plan("", unread)
+        return Plan(join_address(*sources[source_id]), unread)
+
+    def _note_new(self, prompt, server_id):
+        """Keep what other routers cannot know yet of shared parts."""
+        now = self.clock()
+        for part, _ in prompt[:-1]:
+            if server_id not in self.fleet.parts.holders(part):
+                self.placements.append((now, part, server_id))
+                self.news = True
--- a/boragetrail/direct/daemon.py
+++ b/boragetrail/direct/daemon.py
@@ -8,6 +8,8 @@
 import aiohttp
 import aiohttp.web
 
+from boragetrail.direct.choice import ServerChoice
+from boragetrail.direct.digest import Digest
 from boragetrail.direct.directory import Directory
 from boragetrail.direct.dispatch import Dispatcher
 from boragetrail.direct.feed import Feed
@@ -16,7 +18,8 @@
 from boragetrail.direct.frontend import Frontend
 from boragetrail.direct.learn import PartLearner
 from boragetrail.direct.metrics import DirectMetrics
-from boragetrail.direct.peers import Digest, PeerSocket, PeerTable
+from boragetrail.direct.peers import PeerTable
+from boragetrail.direct.peersocket import PeerSocket
 from boragetrail.direct.ports import Table
 from boragetrail.direct.relay import PeerSource, Puller, RelayServer
 from boragetrail.events import Event, log_event
@@ -58,12 +61,13 @@
         self.fleet = Fleet(
             self.directory, self.peers, settings.zone, self.clock
         )
+        names = platform.HEADER_NAMES
+        bounds = settings.bounds
+        self.choice = ServerChoice(
+            self.fleet, names, bounds, self.clock, self.random
+        )
         self.dispatcher = Dispatcher(
-            self.fleet,
-            platform.HEADER_NAMES,
-            settings.bounds,
-            self.clock,
-            self.random,
+            self.fleet, self.choice, names, bounds, self.clock
         )
         chain = FilterChain(self.directory, platform.HEADER_NAMES, self.random)
         self.frontend = Frontend(
@@ -138,9 +142,7 @@
         for feed in self.feeds_by_table.values():
             self.tasks.start(feed.run(), f"feed {feed.table.value}")
         self.tasks.start(self.socket.run(), "gossip")
-        self.tasks.start(
-            self.socket.run_news(self.dispatcher.take_news), "news"
-        )
+        self.tasks.start(self.socket.run_news(self.choice.take_news), "news")
         self.tasks.start(self._join(), "join")
         self.tasks.start(self._sweep(), "sweep")
         self.learning = self.tasks.start(self._learn(), "learn")
@@ -213,7 +215,7 @@
             versions_by_table=self.directory.versions(),
             loads_by_id=self.fleet.loads_by_id(),
             reports_by_id=self.fleet.reports.recent(),
-            placements=self.dispatcher.recent_placements(),
+            placements=self.choice.recent_placements(),
             steady_s=self.feeds_by_table[Table.SERVERS].steady_s(),
             up_s=self.peers.up_s(),
             link_mbps=self.settings.link_mbps,
@@ -246,6 +248,7 @@
             texts = [str(error) for error in errors]
             log_event(Event.SETTINGS_REFUSED, errors=texts)
             return
+        self.choice.bounds = settings.bounds
         self.dispatcher.bounds = settings.bounds
         self.settings.seed_hosts = settings.seed_hosts
         self.settings.grace_s = settings.grace_s
--- a/boragetrail/direct/dispatch.py
+++ b/boragetrail/direct/dispatch.py
@@ -1,22 +1,18 @@
-"""Choose servers for a request and pass the answer on."""
+"""Send requests to servers and pass the answers on."""
 
 import asyncio
-import collections
 
 from boragetrail.direct.attempt import Attempt, AttemptState, Verdict
-from boragetrail.direct.eventstream import WholeEvents
-from boragetrail.direct.headers import HeaderRewriter, prompt_parts
+from boragetrail.direct.headers import HeaderRewriter
 from boragetrail.direct.model import RequestKind
+from boragetrail.direct.progress import PendingWork, Progress
 from boragetrail.direct.reports import parse_load
 from boragetrail.errors import Failure, Refusal
 from boragetrail.events import Event, log_event
 from boragetrail.policy.fleetlimits import RepeatPart
-from boragetrail.policy.leastloaded import LeastLoaded
-from boragetrail.policy.prefix import PrefixPlacement
 from boragetrail.reasons import Ran, Reason
-from boragetrail.utils import join_address
 
-__all__ = ["Dispatcher", "Progress"]
+__all__ = ["Dispatcher"]
 
 RETRY_AFTER_S = 0.3
 MOST_TRIES = 8
@@ -26,109 +22,26 @@
 LEAST_LEFT_S = 0.02
 # What a server answers when the time of a request is up.
 OUT_OF_TIME = 504
-# How long and how many placements are told to other routers.
-PLACEMENT_TOLD_S = 1.0
-PLACEMENTS_TOLD = 40
-
-
-class Progress:
-    """Hold what happened to a request so far.
-
-    :ivar prompt: parts of the prompt as (id, tokens); empty if none
-    :ivar tried: ids of servers that were tried
-    :ivar arrivals: number of attempts that were sent
-    :ivar runs: number of attempts that may have run
-    :ivar attempt: the attempt in hand, or ``None``
-    :ivar failed: an answer with an error of a server, kept in case that
-        the repeat does not run: (status, fields, body)
-    """
-
-    __slots__ = (
-        "prompt",
-        "tried",
-        "tries",
-        "arrivals",
-        "runs",
-        "attempt",
-        "events",
-        "failed",
-        "error",
-    )
-
-    def __init__(self, prompt):
-        self.prompt = prompt
-        self.tried = set()
-        self.tries = 0
-        self.arrivals = 0
-        self.runs = 0
-        self.attempt = None
-        self.events = WholeEvents()
-        self.failed = None
-        self.error = ""
-
-
-class PendingWork:
-    """Count a request at a server until it ends.
-
-    :param state: :class:`~boragetrail.direct.fleet.ServerState`
-    :param tokens: prompt tokens that the server has to read for it
-    """
-
-    __slots__ = ("state", "tokens")
-
-    def __init__(self, state, tokens):
-        self.state = state
-        self.tokens = tokens
-        state.in_flight += 1
-        state.pending_tokens += tokens
-
-    def answered(self):
-        """Note that the prompt was read."""
-        self.state.pending_tokens -= self.tokens
-        self.tokens = 0
-
-    def end(self):
-        """Note that the request ended."""
-        self.answered()
-        self.state.in_flight -= 1
 
 
 class Dispatcher:
     """Send requests to servers.
 
     :param fleet: :class:`~boragetrail.direct.fleet.Fleet`
+    :param choice: :class:`~boragetrail.direct.choice.ServerChoice`
     :param names: :class:`~boragetrail.direct.ports.HeaderNames`
     :param bounds: :class:`~boragetrail.settings.direct.Bounds`
     :param clock: function that returns monotonic seconds
-    :param random: random generator
     """
 
-    def __init__(self, fleet, names, bounds, clock, random):
+    def __init__(self, fleet, choice, names, bounds, clock):
         self.fleet = fleet
+        self.choice = choice
         self.names = names
         self.bounds = bounds
         self.clock = clock
         self.rewriter = HeaderRewriter(names)
-        self.by_prefix = PrefixPlacement(fleet.parts, random)
-        self.least_loaded = LeastLoaded(random)
         self.repeats_by_service = {}
-        self.placements = collections.deque(maxlen=PLACEMENTS_TOLD)
-        self.news = False
-
-    def take_news(self):
-        """Return whether there are placements that nobody was told of."""
-        news, self.news = self.news, False
-        return news
-
-    def recent_placements(self):
-        """Return what other routers should know of parts of prompts.
-
-        :returns: list of (part, server id)
-        """
-        oldest = self.clock() - PLACEMENT_TOLD_S
-        while self.placements and self.placements[0][0] < oldest:
-            self.placements.popleft()
-        return list({entry[1:] for entry in self.placements})
 
     async def run(self, request, caller):
         """Serve a request, or say why it failed.
@@ -137,7 +50,7 @@
         :param caller: :class:`~boragetrail.direct.caller.CallerAnswer`
         :returns: :class:`~boragetrail.errors.Failure` or ``None``
         """
-        progress = Progress(self._prompt(request))
+        progress = Progress(self.choice.prompt(request))
         self._repeats(request.service).request_seen()
         try:
             async with asyncio.timeout_at(request.deadline_s):
@@ -154,7 +67,7 @@
 
     async def _serve(self, request, caller, progress):
         while True:
-            state = self._choose(request, progress)
+            state = self.choice.choose(request, progress)
             if state is None:
                 return self._no_server(request, progress)
             failure = await self._attempt(request, caller, progress, state)
@@ -171,20 +84,17 @@
         progress.tries += 1
         attempt = Attempt(state, self.names, request.id)
         progress.attempt = attempt
-        copy_from, unread = self._plan(request, progress, record.id)
-        self._explain(request, progress, state, copy_from, unread)
-        work = PendingWork(state, unread)
+        plan = self.choice.plan(request, progress, record.id)
+        self._explain(request, progress, state, plan)
+        progress.work = PendingWork(state, plan.unread_tokens)
         try:
-            return await self._exchange(
-                request, caller, progress, attempt, work, copy_from
-            )
+            return await self._exchange(request, caller, progress, plan)
         finally:
-            work.end()
+            progress.work.end()
             attempt.abort()
 
-    async def _exchange(
-        self, request, caller, progress, attempt, work, copy_from
-    ):
+    async def _exchange(self, request, caller, progress, plan):
+        attempt = progress.attempt
         state = attempt.server
         repeatable = request.route.repeatable
         newest_s = REUSE_S if repeatable else REUSE_AT_MOST_ONCE_S
@@ -194,11 +104,11 @@
         left_s = request.deadline_s - self.clock()
         resume_after = progress.events.last_id if caller.started else ""
         head = self.rewriter.request_head(
-            request, state.record.id, left_s, resume_after, copy_from
+            request, state.record.id, left_s, resume_after, plan.copy_from
         )
         progress.arrivals += 1
         verdict = await attempt.exchange(head + request.body)
-        work.answered()
+        progress.work.answered()
         if verdict is Verdict.ANSWER:
             progress.runs += 1
             self._note_answer(state, attempt.answer)
@@ -284,72 +194,6 @@
         routers = self.fleet.peers.size()
         return self._repeats(request.service).take(routers)
 
-    def _choose(self, request, progress):
-        """Return the state of the server to try next, or ``None``."""
-        usable = [
-            state
-            for state in self.fleet.usable(request.service.name)
-            if state.record.id not in progress.tried
-        ]
-        limited = request.service.cold_rate > 0
-        cold = [
-            state for state in usable if limited and self.fleet.is_cold(state)
-        ]
-        warm = [state for state in usable if state not in cold]
-        if warm:
-            return self._order(progress, warm)[0]
-        bounds = self.bounds
-        most = request.service.cold_rate * bounds.cold_factor
-        most += bounds.cold_margin
-        peers = self.fleet.peers
-        for state in self._order(progress, cold):
-            rank = peers.rank(state.record.id)
-            if state.cold_part.take(most, peers.size(), rank):
-                return state
-        return None
-
-    def _order(self, progress, states):
-        by_id = {state.record.id: state for state in states}
-        if progress.prompt:
-            engines = [self.fleet.engine_view(state) for state in states]
-            ordered = self.by_prefix.order(progress.prompt, engines)
-        else:
-            views = [self.fleet.view(state) for state in states]
-            ordered = self.least_loaded.order(views)
-        return [by_id[view.id] for view in ordered]
-
-    def _prompt(self, request):
-        if not request.route.affine:
-            return []
-        text = request.http.headers.get(self.names.prompt_parts, "")
-        return prompt_parts(text)
-
-    def _plan(self, request, progress, server_id):
-        """Return (address to copy parts of the prompt from, work in tokens).
-
-        Also notes the parts as kept by the server. The address is empty if
-        nothing is copied.
-        """
-        prompt = progress.prompt
-        if not prompt:
-            return "", 0
-        sources = self.fleet.sources(request.service.name)
-        source_id = self.by_prefix.source(prompt, server_id, sources)
-        unread = self.by_prefix.unread(prompt, server_id, source_id)
-        self._note_new(prompt, server_id)
-        self.by_prefix.placed(prompt, server_id)
-        if source_id is None:
-            return "", unread
-        return join_address(*sources[source_id]), unread
-
-    def _note_new(self, prompt, server_id):
-        """Keep what other routers cannot know yet of shared parts."""
-        now = self.clock()
-        for part, _ in prompt[:-1]:
-            if server_id not in self.fleet.parts.holders(part):
-                self.placements.append((now, part, server_id))
-                self.news = True
-
     def _no_server(self, request, progress):
         if progress.runs:
             detail = "no other server can take the request"
@@ -386,7 +230,7 @@
             self.repeats_by_service[service.name] = part
         return part
 
-    def _explain(self, request, progress, state, copy_from, unread):
+    def _explain(self, request, progress, state, plan):
         """Keep the inputs of a choice for the line that ends a request."""
         peers = self.fleet.peers
         request.decision = {
@@ -398,8 +242,8 @@
             "doubtful": state.is_doubtful(),
         }
         if progress.prompt:
-            request.decision["unread_tokens"] = unread
-            request.decision["copied_from"] = copy_from
+            request.decision["unread_tokens"] = plan.unread_tokens
+            request.decision["copied_from"] = plan.copy_from
 
     def _log_repeat(self, request, progress, failure, state):
         log_event(
--- a/boragetrail/direct/peers.py
+++ b/boragetrail/direct/peers.py
@@ -1,88 +1,16 @@
-"""Tell other routers what this one knows, and hear what they know.
+"""What a router knows of the other routers."""
 
-Each round sends one datagram to a few routers that are chosen by chance. A
-datagram tells the sender's versions of the tables, its requests at each
-server and some of the routers that it knows.
-"""
-
-import asyncio
 import dataclasses
 
-import cbor2
-
 from boragetrail.events import Event, log_event
 from boragetrail.policy.placement import rendezvous_score
 
-__all__ = ["Digest", "PeerTable", "PeerSocket"]
+__all__ = ["Load", "Peer", "PeerTable"]
 
-MOST_DATAGRAM_BYTES = 8 * 1024
 # Common text by which routers rank themselves as readers of the store.
 READER_KEY = "store"
 
 
-@dataclasses.dataclass(slots=True)
-class Digest:
-    """Tell what a router knows.
-
-    :param incarnation: id of this run of the router
-    :param sequence: number of the datagram within the run
-    :param gossip_port: port that it gets datagrams at
-    :param relay_port: port that it gives rows at
-    :param versions_by_table: version of the newest row of each table
-    :param loads_by_id: (requests, pending tokens, failures, answers) of
-        each server in use
-    :param reports_by_id: what busy servers lately said of their load, as
-        [requests, age in ms]
-    :param placements: parts of prompts that it lately sent, as
-        [part, server id]
-    :param steady_s: seconds for which it has surely heard the store
-    :param up_s: seconds since it started
-    :param link_mbps: speed of its link in megabits a second
-    :param peers: addresses of some other routers, as [host, port]
-    :param leaving: whether it stops
-    :param wants_reply: whether the receiver should tell the same at once
-    """
-
-    incarnation: str
-    sequence: int
-    gossip_port: int
-    relay_port: int
-    versions_by_table: dict
-    loads_by_id: dict
-    reports_by_id: dict
-    placements: list
-    steady_s: float
-    up_s: float
-    link_mbps: float
-    peers: list
-    leaving: bool
-    wants_reply: bool
-
-
-def encode_digest(digest):
-    """Return a digest as bytes."""
-    names = Digest.__slots__
-    return cbor2.dumps([getattr(digest, name) for name in names])
-
-
-def decode_digest(data):
-    """Return a digest, or ``None`` if the bytes can't be read."""
-    if len(data) > MOST_DATAGRAM_BYTES:
-        return None
-    try:
-        digest = Digest(*cbor2.loads(data))
-    except (ValueError, TypeError, cbor2.CBORDecodeError):
-        return None
-    is_valid = (
-        isinstance(digest.versions_by_table, dict)
-        and isinstance(digest.loads_by_id, dict)
-        and isinstance(digest.steady_s, (int, float))
-        and isinstance(digest.up_s, (int, float))
-        and isinstance(digest.link_mbps, (int, float))
-    )
-    return digest if is_valid else None
-
-
 @dataclasses.dataclass(slots=True)
 class Load:
     """Count work at a server.
@@ -327,112 +255,3 @@
         for address in silent:
             del self.peers_by_address[address]
             log_event(Event.PEER_GONE, peer=f"{address[0]}:{address[1]}")
-
-
-class PeerSocket(asyncio.DatagramProtocol):
-    """Own the datagram socket.
-
-    :param table: :class:`PeerTable`
-    :param make_digest: function that returns this router's
-        :class:`Digest` without its list of peers
-    :param on_digest: called with each digest that is news
-    """
-
-    ROUND_S = 0.3
-    FANOUT = 4
-    NEWS_S = 0.1
-    NEWS_FANOUT = 32
-    PEERS_TOLD = 6
-
-    def __init__(self, table, make_digest, on_digest):
-        self.table = table
-        self.make_digest = make_digest
-        self.on_digest = on_digest
-        self.transport = None
-        self.sequence = 0
-        self.sent_bytes = 0
-
-    async def open(self, host, port):
-        """Bind the socket."""
-        loop = asyncio.get_running_loop()
-        await loop.create_datagram_endpoint(
-            lambda: self, local_addr=(host, port)
-        )
-
-    def connection_made(self, transport):
-        """Keep the transport; called by asyncio."""
-        self.transport = transport
-
-    def error_received(self, exc):
-        """Ignore refused datagrams; the peer's silence shows elsewhere."""
-
-    def datagram_received(self, data, addr):
-        """Handle one datagram; called by asyncio."""
-        digest = decode_digest(data)
-        if digest is None:
-            return
-        peer, is_new = self.table.heard(digest, addr[0])
-        if peer is None:
-            return
-        for host, port in digest.peers:
-            self._introduced((host, port))
-        if is_new:
-            log_event(
-                Event.PEER_HEARD,
-                peer=f"{peer.address[0]}:{peer.address[1]}",
-                incarnation=peer.incarnation,
-            )
-        if digest.wants_reply:
-            self._send(peer.address, False)
-        self.on_digest(digest)
-
-    def greet(self, address):
-        """Ask a router to tell what it knows."""
-        self._send(address, True)
-
-    async def run(self):
-        """Tell a few routers each round."""
-        while True:
-            jitter = self.table.random.uniform(0.8, 1.2)
-            await asyncio.sleep(self.ROUND_S * jitter)
-            for peer in self.table.some(self.FANOUT):
-                self._send(peer.address, False)
-            self.table.forget_silent()
-
-    async def run_news(self, take_news):
-        """Tell many routers soon after something new.
-
-        :param take_news: function that returns whether there is news
-        """
-        while True:
-            await asyncio.sleep(self.NEWS_S)
-            if take_news():
-                for peer in self.table.some(self.NEWS_FANOUT):
-                    self._send(peer.address, False)
-
-    def close(self):
-        """Close the socket."""
-        if self.transport is not None:
-            self.transport.close()
-
-    def _introduced(self, address):
-        own = self.transport.get_extra_info("sockname")[:2]
-        if address == own or address in self.table.peers_by_address:
-            return
-        self.table.add(address)
-        self.greet(address)
-
-    def _send(self, address, wants_reply):
-        digest = self.make_digest()
-        self.sequence += 1
-        digest.sequence = self.sequence
-        digest.wants_reply = wants_reply
-        digest.peers = [
-            list(peer.address) for peer in self.table.some(self.PEERS_TOLD)
-        ]
-        data = encode_digest(digest)
-        self.sent_bytes += len(data)
-        try:
-            self.transport.sendto(data, address)
-        except OSError as exc:
-            log_event(Event.DATAGRAM_FAILED, error=repr(exc))
--- /dev/null
+++ b/boragetrail/direct/peersocket.py
@@ -0,0 +1,121 @@
+"""Send and receive the datagrams of a router.
+
+Each round sends one datagram to a few routers that are chosen by chance;
+something new is told to many at once.
+"""
+
+import asyncio
+
+from boragetrail.direct.digest import decode_digest, encode_digest
+from boragetrail.events import Event, log_event
+
+__all__ = ["PeerSocket"]
+
+
+class PeerSocket(asyncio.DatagramProtocol):
+    """Own the datagram socket.
+
+    :param table: :class:`PeerTable`
+    :param make_digest: function that returns this router's
+        :class:`Digest` without its list of peers
+    :param on_digest: called with each digest that is news
+    """
+
+    ROUND_S = 0.3
+    FANOUT = 4
+    NEWS_S = 0.1
+    NEWS_FANOUT = 32
+    PEERS_TOLD = 6
+
+    def __init__(self, table, make_digest, on_digest):
+        self.table = table
+        self.make_digest = make_digest
+        self.on_digest = on_digest
+        self.transport = None
+        self.sequence = 0
+        self.sent_bytes = 0
+
+    async def open(self, host, port):
+        """Bind the socket."""
+        loop = asyncio.get_running_loop()
+        await loop.create_datagram_endpoint(
+            lambda: self, local_addr=(host, port)
+        )
+
+    def connection_made(self, transport):
+        """Keep the transport; called by asyncio."""
+        self.transport = transport
+
+    def error_received(self, exc):
+        """Ignore refused datagrams; the peer's silence shows elsewhere."""
+
+    def datagram_received(self, data, addr):
+        """Handle one datagram; called by asyncio."""
+        digest = decode_digest(data)
+        if digest is None:
+            return
+        peer, is_new = self.table.heard(digest, addr[0])
+        if peer is None:
+            return
+        for host, port in digest.peers:
+            self._introduced((host, port))
+        if is_new:
+            log_event(
+                Event.PEER_HEARD,
+                peer=f"{peer.address[0]}:{peer.address[1]}",
+                incarnation=peer.incarnation,
+            )
+        if digest.wants_reply:
+            self._send(peer.address, False)
+        self.on_digest(digest)
+
+    def greet(self, address):
+        """Ask a router to tell what it knows."""
+        self._send(address, True)
+
+    async def run(self):
+        """Tell a few routers each round."""
+        while True:
+            jitter = self.table.random.uniform(0.8, 1.2)
+            await asyncio.sleep(self.ROUND_S * jitter)
+            for peer in self.table.some(self.FANOUT):
+                self._send(peer.address, False)
+            self.table.forget_silent()
+
+    async def run_news(self, take_news):
+        """Tell many routers soon after something new.
+
+        :param take_news: function that returns whether there is news
+        """
+        while True:
+            await asyncio.sleep(self.NEWS_S)
+            if take_news():
+                for peer in self.table.some(self.NEWS_FANOUT):
+                    self._send(peer.address, False)
+
+    def close(self):
+        """Close the socket."""
+        if self.transport is not None:
+            self.transport.close()
+
+    def _introduced(self, address):
+        own = self.transport.get_extra_info("sockname")[:2]
+        if address == own or address in self.table.peers_by_address:
+            return
+        self.table.add(address)
+        self.greet(address)
+
+    def _send(self, address, wants_reply):
+        digest = self.make_digest()
+        self.sequence += 1
+        digest.sequence = self.sequence
+        digest.wants_reply = wants_reply
+        digest.peers = [
+            list(peer.address) for peer in self.table.some(self.PEERS_TOLD)
+        ]
+        data = encode_digest(digest)
+        self.sent_bytes += len(data)
+        try:
+            self.transport.sendto(data, address)
+        except OSError as exc:
+            log_event(Event.DATAGRAM_FAILED, error=repr(exc))
--- a/boragetrail/direct/tests/test_peers.py
+++ b/boragetrail/direct/tests/test_peers.py
@@ -2,8 +2,8 @@
 
 import random
 
-from boragetrail.direct.peers import Digest, PeerTable
-from boragetrail.direct.peers import decode_digest, encode_digest
+from boragetrail.direct.digest import Digest, decode_digest, encode_digest
+from boragetrail.direct.peers import PeerTable
 from boragetrail.direct.ports import SourceFailure, Table
 from boragetrail.direct.tests.conftest import configuration
 from boragetrail.direct.tests.test_feed import Clock
