--- a/boragetrail/direct/tests/test_feed.py
+++ b/boragetrail/direct/tests/test_feed.py
@@ -8,16 +8,7 @@
 from boragetrail.direct.mirror import Mirror
 from boragetrail.direct.ports import ChangeSet, Row, SourceFailure, Table
 from boragetrail.platform import PlatformDecoder
-
-
-class Clock:
-    """A clock that tests move."""
-
-    def __init__(self):
-        self.now_s = 100.0
-
-    def __call__(self):
-        return self.now_s
+from standins.clock import ManualClock
 
 
 class ScriptedSource:
@@ -73,7 +64,7 @@
 
     def make(self, *steps, was_up=False):
         """Return (feed, directory, clock, source) for a script."""
-        clock = Clock()
+        clock = ManualClock(100.0)
         directory = Directory(PlatformDecoder(), clock)
         source = ScriptedSource(clock, *steps)
         feed = Feed(
@@ -189,7 +180,7 @@
 
     def make(self):
         """Return an empty directory."""
-        return Directory(PlatformDecoder(), Clock())
+        return Directory(PlatformDecoder(), ManualClock(100.0))
 
     def test_unreadable_entry_names_no_server(self):
         directory = self.make()
--- a/boragetrail/direct/tests/test_peers.py
+++ b/boragetrail/direct/tests/test_peers.py
@@ -6,7 +6,7 @@
 from boragetrail.direct.peers import PeerTable
 from boragetrail.direct.ports import SourceFailure, Table
 from boragetrail.direct.tests.conftest import configuration
-from boragetrail.direct.tests.test_feed import Clock
+from standins.clock import ManualClock
 
 
 def digest(**fields):
@@ -36,7 +36,7 @@
 
     def make(self):
         """Return (table, clock)."""
-        clock = Clock()
+        clock = ManualClock(100.0)
         return PeerTable(clock, random.Random(1)), clock
 
     def test_older_digest_changes_nothing(self):
--- a/boragetrail/policy/tests/test_fleetlimits.py
+++ b/boragetrail/policy/tests/test_fleetlimits.py
@@ -3,16 +3,7 @@
 import random
 
 from boragetrail.policy.fleetlimits import RatePart, RepeatPart
-
-
-class Clock:
-    """A clock that tests move."""
-
-    def __init__(self):
-        self.now_s = 0.0
-
-    def __call__(self):
-        return self.now_s
+from standins.clock import ManualClock
 
 
 def most_in_window(times, window_s):
@@ -31,7 +22,7 @@
 
     def burst(self, routers, limit):
         """Return the times at which the fleet sends in 10 s."""
-        clock = Clock()
+        clock = ManualClock()
         chance = random.Random(1)
         parts = [RatePart(clock) for _ in range(routers)]
         times = []
@@ -53,14 +44,14 @@
             assert len(self.burst(routers, 24.5)) > 24.5 * 10 * 0.5
 
     def test_no_rate_at_all(self):
-        assert not RatePart(Clock()).take(0.0, 4, 0)
+        assert not RatePart(ManualClock()).take(0.0, 4, 0)
 
 
 class TestRepeatPart:
     """Storm of repeats at all routers."""
 
     def test_sum_stays_below_the_budget(self):
-        clock = Clock()
+        clock = ManualClock()
         routers = 28
         parts = [RepeatPart(0.2, 10, 96, clock) for _ in range(routers)]
         requests, repeats = [], []
--- a/boragetrail/policy/tests/test_outcomes.py
+++ b/boragetrail/policy/tests/test_outcomes.py
@@ -5,23 +5,14 @@
 from boragetrail.policy.leastloaded import LeastLoaded, ServerView
 from boragetrail.policy.outcomes import OutcomeWindow, failure_rate
 from boragetrail.policy.prefix import EngineView, PartMap, PrefixPlacement
-
-
-class Clock:
-    """A clock that tests move."""
-
-    def __init__(self):
-        self.now_s = 0.0
-
-    def __call__(self):
-        return self.now_s
+from standins.clock import ManualClock
 
 
 class TestOutcomeWindow:
     """Counts of the last seconds."""
 
     def test_old_answers_leave_the_window(self):
-        clock = Clock()
+        clock = ManualClock()
         window = OutcomeWindow(clock)
         for _ in range(4):
             window.add(True)
@@ -40,7 +31,7 @@
     RATES = {"e0": 0.35, "e1": 0.35, "e2": 0.35, "e3": 0.0}
 
     def test_chats_leave_them(self):
-        clock = Clock()
+        clock = ManualClock()
         chance = random.Random(3)
         placement = PrefixPlacement(PartMap(clock), chance)
         windows = {key: OutcomeWindow(clock) for key in self.RATES}
@@ -61,7 +52,7 @@
         assert failed <= 25
 
     def test_errors_by_chance_concentrate_nothing(self):
-        clock = Clock()
+        clock = ManualClock()
         chance = random.Random(3)
         placement = LeastLoaded(chance)
         windows = {f"s{n}": OutcomeWindow(clock) for n in range(3)}
--- a/boragetrail/policy/tests/test_prefix.py
+++ b/boragetrail/policy/tests/test_prefix.py
@@ -3,16 +3,7 @@
 import random
 
 from boragetrail.policy.prefix import EngineView, PartMap, PrefixPlacement
-
-
-class Clock:
-    """A clock that tests move."""
-
-    def __init__(self):
-        self.now_s = 0.0
-
-    def __call__(self):
-        return self.now_s
+from standins.clock import ManualClock
 
 
 def engines(count, **running):
@@ -32,7 +23,7 @@
     """Routers that place chats and tell each other, or not."""
 
     def __init__(self, routers, count):
-        self.clock = Clock()
+        self.clock = ManualClock()
         self.placements = [
             PrefixPlacement(PartMap(self.clock), random.Random(number))
             for number in range(routers)
@@ -72,7 +63,7 @@
         assert len(chosen) == 1
 
     def test_prompts_that_wait_are_spread(self):
-        placement = PrefixPlacement(PartMap(Clock()), random.Random(1))
+        placement = PrefixPlacement(PartMap(ManualClock()), random.Random(1))
         fleet = engines(5)
         for deck in range(50):
             parts = prompt(f"deck-{deck}")
@@ -88,7 +79,7 @@
     """Herd onto one prefix."""
 
     def test_second_engine_gets_a_copy_when_the_first_is_busy(self):
-        parts = PartMap(Clock())
+        parts = PartMap(ManualClock())
         placement = PrefixPlacement(parts, random.Random(1))
         chat = prompt("hot")
         placement.placed(chat, "e0")
@@ -100,7 +91,7 @@
         assert placement.source(chat, second, {"e0", "e1", "e2"}) == "e0"
 
     def test_no_engine_goes_over_the_bound(self):
-        placement = PrefixPlacement(PartMap(Clock()), random.Random(1))
+        placement = PrefixPlacement(PartMap(ManualClock()), random.Random(1))
         fleet = engines(5)
         chat = prompt("hot")
         placement.placed(chat, "e0")
@@ -149,13 +140,13 @@
         assert placement.source(prompt("deck"), other, set()) is None
 
     def test_restarted_engine_keeps_nothing(self):
-        parts = PartMap(Clock())
+        parts = PartMap(ManualClock())
         parts.note("deck", "e0")
         parts.forget("e0")
         assert parts.known() == []
 
     def test_unused_parts_are_forgotten(self):
-        clock = Clock()
+        clock = ManualClock()
         parts = PartMap(clock)
         parts.note("deck", "e0")
         clock.now_s = parts.KEEP_S + 1
@@ -166,7 +157,7 @@
     """A chat that comes back with its own part cached."""
 
     def test_it_returns_to_its_engine(self):
-        placement = PrefixPlacement(PartMap(Clock()), random.Random(1))
+        placement = PrefixPlacement(PartMap(ManualClock()), random.Random(1))
         fleet = engines(4)
         first = placement.order(prompt("deck", "chat-1"), fleet)[0].id
         placement.placed(prompt("deck", "chat-1"), first)
--- a/boragetrail/tests/test_logsink.py
+++ b/boragetrail/tests/test_logsink.py
@@ -8,16 +8,7 @@
 
 from boragetrail.events import Event, log_event
 from boragetrail.logsink import BURST_LINES, LINES_PER_S, BoundedSink
-
-
-class Clock:
-    """A clock that tests move."""
-
-    def __init__(self):
-        self.now_s = 0.0
-
-    def __call__(self):
-        return self.now_s
+from standins.clock import ManualClock
 
 
 @pytest.fixture
@@ -65,7 +56,7 @@
         assert line["text"] == Event.ZONE_OUT.text
 
     def test_rate_is_bounded_and_the_rest_counted(self, pipe, log):
-        clock = Clock()
+        clock = ManualClock()
         logger.add(BoundedSink(pipe[1], clock), format="{message}")
         for number in range(BURST_LINES + 50):
             log_event(Event.ZONE_OUT, zone=str(number))
@@ -76,7 +67,7 @@
         assert line["left_out"] == 50
 
     def test_reader_that_stops_does_not_stop_the_process(self, pipe, log):
-        clock = Clock()
+        clock = ManualClock()
         sink = BoundedSink(pipe[1], clock)
         logger.add(sink, format="{message}")
         for number in range(5000):
--- /dev/null
+++ b/standins/clock.py
@@ -0,0 +1,19 @@
+"""A clock that tests move."""
+
+__all__ = ["ManualClock"]
+
+
+class ManualClock:
+    """Return the seconds that a test has set.
+
+    >>> clock = ManualClock(5.0)
+    >>> clock.now_s += 1.5
+    >>> clock()
+    6.5
+    """
+
+    def __init__(self, now_s=0.0):
+        self.now_s = now_s
+
+    def __call__(self):
+        return self.now_s
