--- /dev/null
+++ b/features/test_direct.py
@@ -0,0 +1,248 @@
+"""Scenarios of a router without agents, as a real process."""
+
+import asyncio
+import json
+import signal
+import sys
+
+import aiohttp
+import pytest
+from pytest_bdd import given, parsers, scenario, then, when
+
+from boragetrail.direct.tests.conftest import Site, free_port
+from boragetrail.platform.names import HEADER_NAMES
+
+EVENTS = 30
+EVENT_PAUSE_S = 0.05
+START_S = 10.0
+STOP_S = 8.0
+ORDERS = 10
+
+
+class TestDirect:
+    """Planned stops, outages and settings."""
+
+    @staticmethod
+    @scenario("direct.feature", "It is stopped while streams run")
+    def test_stop():
+        """Run the scenario."""
+
+    @staticmethod
+    @scenario(
+        "direct.feature", "The store is away and a server's entry changes"
+    )
+    def test_store_away():
+        """Run the scenario."""
+
+    @staticmethod
+    @scenario("direct.feature", "It is told to read its settings again")
+    def test_reload():
+        """Run the scenario."""
+
+
+class DirectWorld:
+    """A router process, with the store and servers in this process."""
+
+    def __init__(self, folder):
+        self.runner = asyncio.Runner()
+        self.folder = folder
+        self.site = Site()
+        self.process = None
+        self.streams = []
+        self.log = folder / "router.log"
+        self.path = folder / "router.json"
+        self.callers = f"127.0.0.1:{free_port()}"
+        self.health = f"127.0.0.1:{free_port()}"
+
+    def run(self, coroutine):
+        """Run a coroutine to its end."""
+        return self.runner.run(coroutine)
+
+    def settings(self):
+        """Return the router's settings."""
+        address = f"127.0.0.1:{free_port()}"
+        return {
+            "role": "direct",
+            "name": "router-1",
+            "zone": "z1",
+            "listen": {
+                "callers": self.callers,
+                "health": self.health,
+                "gossip": address,
+                "relay": address,
+            },
+            "store": self.site.store.address,
+            "bounds": {
+                "retry_ratio": 0.2,
+                "retry_window_s": 10,
+                "retry_extra": 50,
+                "cold_factor": 1.5,
+                "cold_margin": 5,
+            },
+            "grace_s": STOP_S,
+            "first_start": True,
+        }
+
+    async def start(self, servers):
+        """Start everything and wait until the router is ready."""
+        await self.site.open(servers)
+        self.path.write_text(json.dumps(self.settings()))
+        with self.log.open("wb") as log:
+            self.process = await asyncio.create_subprocess_exec(
+                sys.executable,
+                "-m",
+                "boragetrail.direct",
+                str(self.path),
+                stdout=log,
+            )
+        async with asyncio.timeout(START_S):
+            while not await self.is_ready():
+                await asyncio.sleep(0.05)
+
+    async def is_ready(self):
+        """Return whether the router says that it is ready."""
+        url = f"http://{self.health}/"
+        try:
+            async with self.site.session.get(url) as answer:
+                return answer.status == 200
+        except aiohttp.ClientError:
+            return False
+
+    async def call(self, path):
+        """Send a request; returns (status, body)."""
+        url = f"http://{self.callers}{path}"
+        headers = self.site.fields(**{HEADER_NAMES.deadline_ms: "6000"})
+        async with self.site.session.post(url, headers=headers) as answer:
+            return answer.status, await answer.read()
+
+    async def wait_for_log(self, text):
+        """Wait until a line of the log holds a text."""
+        async with asyncio.timeout(START_S):
+            while text not in self.log.read_text():
+                await asyncio.sleep(0.05)
+
+    async def close(self):
+        """End the router, if it still runs, and everything else."""
+        if self.process is not None and self.process.returncode is None:
+            self.process.kill()
+            await self.process.wait()
+        await self.site.close()
+
+
+@pytest.fixture
+def direct(tmp_path):
+    """A world for one scenario."""
+    world = DirectWorld(tmp_path)
+    yield world
+    world.run(world.close())
+    world.runner.close()
+
+
+async def slow_stream(request):
+    """Stream numbered events with pauses."""
+    head = "\r\n".join(
+        [
+            "HTTP/1.1 200 OK",
+            f"{HEADER_NAMES.request_id}: {request.id}",
+            f"{HEADER_NAMES.seal}: seal",
+            "Content-Type: text/event-stream",
+            "Transfer-Encoding: chunked",
+        ]
+    )
+    request.writer.write(head.encode() + b"\r\n\r\n")
+    for number in range(EVENTS):
+        event = b"id: %d\ndata: x\n\n" % number
+        request.writer.write(b"%x\r\n%s\r\n" % (len(event), event))
+        await request.writer.drain()
+        await asyncio.sleep(EVENT_PAUSE_S)
+    return b"0\r\n\r\n"
+
+
+@given(parsers.parse("a direct router with {count:d} backend servers"))
+def _(direct, count):
+    direct.run(direct.start(count))
+
+
+@given(parsers.parse("{count:d} streams run through it"))
+def _(direct, count):
+    async def begin():
+        for server in direct.site.servers:
+            server.default = slow_stream
+        direct.streams = [
+            asyncio.ensure_future(direct.call("/stream/1"))
+            for _ in range(count)
+        ]
+        servers = direct.site.servers
+        await direct.site.until(
+            lambda: sum(len(each.requests) for each in servers) == count
+        )
+
+    direct.run(begin())
+
+
+@when("it is asked to stop")
+def _(direct):
+    direct.process.send_signal(signal.SIGTERM)
+
+
+@when("the store is down for 1 second and an entry is removed then")
+def _(direct):
+    async def outage():
+        store = direct.site.store
+        store.status = 503
+        store.remove("servers", "i-0")
+        await asyncio.sleep(1.0)
+        store.status = 0
+        await direct.wait_for_log('"E504"')
+
+    direct.run(outage())
+
+
+@when("its settings are broken and it is told to read them")
+def _(direct):
+    broken = {**direct.settings(), "grace_s": "long"}
+    direct.path.write_text(json.dumps(broken))
+    direct.process.send_signal(signal.SIGHUP)
+
+
+@then("each stream is whole")
+def _(direct):
+    async def gather():
+        return await asyncio.gather(*direct.streams)
+
+    for status, body in direct.run(gather()):
+        assert status == 200
+        assert body.count(b"data: x") == EVENTS
+
+
+@then("it ends with status 0")
+def _(direct):
+    async def end():
+        async with asyncio.timeout(STOP_S):
+            return await direct.process.wait()
+
+    assert direct.run(end()) == 0
+
+
+@then("its log tells of the start and the stop")
+def _(direct):
+    lines = [json.loads(line) for line in direct.log.open()]
+    events = [line["event"] for line in lines]
+    assert events[0] == "E100"
+    assert "E101" in events
+    assert events[-1] == "E102"
+
+
+@then("orders reach the other server only")
+def _(direct):
+    async def order():
+        return [(await direct.call("/order/1"))[0] for _ in range(ORDERS)]
+
+    assert direct.run(order()) == [200] * ORDERS
+    assert not direct.site.servers[0].requests
+    assert len(direct.site.servers[1].requests) == ORDERS
+
+
+@then("its log names the field that is wrong")
+def _(direct):
+    direct.run(direct.wait_for_log("grace_s"))
