--- a/boragetrail/direct/headers.py
+++ b/boragetrail/direct/headers.py
@@ -18,6 +18,7 @@
 )
 FRAMING_FIELDS = frozenset((b"content-length", b"expect"))
 LEAST_DEADLINE_MS = 1
+LOWEST_PRIORITY = 9
 
 
 class HeaderRewriter:
@@ -58,6 +59,7 @@
         if request.customer is not None:
             customer = request.customer.name
             lines.append(f"{names.customer}: {customer}".encode())
+        lines.append(f"{names.priority}: {_priority(request)}".encode())
         if resume_after:
             lines.append(f"{names.last_event_id}: {resume_after}".encode())
         if copy_from:
@@ -78,6 +80,15 @@
         ]
 
 
+def _priority(request):
+    """Return the rank of a request; a customer's goes before a route's."""
+    priority = request.route.priority
+    customer = request.customer
+    if customer is not None and customer.priority is not None:
+        priority = customer.priority
+    return max(0, min(LOWEST_PRIORITY, priority))
+
+
 def passed_fields(raw_headers, dropped, kept=frozenset()):
     """Yield the fields that concern more than one connection.
 
--- a/boragetrail/direct/learn.py
+++ b/boragetrail/direct/learn.py
@@ -42,9 +42,9 @@
     """
 
     # Time in which other routers answer their greeting.
-    GREETING_S = 0.05
+    GREETING_S = 0.03
     # Pauses after which routers that started together ask each other.
-    ASK_AGAIN_S = (0.3, 0.7, 2.0)
+    ASK_AGAIN_S = (0.08, 0.2, 0.7, 2.0)
 
     def __init__(self, fleet, peers, engines, session):
         self.fleet = fleet
--- a/boragetrail/direct/tests/test_path.py
+++ b/boragetrail/direct/tests/test_path.py
@@ -83,6 +83,7 @@
         forged = {
             HEADER_NAMES.customer: "somebody",
             HEADER_NAMES.expected_server: "i-9",
+            HEADER_NAMES.priority: "0",
             "Kv-From": "10.0.0.1:1/x",
             "X-Boragetrail-Hold": "h",
             "Connection": "keep-alive, X-Boragetrail-Model",
@@ -97,6 +98,7 @@
         assert "x-boragetrail-hold" not in seen.headers
         assert HEADER_NAMES.key.lower() not in seen.headers
         assert seen.headers["x-boragetrail-model"] == "m"
+        assert seen.headers[HEADER_NAMES.priority.lower()] == "1"
         left_ms = int(seen.headers[HEADER_NAMES.deadline_ms.lower()])
         assert 1500 < left_ms <= 2000
 
