--- a/boragetrail/policy/baselines.py
+++ b/boragetrail/policy/baselines.py
@@ -1,4 +1,4 @@
-"""Placements that the default is measured against."""
+"""Placements to compare the default one with."""
 
 import bisect
 
