Count work beyond a fallen limit as ending side by side

Change: what runs beyond the limit counts as one service time for its share, what waits counts one after the other as before. Before: test_work_over_a_fallen_limit_ends_side_by_side refused with 8.00 s of 2.00 s; after: admitted.

--- a/boragetrail/policy/admission.py
+++ b/boragetrail/policy/admission.py
@@ -114,13 +114,22 @@
         self._publish()
 
     def expected_wait_s(self, waiting):
-        """Return the expected wait of a new request for a slot."""
+        """Return the expected wait of a new request for a slot.
+
+        Work that runs beyond a limit that has fallen ends side by side, not
+        one after the other.
+        """
         slots = self.warmup.limit()
+        if slots < 1:
+            return 0.0
         ahead = self.share.ahead(waiting)
-        free = slots - self.share.running - ahead
-        if free > 0 or slots < 1:
+        running = self.share.running
+        over = max(0, running - slots)
+        queued = 1 + ahead - max(0, slots - running)
+        if queued <= 0:
             return 0.0
-        return (1 - free) * self.service_time_s / slots
+        side_by_side = over / max(1, running)
+        return (side_by_side + queued / slots) * self.service_time_s
 
     def set_leaving(self, leaving):
         """Tell whether the server takes new work."""
--- a/boragetrail/policy/tests/test_admission.py
+++ b/boragetrail/policy/tests/test_admission.py
@@ -69,6 +69,17 @@
         assert refusal.reason == Reason.OVERLOADED
         assert refusal.retry_after_s > 0
 
+    def test_work_over_a_fallen_limit_ends_side_by_side(self):
+        """A server that seems cold still ends what it runs meanwhile."""
+        self.others(70, 70, 70, 70)
+        for _ in range(8):
+            self.offer()
+            self.admission.next_started()
+        self.ramp.failure_seen()
+        assert self.ramp.limit() == 1
+        waiting = self.admission.offer("item", "b", 1.0, 5, 2.0, True)
+        assert not isinstance(waiting, Refusal)
+
     def test_surge_of_one_customer_leaves_a_slot_for_others(self):
         self.others(20, 20, 20, 20)
         self.offer("small")
