Take no short pace at the end of an answer for the usual one

Trace: agents' logs of single runs of test_cold without load show about 50 findings of cold servers each where one server was cold, in the surge beside 10 busy processes 73 to 119 a run, all at paces of 12 to 18 ms, which are usual. The last events of an answer come without a step; with EVENTS = 2 that is a pace of 4 ms, which taught a usual pace of under 5 ms at once, so each larger batch was over 3 times as slow. The limit fell to 1 again and again, and the caps of the others rose with it, which lets a server that is really cold be overrun. Changes: the end of an answer is no step; paces that are much faster count only once they have lasted two usual paces; a server that turned cold has to show paces under twice the usual, since one stream of a cold server (44 ms) is 2.9 times a full batch of a warm one (15 ms). Ruled out: the machine's load as the cause (the findings come without any), the load cap, late gossip.

--- a/boragetrail/agent/backend.py
+++ b/boragetrail/agent/backend.py
@@ -187,7 +187,9 @@
             return BackendFailure(Reason.ANSWER_TOO_LARGE)
         events = whole.count(b"\n\n")
         ended = ended or b"data: [DONE]" in whole
-        meter.seen(events)
+        if not ended:
+            # The last events of an answer come without a step.
+            meter.seen(events)
         await stream.append(whole, events)
     if tail or not ended:
         return BackendFailure(Reason.TRUNCATED, "event stream has no end")
--- a/boragetrail/policy/tests/test_warmup.py
+++ b/boragetrail/policy/tests/test_warmup.py
@@ -4,6 +4,8 @@
 
 COLD_S = 0.05
 WARM_S = 0.012
+# A warm server with a larger batch.
+FULL_S = 0.016
 
 
 class TestEvidenceRamp:
@@ -61,3 +63,44 @@
             self.ramp.request_ended()
         self.paces(COLD_S, 600)
         assert self.ramp.limit() == 16
+
+    def test_events_that_arrive_in_bunches_teach_no_faster_pace(self):
+        """After a hold-up of the agent all streams' events come at once."""
+        self.warm()
+        for _ in range(40):
+            self.now += 0.024
+            self.ramp.pace_seen(0.024)
+            for _ in range(6):
+                self.now += 0.0005
+                self.ramp.pace_seen(0.0005)
+            assert not self.paces(FULL_S, 4)
+        assert not self.paces(FULL_S, 40)
+        assert self.ramp.limit() == 16
+
+    def test_bunches_do_not_raise_the_limit_of_a_cold_server(self):
+        self.warm()
+        self.paces(COLD_S, 12)
+        for _ in range(20):
+            self.paces(COLD_S, 3)
+            for _ in range(4):
+                self.ramp.pace_seen(0.0005)
+        assert self.ramp.limit() == 1
+
+    def test_single_stream_of_a_cold_server_is_not_a_full_warm_one(self):
+        """A cold server with one stream is not 3 times a full warm one."""
+        self.warm()
+        self.paces(FULL_S, 200)
+        self.ramp.failure_seen()
+        self.paces(0.044, 60)
+        assert self.ramp.limit() == 1
+        self.paces(FULL_S, 20)
+        assert self.ramp.limit() == 16
+
+    def test_server_that_stays_a_little_slower_is_learned_anew(self):
+        self.warm()
+        self.ramp.failure_seen()
+        for _ in range(EvidenceRamp.SLOW_REQUESTS):
+            self.paces(2.5 * WARM_S, 4)
+            self.ramp.request_ended()
+        self.paces(2.5 * WARM_S, 600)
+        assert self.ramp.limit() == 16
--- a/boragetrail/policy/warmup.py
+++ b/boragetrail/policy/warmup.py
@@ -30,23 +30,30 @@
 
     The pace of a warm server is learned. While it is not known, the limit
     grows by one with every 32 good paces only, because the paces of a cold
-    server look even too; a pace that becomes much faster shows that the
-    server has warmed. Once the server was warm, each good pace adds one. A
-    run of slow paces, or one failure, drops the limit to its start, where it
-    stays until paces are good again. A server that stays slow for many
-    whole requests gets its pace learned anew.
+    server look even too; a pace that becomes and stays much faster shows
+    that the server has warmed. Once the server was warm, each good pace adds
+    one. A run of slow paces, or one failure, drops the limit to its start,
+    where it stays until paces are good again. A server that stays slow for
+    many whole requests gets its pace learned anew.
+
+    Events that were held up on the way arrive in a bunch. Their short paces
+    say nothing of the server, so faster paces count only once they have
+    lasted.
 
     :param slots: limit of a warm server
     :param clock: function that returns monotonic seconds
     :param start: limit of a cold server
 
-    >>> ramp = EvidenceRamp(4, lambda: 0.0)
+    >>> now = [0.0]
+    >>> ramp = EvidenceRamp(4, lambda: now[0])
     >>> ramp.limit()
     1
     >>> _ = [ramp.pace_seen(0.05) for _ in range(40)]
     >>> ramp.limit()
     2
-    >>> _ = [ramp.pace_seen(0.01) for _ in range(3)]
+    >>> for _ in range(12):
+    ...     now[0] += 0.01
+    ...     _ = ramp.pace_seen(0.01)
     >>> ramp.limit(), ramp.is_cold()
     (4, False)
     >>> ramp.failure_seen()
@@ -55,14 +62,22 @@
     """
 
     SLOW_FACTOR = 3.0
+    # A small batch of a cold server may be less than SLOW_FACTOR slower than
+    # a large batch of a warm one, so a server that turned cold has to show
+    # better paces.
+    RECOVERED_FACTOR = 2.0
     SLOW_PACES = 4
     # A run of slow paces counts once it lasts this many usual paces. One
     # slow step is seen by all streams at the same moment and is no run.
     SLOW_RUN_PACES = 8
     FASTER_FACTOR = 2.0
+    # Faster paces count once they last this many usual paces.
+    FASTER_RUN_PACES = 2
     UNPROVEN_PACES = 32
     SLOW_REQUESTS = 20
     BASELINE_GAIN = 0.05
+    # The usual pace is that of a small batch, so faster paces weigh more.
+    FASTER_GAIN = 0.3
     LEAST_PACE_S = 0.004
 
     def __init__(self, slots, clock, start=1):
@@ -76,6 +91,8 @@
         self.slow_in_row = 0
         self.slow_since_s = None
         self.slow_requests = 0
+        self.fast_in_row = 0
+        self.fast_since_s = None
 
     def limit(self):
         """Return how many requests may run at once."""
@@ -104,11 +121,17 @@
         pace_s = max(pace_s, self.LEAST_PACE_S)
         if self.baseline_s is None:
             self.baseline_s = pace_s
-        if pace_s > self.SLOW_FACTOR * self.baseline_s:
+        if self.FASTER_FACTOR * pace_s < self.baseline_s:
+            self._faster(pace_s)
+            return False
+        self.fast_in_row = 0
+        if pace_s > self._slow_factor() * self.baseline_s:
             return self._slow()
         self.slow_in_row = 0
         self.slow_requests = 0
-        self._learn(pace_s)
+        is_faster = pace_s < self.baseline_s
+        gain = self.FASTER_GAIN if is_faster else self.BASELINE_GAIN
+        self.baseline_s += gain * (pace_s - self.baseline_s)
         self.good_paces += 1
         if self.proven or self.good_paces % self.UNPROVEN_PACES == 0:
             self._grow()
@@ -134,6 +157,11 @@
         self.slow_in_row = 0
         self.good_paces = 0
 
+    def _slow_factor(self):
+        if self.is_cold() and self.proven:
+            return self.RECOVERED_FACTOR
+        return self.SLOW_FACTOR
+
     def _slow(self):
         now = self.clock()
         if not self.slow_in_row:
@@ -148,16 +176,22 @@
         self.allowed = self.start
         return fell
 
-    def _grow(self):
-        self.allowed = min(self.slots, self.allowed + 1)
-        if self.allowed == self.slots:
-            self.proven = True
+    def _faster(self, pace_s):
+        now = self.clock()
+        if not self.fast_in_row:
+            self.fast_since_s = now
+        self.fast_in_row += 1
+        lasted_s = now - self.fast_since_s
+        if lasted_s < self.FASTER_RUN_PACES * self.baseline_s:
+            return
+        self.proven = True
+        self.baseline_s = pace_s
+        self.slow_in_row = 0
+        self.slow_requests = 0
+        self._grow(self.fast_in_row)
+        self.fast_in_row = 0
 
-    def _learn(self, pace_s):
-        if self.FASTER_FACTOR * pace_s < self.baseline_s:
+    def _grow(self, steps=1):
+        self.allowed = min(self.slots, self.allowed + steps)
+        if self.allowed == self.slots:
             self.proven = True
-            self.baseline_s = pace_s
-        elif pace_s < self.baseline_s:
-            self.baseline_s += 0.3 * (pace_s - self.baseline_s)
-        else:
-            self.baseline_s += self.BASELINE_GAIN * (pace_s - self.baseline_s)
