Log the choice and the first part of a request; test nine rules

Change: E205 with the inputs of each choice when it is made, E206 when the first part of a stream is passed on; the end line keeps server and tries. test_rules.py: route's own timeout, keys taken away, draining servers and zones, cold servers and their rate, the third server, two framings, a request in a body, an early answer, 408, callers that leave while they wait or are repeated, connections of a ready router, the lines of one request. The stand-in server gains a wait for the other side's close.

--- a/boragetrail/direct/dispatch.py
+++ b/boragetrail/direct/dispatch.py
@@ -85,7 +85,7 @@
         attempt = Attempt(state, self.names, request.id)
         progress.attempt = attempt
         plan = self.choice.plan(request, progress, record.id)
-        self._explain(request, progress, state, plan)
+        self._log_sent(request, progress, state, plan)
         progress.work = PendingWork(state, plan.unread_tokens)
         try:
             return await self._exchange(request, caller, progress, plan)
@@ -134,7 +134,7 @@
     async def _pass_on(self, request, caller, progress, attempt):
         answer = attempt.answer
         if request.route.kind is RequestKind.STREAM and answer.ok:
-            return await self._pass_stream(caller, progress, attempt)
+            return await self._pass_stream(request, caller, progress, attempt)
         body = await attempt.body()
         if body is None:
             attempt.server.failed()
@@ -157,17 +157,21 @@
         detail = f"the server answered {status}"
         return Failure(Reason.BACKEND_FAILED, detail, Ran.YES)
 
-    async def _pass_stream(self, caller, progress, attempt):
+    async def _pass_stream(self, request, caller, progress, attempt):
         answer = attempt.answer
         if not caller.started:
             fields = self.rewriter.answer_fields(answer.raw_headers)
             await caller.start(answer.status, fields)
         events = progress.events
         events.rest = b""
+        began = False
         async for data in attempt.chunks():
             whole = events.feed(data)
             if whole:
                 await caller.write(whole)
+            if whole and not began:
+                began = True
+                self._log_began(request, attempt)
         if attempt.state is not AttemptState.COMPLETE:
             attempt.server.failed()
             return Failure(Reason.TRUNCATED, attempt.error)
@@ -230,20 +234,38 @@
             self.repeats_by_service[service.name] = part
         return part
 
-    def _explain(self, request, progress, state, plan):
-        """Keep the inputs of a choice for the line that ends a request."""
+    def _log_sent(self, request, progress, state, plan):
+        """Log a choice with its inputs; the end line names its result."""
         peers = self.fleet.peers
         request.decision = {
             "server": state.record.id,
             "tries": progress.tries,
+        }
+        inputs = {
             "in_flight": state.in_flight,
             "others": peers.load(state.record.id).requests,
             "news_age_s": peers.news_age_s(),
             "doubtful": state.is_doubtful(),
+            "left_s": round(request.deadline_s - self.clock(), 3),
         }
         if progress.prompt:
-            request.decision["unread_tokens"] = plan.unread_tokens
-            request.decision["copied_from"] = plan.copy_from
+            inputs["unread_tokens"] = plan.unread_tokens
+            inputs["copied_from"] = plan.copy_from
+        log_event(
+            Event.REQUEST_SENT,
+            request=request.id,
+            service=request.service.name,
+            **request.decision,
+            **inputs,
+        )
+
+    def _log_began(self, request, attempt):
+        log_event(
+            Event.ANSWER_BEGAN,
+            request=request.id,
+            server=attempt.server.record.id,
+            after_s=round(self.clock() - request.received_s, 3),
+        )
 
     def _log_repeat(self, request, progress, failure, state):
         log_event(
--- a/boragetrail/direct/tests/conftest.py
+++ b/boragetrail/direct/tests/conftest.py
@@ -94,6 +94,12 @@
     }
 
 
+async def connect(daemon):
+    """Open a raw connection to a router."""
+    host, _, port = daemon.settings.callers.partition(":")
+    return await asyncio.open_connection(host, int(port))
+
+
 class Site:
     """A store, servers and routers of one test."""
 
--- a/boragetrail/direct/tests/test_path.py
+++ b/boragetrail/direct/tests/test_path.py
@@ -5,7 +5,8 @@
 import aiohttp
 import pytest
 
-from boragetrail.direct.tests.conftest import HOST, KEY, configuration, route
+from boragetrail.direct.tests.conftest import HOST, KEY, configuration
+from boragetrail.direct.tests.conftest import connect, route
 from boragetrail.platform.names import HEADER_NAMES
 from standins.httpserver import whole_answer
 
@@ -458,12 +459,6 @@
         assert headers["Connection"] == "close"
 
 
-async def connect(daemon):
-    """Open a raw connection to a router."""
-    host, _, port = daemon.settings.callers.partition(":")
-    return await asyncio.open_connection(host, int(port))
-
-
 def raw_request(path, request_id):
     """Return a request as bytes."""
     lines = [
--- /dev/null
+++ b/boragetrail/direct/tests/test_rules.py
@@ -0,0 +1,329 @@
+"""Tests of what must hold of requests on any day."""
+
+import asyncio
+
+import pytest
+
+from boragetrail.direct.tests.conftest import HOST, KEY, configuration
+from boragetrail.direct.tests.conftest import connect, route, service
+from boragetrail.events import Event
+from boragetrail.platform.names import HEADER_NAMES
+from standins.httpserver import whole_answer
+
+LONG_MS = {HEADER_NAMES.deadline_ms: "60000"}
+
+
+async def hang(request):
+    """Never answer."""
+    await asyncio.sleep(60)
+
+
+async def fail(request):
+    """Answer with an error after running a request."""
+    return whole_answer(request, b"oops", "500 Internal Server Error")
+
+
+def requests_of(site):
+    """Return what the servers got, as one list."""
+    return [each for server in site.servers for each in server.requests]
+
+
+def head_of(path, request_id, *fields):
+    """Return the head of a request of a caller as bytes."""
+    lines = [
+        f"POST {path} HTTP/1.1",
+        f"Host: {HOST}",
+        f"{HEADER_NAMES.request_id}: {request_id}",
+        f"{HEADER_NAMES.key}: {KEY}",
+        *fields,
+    ]
+    return "\r\n".join(lines).encode() + b"\r\n\r\n"
+
+
+class TestRouteTimeout:
+    """The operators' longest time binds, whatever the caller waits."""
+
+    async def test_answer_comes_when_the_time_of_the_route_is_up(self, site):
+        routes = [route("status", "idempotent", timeoutMs=300)]
+        site.store.put("op", "config", configuration(routes=routes))
+        daemon = await site.add_router()
+        for server in site.servers:
+            server.default = hang
+        async with asyncio.timeout(5.0):
+            status, _, _ = await site.call(
+                daemon, "/status/1", headers=LONG_MS
+            )
+        assert status == 504
+
+
+class TestKeys:
+    """Keys that are taken away."""
+
+    async def test_key_taken_away_from_a_connected_caller(self, site):
+        daemon = await site.add_router()
+        status, _, _ = await site.call(daemon, "/status/1")
+        assert status == 200
+        site.store.put("op", "config", configuration(2, tenants=[]))
+        await site.until(lambda: daemon.directory.configuration.version == 2)
+        status, _, _ = await site.call(daemon, "/status/1")
+        assert status == 401
+        assert len(requests_of(site)) == 1
+
+
+class TestPlannedLeaving:
+    """Servers that leave and zones that are taken out of service."""
+
+    COUNT = 20
+
+    async def calls(self, site, daemon):
+        """Send requests; returns what each server got of them."""
+        before = [len(server.requests) for server in site.servers]
+        for _ in range(self.COUNT):
+            status, _, _ = await site.call(daemon, "/status/1")
+            assert status == 200
+        after = [len(server.requests) for server in site.servers]
+        return [new - old for new, old in zip(after, before)]
+
+    async def test_draining_server_gets_nothing(self, site):
+        daemon = await site.add_router()
+        leaving = site.servers[0]
+        entry = leaving.entry("apps", state="draining")
+        site.store.put("servers", leaving.id, entry)
+        listed = daemon.directory.servers_by_id
+        await site.until(lambda: not listed[leaving.id].record.ready)
+        assert await self.calls(site, daemon) == [0, self.COUNT]
+
+    async def test_zone_out_and_back(self, site):
+        await site.add_server(zone="z2")
+        daemon = await site.add_router()
+        site.store.put("op", "evacuate/z1", {})
+        await site.until(lambda: daemon.directory.evacuated_zones == {"z1"})
+        assert await self.calls(site, daemon) == [0, 0, self.COUNT]
+        site.store.remove("op", "evacuate/z1")
+        await site.until(lambda: not daemon.directory.evacuated_zones)
+        counts = await self.calls(site, daemon)
+        assert counts[0] + counts[1] > 0
+
+
+class TestColdServers:
+    """The rate of a cold server holds for the whole fleet."""
+
+    RATE = 2.0
+
+    async def cold_site(self, site, cold):
+        """Return a router; the servers in ``cold`` have just started."""
+        services = [service("apps", coldPerS=self.RATE)]
+        site.store.put("op", "config", configuration(services=services))
+        for number in cold:
+            server = site.servers[number]
+            entry = server.entry("apps", coldLeftMs=60000)
+            site.store.put("servers", server.id, entry)
+        return await site.add_router()
+
+    async def test_warm_server_goes_first(self, site):
+        daemon = await self.cold_site(site, [0])
+        for _ in range(20):
+            await site.call(daemon, "/status/1")
+        assert not site.servers[0].requests
+        assert len(site.servers[1].requests) == 20
+
+    async def test_router_that_starts_takes_no_part_of_a_small_rate(
+        self, site
+    ):
+        daemon = await self.cold_site(site, [0, 1])
+        status, headers, _ = await site.call(daemon, "/status/1")
+        assert status == 503 and float(headers["Retry-After"]) > 0
+        assert not requests_of(site)
+
+    async def test_burst_on_cold_servers_stays_below_the_rate(self, site):
+        daemon = await self.cold_site(site, [0, 1])
+        daemon.peers.started_s -= daemon.peers.START_S
+        answers = await asyncio.gather(
+            *(site.call(daemon, "/status/1") for _ in range(40))
+        )
+        bounds = daemon.settings.bounds
+        most = self.RATE * bounds.cold_factor + bounds.cold_margin
+        assert all(0 < len(s.requests) <= most for s in site.servers)
+        refused = [headers for status, headers, _ in answers if status == 503]
+        assert len(refused) == 40 - len(requests_of(site))
+        assert all("Retry-After" in headers for headers in refused)
+
+
+class TestAttempts:
+    """A request goes to no more servers than its route allows."""
+
+    async def test_third_server_is_not_tried(self, site):
+        await site.add_server()
+        daemon = await site.add_router()
+        for server in site.servers:
+            server.default = fail
+        status, _, body = await site.call(daemon, "/status/1")
+        assert (status, body) == (500, b"oops")
+        assert len(requests_of(site)) == 2
+
+
+class TestRequestBodies:
+    """Bodies reach a server whole, once, and nowhere else."""
+
+    async def test_request_inside_a_body_is_a_body(self, site):
+        daemon = await site.add_router()
+        inner = head_of("/order/2", "inner", "Content-Length: 0")
+        await site.call(daemon, "/order/1", data=inner)
+        (request,) = requests_of(site)
+        assert request.body == inner
+
+    @pytest.mark.parametrize(
+        "fields",
+        [
+            ("Content-Length: 4", "Transfer-Encoding: chunked"),
+            ("Content-Length: 4", "Content-Length: 50"),
+            ("Transfer-Encoding: xchunked", "Content-Length: 4"),
+        ],
+    )
+    async def test_two_framings_are_refused(self, site, fields):
+        daemon = await site.add_router()
+        reader, writer = await connect(daemon)
+        inner = head_of("/order/2", "inner", "Content-Length: 0")
+        writer.write(head_of("/order/1", "outer", *fields))
+        writer.write(b"0\r\n\r\n" + inner)
+        version, _, status = (await reader.read(12)).partition(b" ")
+        writer.close()
+        assert version.startswith(b"HTTP/1.") and status == b"400"
+        assert not requests_of(site)
+
+    async def test_body_that_comes_late_has_not_run(self, site):
+        daemon = await site.add_router()
+        reader, writer = await connect(daemon)
+        deadline = f"{HEADER_NAMES.deadline_ms}: 200"
+        fields = ("Content-Length: 100", deadline)
+        writer.write(head_of("/order/1", "late", *fields) + b"part")
+        answer = await reader.readuntil(b"\r\n\r\n")
+        writer.close()
+        assert answer.startswith(b"HTTP/1.1 408")
+        assert b"retry-after" in answer.lower()
+        assert not requests_of(site)
+
+    async def test_early_answer_leaves_the_rest_of_a_body_in_place(self, site):
+        """The server answers before it has read; its channel is kept."""
+        got = []
+
+        async def serve(reader, writer):
+            while True:
+                head = await reader.readuntil(b"\r\n\r\n")
+                fields = head.decode().lower().split("\r\n")
+                values = dict(line.split(": ", 1) for line in fields[1:-2])
+                request_id = values[HEADER_NAMES.request_id.lower()]
+                names = HEADER_NAMES
+                writer.write(
+                    f"HTTP/1.1 200 OK\r\n{names.request_id}: {request_id}\r\n"
+                    f"{names.seal}: s\r\nContent-Length: 2\r\n\r\nok".encode()
+                )
+                await asyncio.sleep(0.05)
+                length = int(values["content-length"])
+                got.append(await reader.readexactly(length))
+
+        listener = await asyncio.start_server(serve, "127.0.0.1", 0)
+        port = listener.sockets[0].getsockname()[1]
+        for server in site.servers:
+            entry = server.entry("apps", address=f"127.0.0.1:{port}")
+            site.store.put("servers", server.id, entry)
+        daemon = await site.add_router()
+        bodies = [bytes([65 + number]) * 90000 for number in range(6)]
+        for body in bodies:
+            status, _, _ = await site.call(daemon, "/order/1", data=body)
+            assert status == 200
+        await site.until(lambda: len(got) == len(bodies))
+        listener.close()
+        assert got == bodies
+
+
+class TestCallersThatLeave:
+    """Servers stop work for callers that are gone."""
+
+    async def leave(self, daemon, path, reached):
+        """Send a request and leave once servers have it."""
+        _, writer = await connect(daemon)
+        writer.write(head_of(path, "left", "Content-Length: 0"))
+        async with asyncio.timeout(5.0):
+            await reached.wait()
+        writer.transport.abort()
+
+    async def test_while_the_answer_is_awaited(self, site):
+        daemon = await site.add_router()
+        reached, gone = asyncio.Event(), asyncio.Event()
+
+        async def behave(request):
+            reached.set()
+            await request.sender_left()
+            gone.set()
+
+        for server in site.servers:
+            server.default = behave
+        await self.leave(daemon, "/status/1", reached)
+        async with asyncio.timeout(0.5):
+            await gone.wait()
+
+    async def test_while_it_is_repeated(self, site):
+        daemon = await site.add_router()
+        reached, gone = asyncio.Event(), asyncio.Event()
+        seen = []
+
+        async def behave(request):
+            seen.append(request)
+            if len(seen) == 1:
+                return await fail(request)
+            reached.set()
+            await request.sender_left()
+            gone.set()
+            return None
+
+        for server in site.servers:
+            server.default = behave
+        await self.leave(daemon, "/status/1", reached)
+        async with asyncio.timeout(0.5):
+            await gone.wait()
+        assert len(seen) == 2
+
+
+class TestReadiness:
+    """A router that says it is ready takes connections."""
+
+    async def test_ready_router_takes_many_connections(self, site):
+        daemon = await site.add_router()
+        assert daemon.is_ready()
+        opened = await asyncio.gather(*(connect(daemon) for _ in range(200)))
+        for number, (reader, writer) in enumerate(opened):
+            writer.write(head_of("/status/1", f"c{number}"))
+        for reader, writer in opened:
+            assert (await reader.read(12)) == b"HTTP/1.1 200"
+            writer.close()
+
+
+class TestLogOfARequest:
+    """The lines of one request tell its way."""
+
+    async def test_choice_first_part_and_end(self, site, monkeypatch):
+        lines = []
+
+        def note(event, **fields):
+            lines.append((event, fields))
+
+        for module in ("dispatch", "frontend"):
+            name = f"boragetrail.direct.{module}.log_event"
+            monkeypatch.setattr(name, note)
+        daemon = await site.add_router()
+
+        async def behave(request):
+            fields = ("Content-Type: text/event-stream",)
+            return whole_answer(request, b"id: 1\ndata: a\n\n", fields=fields)
+
+        for server in site.servers:
+            server.default = behave
+        await site.call(daemon, "/resume/1")
+        assert [event for event, _ in lines] == [
+            Event.REQUEST_SENT,
+            Event.ANSWER_BEGAN,
+            Event.REQUEST_DONE,
+        ]
+        assert {fields["request"] for _, fields in lines} == {"a0000001"}
+        assert len({fields["server"] for _, fields in lines}) == 1
--- a/boragetrail/events.py
+++ b/boragetrail/events.py
@@ -22,6 +22,8 @@
     REQUEST_REPEATED = (202, "INFO", "A request goes to another server.")
     REQUEST_CANCELLED = (203, "INFO", "The caller left before the answer.")
     HANDLER_FAILED = (204, "ERROR", "An error in the code cut a request.")
+    REQUEST_SENT = (205, "INFO", "A request goes to a server.")
+    ANSWER_BEGAN = (206, "INFO", "The first part of a stream was passed on.")
     LINK_OPENED = (300, "INFO", "A connection to an agent opened.")
     LINK_LOST = (301, "WARNING", "A connection to an agent was lost.")
     LINK_SILENT = (302, "WARNING", "A connection to an agent went silent.")
--- a/standins/httpserver.py
+++ b/standins/httpserver.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import collections
+import contextlib
 
 from boragetrail.platform.names import HEADER_NAMES
 
@@ -11,16 +12,23 @@
 
 
 class ServerRequest:
-    """Hold one request as it arrived."""
+    """Hold one request as it arrived, and both ends of its connection."""
 
-    __slots__ = ("line", "headers", "body", "writer")
+    __slots__ = ("line", "headers", "body", "reader", "writer")
 
-    def __init__(self, line, headers, body, writer):
+    def __init__(self, line, headers, body, reader, writer):
         self.line = line
         self.headers = headers
         self.body = body
+        self.reader = reader
         self.writer = writer
 
+    async def sender_left(self):
+        """Wait until the other side has closed the connection."""
+        with contextlib.suppress(ConnectionError):
+            while await self.reader.read(1):
+                pass
+
     @property
     def id(self):
         """Return the id that the answer repeats."""
@@ -116,4 +124,4 @@
         headers[name.lower()] = value.strip()
     length = int(headers.get("content-length", 0))
     body = await reader.readexactly(length)
-    return ServerRequest(line, headers, body, writer)
+    return ServerRequest(line, headers, body, reader, writer)
