Leave large rows to other routers where a link is slow

Cause: the waiting call at the store brings each configuration whole, as base64 in JSON, 0.85 s each on such a link, beside the callers' traffic. Change: routers with links under 25 Mbit/s don't wait at the store for the operators' rows while other routers tell that they hear it; the rows come from the fastest of those, compressed from 2 KB on (test: under a fifth).

--- a/boragetrail/direct/daemon.py
+++ b/boragetrail/direct/daemon.py
@@ -34,6 +34,8 @@
 POLL_S = 0.05
 CLOSE_TIMEOUT_S = 0.1
 SWEEP_S = 5.0
+# Routers with slower links leave the store's large rows to others.
+SLOW_LINK_MBPS = 25.0
 ANNOUNCE_PAUSE_S = 1.0
 
 
@@ -121,6 +123,7 @@
                 self.random,
                 self.peers.is_reader,
                 self.peers.store_was_up,
+                self._others_tell(table),
             )
             for table in Table
         }
@@ -235,6 +238,17 @@
     def _peer_source(self, peer):
         return PeerSource(self.session, peer.address[0], peer.relay_port)
 
+    def _others_tell(self, table):
+        """Return the function by which a feed leaves changes to others.
+
+        A configuration takes a slow link long. Other routers give it
+        compressed.
+        """
+        is_slow = self.settings.link_mbps < SLOW_LINK_MBPS
+        if table is Table.OPERATORS and is_slow:
+            return self.peers.hear_store
+        return lambda: False
+
     def _may_lapse(self, table):
         """Return whether told deletions may be lapses of living servers."""
         feed = self.feeds_by_table[table]
--- a/boragetrail/direct/feed.py
+++ b/boragetrail/direct/feed.py
@@ -19,6 +19,8 @@
     :param is_reader: function that returns whether this router asks often
     :param was_up: function from an outage in seconds to whether other
         routers heard the source all the while
+    :param others_tell: function that returns whether changes are left to
+        other routers to tell; by default they never are
     :ivar heard_s: monotonic time of the last answer of the source
     """
 
@@ -27,13 +29,22 @@
     READER_WAIT_S = 2.0
     WAIT_S = 10.0
     PAUSE_S = 0.8
+    LEFT_TO_OTHERS_S = 0.5
     FIRST_PAUSE_S = 0.1
     MOST_PAUSE_S = 0.4
     # Without an answer for so long, the table counts as lost.
     LOST_S = 3.0
 
     def __init__(
-        self, table, source, directory, clock, random, is_reader, was_up
+        self,
+        table,
+        source,
+        directory,
+        clock,
+        random,
+        is_reader,
+        was_up,
+        others_tell=lambda: False,
     ):
         self.table = table
         self.source = source
@@ -42,6 +53,7 @@
         self.random = random
         self.is_reader = is_reader
         self.was_up = was_up
+        self.others_tell = others_tell
         self.heard_s = clock()
         self.steady_since_s = clock()
         self.pause_s = self.FIRST_PAUSE_S
@@ -57,6 +69,9 @@
     async def run(self):
         """Follow the table until the task is cancelled."""
         while True:
+            if not self.needs_all and self.others_tell():
+                await asyncio.sleep(self.LEFT_TO_OTHERS_S)
+                continue
             self.asking = True
             result = await self._next()
             self.asking = False
--- a/boragetrail/direct/peers.py
+++ b/boragetrail/direct/peers.py
@@ -218,6 +218,10 @@
             if now - peer.heard_s <= self.TRUSTED_AGE_S and peer.steady_s > 0
         )
 
+    def hear_store(self):
+        """Return whether others lately told that they hear the store."""
+        return any(peer.steady_s > 0 for peer in self.heard_peers())
+
     def heard_peers(self):
         """Return the routers that told something lately, as a list."""
         oldest = self.clock() - self.TRUSTED_AGE_S
--- a/boragetrail/direct/relay.py
+++ b/boragetrail/direct/relay.py
@@ -24,6 +24,7 @@
 # Longest silence of a peer.
 SILENCE_S = 0.6
 CLOSE_TIMEOUT_S = 0.1
+LEAST_COMPRESSED_BYTES = 2048
 CONTENT_TYPE = "application/cbor"
 PATH = "/rows"
 
@@ -89,9 +90,12 @@
         except ValueError:
             return aiohttp.web.Response(status=400)
         rows = self.directory.mirrors[table].since(since)
-        return aiohttp.web.Response(
+        answer = aiohttp.web.Response(
             body=encode_changes(rows), content_type=CONTENT_TYPE
         )
+        if len(answer.body) >= LEAST_COMPRESSED_BYTES:
+            answer.enable_compression()
+        return answer
 
     async def _parts(self, request):
         return aiohttp.web.Response(
--- a/boragetrail/direct/tests/test_feed.py
+++ b/boragetrail/direct/tests/test_feed.py
@@ -3,6 +3,8 @@
 import json
 import random
 
+import pytest
+
 from boragetrail.direct.directory import Directory
 from boragetrail.direct.feed import Feed
 from boragetrail.direct.mirror import Mirror
@@ -62,7 +64,7 @@
 class TestFeed:
     """Quiet times, outages and lost history."""
 
-    def make(self, *steps, was_up=False):
+    def make(self, *steps, was_up=False, others_tell=lambda: False):
         """Return (feed, directory, clock, source) for a script."""
         clock = ManualClock(100.0)
         directory = Directory(PlatformDecoder(), clock)
@@ -75,7 +77,9 @@
             random.Random(1),
             lambda: True,
             lambda outage_s: was_up,
+            others_tell,
         )
+        feed.LEFT_TO_OTHERS_S = 0.0
         feed.FIRST_PAUSE_S = feed.MOST_PAUSE_S = feed.pause_s = 0.0
         return feed, directory, clock, source
 
@@ -174,6 +178,19 @@
         assert source.reads == 3
         assert list(directory.servers_by_id) == ["i-1"]
 
+    async def test_changes_are_left_to_others_after_the_first_read(self):
+        """A large row does not come twice over a slow link."""
+        answers = [True] * 5 + [False] * 2
+        feed, directory, _, source = self.make(
+            (0.0, changes(3, Row("a", 1, entry()), whole=True)),
+            (0.0, changes(9, Row("b", 9, entry()))),
+            others_tell=lambda: answers.pop(0),
+        )
+        with pytest.raises(EndOfScript):
+            await feed.run()
+        assert not answers
+        assert set(directory.servers_by_id) == {"a", "b"}
+
 
 class TestDirectory:
     """Rows that can't be read, and versions that never go back."""
--- a/boragetrail/direct/tests/test_peers.py
+++ b/boragetrail/direct/tests/test_peers.py
@@ -5,7 +5,7 @@
 from boragetrail.direct.digest import Digest, decode_digest, encode_digest
 from boragetrail.direct.peers import PeerTable
 from boragetrail.direct.ports import SourceFailure, Table
-from boragetrail.direct.tests.conftest import configuration
+from boragetrail.direct.tests.conftest import configuration, route
 from standins.clock import ManualClock
 
 
@@ -138,6 +138,28 @@
         await site.until(second.is_ready)
         assert (await site.call(second, "/order/1"))[0] == 200
 
+    async def test_router_with_a_slow_link_gets_compressed_rows(self, site):
+        first = await site.add_router()
+        second = site.make_router()
+        second.settings.link_mbps = 5.0
+        await second.open()
+        await site.until(second.is_ready)
+        await site.until(second.peers.hear_store)
+        # Ends its first wait for changes at the store.
+        site.store.put("op", "config", configuration(2))
+        await site.until(lambda: second.directory.configuration.version == 2)
+        feed = second.feeds_by_table[Table.OPERATORS]
+        await site.until(lambda: not feed.is_asking())
+        large = configuration(3)
+        large["routes"] += [route(f"r{n}", "idempotent") for n in range(300)]
+        site.store.put("op", "config", large)
+        await site.until(lambda: second.directory.configuration.version == 3)
+        assert not feed.is_asking()
+        url = f"http://{first.settings.relay}/rows?table=operators&since=0"
+        async with site.session.get(url) as answer:
+            sent = int(answer.headers["Content-Length"])
+            assert sent * 5 < len(await answer.read())
+
     async def test_versions_told_are_those_of_rows(self, site):
         # The store's own counter grows with every table's writes.
         first = await site.add_router()
