Ask two routers for cached parts after a start, not all

Cause: each of 24 routers asked each other one for all its cached parts five times, over links of 5 Mbit/s on a part of them; 2579 log lines (E506) say that such a call took over 0.6 s. So did each single restart, with 23 calls. Change: two routers a round, those with fast links; rounds end when a router that is up for 8 s has answered; the answers are compressed; servers are asked by routers with fast links. What one learned spreads as an epidemic. Tests: 28 routers in memory know all after the rounds with two calls each; a single restart asks once; slow links are neither asked nor ask servers.

--- a/boragetrail/direct/daemon.py
+++ b/boragetrail/direct/daemon.py
@@ -34,8 +34,6 @@
 POLL_S = 0.05
 CLOSE_TIMEOUT_S = 0.1
 SWEEP_S = 5.0
-# Routers with slower links leave the store's large rows to others.
-SLOW_LINK_MBPS = 25.0
 ANNOUNCE_PAUSE_S = 1.0
 
 
@@ -59,6 +57,7 @@
         self.metrics = DirectMetrics()
         self.peers = PeerTable(self.clock, self.random)
         self.peers.own = split_address(settings.gossip)
+        self.peers.link_mbps = settings.link_mbps
         self.directory = Directory(platform.PlatformDecoder(), self.clock)
         self.fleet = Fleet(
             self.directory, self.peers, settings.zone, self.clock
@@ -244,8 +243,7 @@
         A configuration takes a slow link long. Other routers give it
         compressed.
         """
-        is_slow = self.settings.link_mbps < SLOW_LINK_MBPS
-        if table is Table.OPERATORS and is_slow:
+        if table is Table.OPERATORS and self.peers.has_slow_link():
             return self.peers.hear_store
         return lambda: False
 
--- a/boragetrail/direct/learn.py
+++ b/boragetrail/direct/learn.py
@@ -1,7 +1,11 @@
 """Learn after a start which servers keep which parts of prompts.
 
 Other routers know it; if all have restarted, the servers themselves are
-asked, each by one router.
+asked, each by one router, and what they tell spreads: each router asks a few
+others in each of several rounds [1]_.
+
+.. [1] A. Demers et al., "Epidemic Algorithms for Replicated Database
+   Maintenance", PODC 1987.
 """
 
 import asyncio
@@ -45,6 +49,10 @@
     GREETING_S = 0.03
     # Pauses after which routers that started together ask each other.
     ASK_AGAIN_S = (0.08, 0.2, 0.7, 2.0)
+    # Routers asked in a round.
+    ASKED = 2
+    # A router that is up for so long knows what there is to know.
+    SETTLED_S = 8.0
 
     def __init__(self, fleet, peers, engines, session):
         self.fleet = fleet
@@ -59,18 +67,28 @@
             time, so that no server keeps anything
         """
         await asyncio.sleep(self.GREETING_S)
-        await self._ask_routers()
+        if await self._ask_routers():
+            return
         if not first_start and not self.peers.has_older(self.GREETING_S):
             await self._ask_servers()
         for pause_s in self.ASK_AGAIN_S:
             await asyncio.sleep(pause_s)
-            await self._ask_routers()
+            if await self._ask_routers():
+                return
 
     async def _ask_routers(self):
-        peers = self.peers.heard_peers()
-        await asyncio.gather(*(self._ask_router(peer) for peer in peers))
+        """Ask some routers; returns whether one of them is settled."""
+        peers = self.peers.sources(self.ASKED)
+        answers = await asyncio.gather(
+            *(self._ask_router(peer) for peer in peers)
+        )
+        return any(
+            answered and peer.up_s >= self.SETTLED_S
+            for answered, peer in zip(answers, peers)
+        )
 
     async def _ask_router(self, peer):
+        """Take over what a router knows; returns whether it answered."""
         url = f"http://{peer.address[0]}:{peer.relay_port}{PARTS_PATH}"
         timeout = aiohttp.ClientTimeout(total=CALL_TIMEOUT_S)
         try:
@@ -78,10 +96,11 @@
                 data = await answer.read()
         except (aiohttp.ClientError, asyncio.TimeoutError) as exc:
             log_event(Event.PARTS_UNKNOWN, source=url, error=repr(exc))
-            return
+            return False
         for part, server_ids in decode_parts(data):
             for server_id in server_ids:
                 self.fleet.parts.note(part, server_id)
+        return True
 
     async def _ask_servers(self):
         configuration = self.fleet.directory.configuration
--- a/boragetrail/direct/peers.py
+++ b/boragetrail/direct/peers.py
@@ -7,6 +7,8 @@
 
 __all__ = ["Load", "Peer", "PeerTable"]
 
+# Links below this are left to callers' traffic as far as possible.
+SLOW_LINK_MBPS = 25.0
 # Common text by which routers rank themselves as readers of the store.
 READER_KEY = "store"
 
@@ -59,6 +61,10 @@
         self.link_mbps = 0.0
         self.leaving = False
 
+    def has_slow_link(self):
+        """Return whether the router's link is slow."""
+        return self.link_mbps < SLOW_LINK_MBPS
+
 
 class PeerTable:
     """Know the other routers.
@@ -66,6 +72,7 @@
     :param clock: function that returns monotonic seconds
     :param random: random generator
     :ivar own: (host, port) at which this router gets datagrams
+    :ivar link_mbps: speed of this router's link in megabits a second
     """
 
     # What was told longer ago does not count any more.
@@ -86,6 +93,7 @@
         self.random = random
         self.peers_by_address = {}
         self.own = ("", 0)
+        self.link_mbps = float("inf")
         self.started_s = clock()
 
     def add(self, address):
@@ -156,10 +164,18 @@
         return before + (self.SIZE_AT_START if self._is_starting() else 0)
 
     def is_first(self, key):
-        """Return whether this router is the first of those known now."""
-        own = rendezvous_score(key, self.own)
+        """Return whether this router is the first of those known now.
+
+        Routers with slow links come after all others.
+        """
+
+        def place(address, link_mbps):
+            is_fast = link_mbps >= SLOW_LINK_MBPS
+            return (is_fast, rendezvous_score(key, address))
+
+        own = place(self.own, self.link_mbps)
         return all(
-            rendezvous_score(key, peer.address) < own
+            place(peer.address, peer.link_mbps) < own
             for peer in self._counted()
         )
 
@@ -196,6 +212,20 @@
         peers = list(self.peers_by_address.values())
         return self.random.sample(peers, min(count, len(peers)))
 
+    def sources(self, count):
+        """Return some routers to ask for much, those with fast links.
+
+        If all links are slow, any are returned.
+        """
+        peers = self.heard_peers()
+        fast = [peer for peer in peers if not peer.has_slow_link()]
+        peers = fast or peers
+        return self.random.sample(peers, min(count, len(peers)))
+
+    def has_slow_link(self):
+        """Return whether this router's own link is slow."""
+        return self.link_mbps < SLOW_LINK_MBPS
+
     def ahead(self, table, version):
         """Return peers that lately told a row newer than a version."""
         oldest = self.clock() - self.TRUSTED_AGE_S
--- a/boragetrail/direct/relay.py
+++ b/boragetrail/direct/relay.py
@@ -90,17 +90,10 @@
         except ValueError:
             return aiohttp.web.Response(status=400)
         rows = self.directory.mirrors[table].since(since)
-        answer = aiohttp.web.Response(
-            body=encode_changes(rows), content_type=CONTENT_TYPE
-        )
-        if len(answer.body) >= LEAST_COMPRESSED_BYTES:
-            answer.enable_compression()
-        return answer
+        return _encoded(encode_changes(rows))
 
     async def _parts(self, request):
-        return aiohttp.web.Response(
-            body=encode_parts(self.parts), content_type=CONTENT_TYPE
-        )
+        return _encoded(encode_parts(self.parts))
 
     async def _dump(self, request):
         return aiohttp.web.json_response(self.dump())
@@ -110,6 +103,14 @@
         return aiohttp.web.Response(body=body, headers=headers)
 
 
+def _encoded(body):
+    """Return an answer to another router; a large one is compressed."""
+    answer = aiohttp.web.Response(body=body, content_type=CONTENT_TYPE)
+    if len(body) >= LEAST_COMPRESSED_BYTES:
+        answer.enable_compression()
+    return answer
+
+
 class PeerSource(RowSource):
     """Read rows from one other router.
 
--- a/boragetrail/direct/tests/test_learn.py
+++ b/boragetrail/direct/tests/test_learn.py
@@ -1,8 +1,13 @@
 """Tests of learning cached parts after a start."""
 
+import asyncio
 import json
+import random
 
+from boragetrail.direct.learn import PartLearner
+from boragetrail.direct.peers import PeerTable
 from boragetrail.direct.tests.conftest import configuration, service
+from standins.clock import ManualClock
 from standins.httpserver import whole_answer
 
 
@@ -59,3 +64,74 @@
         assert second.fleet.parts.holders("deck-2") == {"i-0"}
         now = sum(len(server.requests) for server in site.servers)
         assert now == asked
+
+
+class MemoryLearner(PartLearner):
+    """Asks routers in memory, and counts what it asks."""
+
+    ASK_AGAIN_S = (0.0,) * len(PartLearner.ASK_AGAIN_S)
+    GREETING_S = 0.0
+
+    def __init__(self, parts_by_address, address, peers):
+        super().__init__(None, peers, None, None)
+        self.parts_by_address = parts_by_address
+        self.address = address
+        self.asked = 0
+
+    async def _ask_router(self, peer):
+        self.asked += 1
+        await asyncio.sleep(0)
+        told = self.parts_by_address[peer.address]
+        self.parts_by_address[self.address] |= told
+        return True
+
+    async def _ask_servers(self):
+        self.parts_by_address[self.address].add(self.address)
+
+
+class TestSpread:
+    """Many routers that restart at once, some with slow links."""
+
+    COUNT = 28
+
+    def learners(self, up_s=0.0):
+        """Return learners that know of each other's routers."""
+        clock = ManualClock(100.0)
+        addresses = [(f"10.0.0.{n}", 1) for n in range(self.COUNT)]
+        parts_by_address = {address: set() for address in addresses}
+        made = []
+        for number, own in enumerate(addresses):
+            table = PeerTable(clock, random.Random(number))
+            table.own = own
+            table.link_mbps = 5.0 if number % 4 == 0 else 100.0
+            for other, address in enumerate(addresses):
+                if address != own:
+                    peer = table.add(address)
+                    peer.heard_s = clock()
+                    peer.up_s = up_s
+                    peer.link_mbps = 5.0 if other % 4 == 0 else 100.0
+            made.append(MemoryLearner(parts_by_address, own, table))
+        return made, parts_by_address
+
+    async def test_what_one_heard_reaches_all_in_a_few_rounds(self):
+        made, parts_by_address = self.learners()
+        await asyncio.gather(*(each.run(False) for each in made))
+        fast = {e.address for e in made if not e.peers.has_slow_link()}
+        rounds = 1 + len(MemoryLearner.ASK_AGAIN_S)
+        for each in made:
+            assert fast <= parts_by_address[each.address]
+            assert each.asked <= MemoryLearner.ASKED * rounds
+
+    async def test_restart_of_one_asks_once(self):
+        made, _ = self.learners(up_s=60.0)
+        await made[0].run(False)
+        assert made[0].asked == MemoryLearner.ASKED
+
+    def test_slow_links_are_spared(self):
+        made, _ = self.learners()
+        for each in made:
+            chosen = each.peers.sources(5)
+            assert not any(peer.has_slow_link() for peer in chosen)
+        first = [each.peers.is_first("e1") for each in made]
+        assert first.count(True) == 1
+        assert not made[first.index(True)].peers.has_slow_link()
--- a/boragetrail/direct/tests/test_peers.py
+++ b/boragetrail/direct/tests/test_peers.py
@@ -141,7 +141,7 @@
     async def test_router_with_a_slow_link_gets_compressed_rows(self, site):
         first = await site.add_router()
         second = site.make_router()
-        second.settings.link_mbps = 5.0
+        second.peers.link_mbps = 5.0
         await second.open()
         await site.until(second.is_ready)
         await site.until(second.peers.hear_store)
