--- a/boragetrail/direct/daemon.py
+++ b/boragetrail/direct/daemon.py
@@ -227,10 +227,7 @@
         )
 
     def _heard(self, digest):
-        for server_id, (requests, age_ms) in digest.reports_by_id.items():
-            self.fleet.reports.note(server_id, requests, age_ms / 1000.0)
-        for part, server_id in digest.placements:
-            self.fleet.parts.note(part, server_id)
+        self.fleet.heard(digest)
         if self.puller.is_behind():
             self.tasks.start(self.puller.pull_if_behind(), "pull")
 
--- a/boragetrail/direct/digest.py
+++ b/boragetrail/direct/digest.py
@@ -7,6 +7,7 @@
 __all__ = ["Digest", "decode_digest", "encode_digest"]
 
 MOST_DATAGRAM_BYTES = 8 * 1024
+LOAD_FIELDS = 4
 
 
 @dataclasses.dataclass(slots=True)
@@ -64,9 +65,18 @@
         return None
     is_valid = (
         isinstance(digest.versions_by_table, dict)
-        and isinstance(digest.loads_by_id, dict)
+        and _are_loads(digest.loads_by_id)
         and isinstance(digest.steady_s, (int, float))
         and isinstance(digest.up_s, (int, float))
         and isinstance(digest.link_mbps, (int, float))
     )
     return digest if is_valid else None
+
+
+def _are_loads(loads_by_id):
+    return isinstance(loads_by_id, dict) and all(
+        isinstance(fields, list)
+        and len(fields) == LOAD_FIELDS
+        and all(isinstance(field, int) for field in fields)
+        for fields in loads_by_id.values()
+    )
--- a/boragetrail/direct/fleet.py
+++ b/boragetrail/direct/fleet.py
@@ -82,6 +82,16 @@
         self.parts = PartMap(clock)
         self.reports = ReportTable(clock)
 
+    def heard(self, digest):
+        """Take over what another router tells of servers.
+
+        :param digest: :class:`~boragetrail.direct.digest.Digest`
+        """
+        for server_id, (requests, age_ms) in digest.reports_by_id.items():
+            self.reports.note(server_id, requests, age_ms / 1000.0)
+        for part, server_id in digest.placements:
+            self.parts.note(part, server_id)
+
     def usable(self, service):
         """Return the states of servers that may get new work, as a list."""
         zones_out = self.directory.evacuated_zones
