--- a/boragetrail/policy/prefix.py
+++ b/boragetrail/policy/prefix.py
@@ -81,9 +81,10 @@
     rendezvous order [1]_ had them, so that routers which have not heard of
     each other's choices make the same one.
 
-    Engines that keep nothing of the prompt are weighed by a sample of two
-    [2]_, so that routers with the same news do not all choose the one that
-    seems idle. No engine gets more than a bounded multiple of the mean load.
+    Of the engines that keep most of the prompt, and of the others, two each
+    are weighed [2]_, so that routers with the same news do not all choose the
+    one that seems idle. No engine gets more than a bounded multiple of the
+    mean load.
 
     :param parts: :class:`PartMap`
     :param random: random generator
@@ -199,14 +200,15 @@
 
     def _weighed(self, engines, kept, most_kept, home):
         """Return the ids of the engines to choose from."""
-        named = {
-            engine.id
-            for engine in engines
-            if engine.id == home or kept.get(engine.id, 0) >= most_kept > 0
-        }
-        others = [each.id for each in engines if each.id not in named]
-        count = min(self.SAMPLE, len(others))
-        return named.union(self.random.sample(others, count))
+        holders, others = [], []
+        for engine in engines:
+            if engine.id != home:
+                keeps = kept.get(engine.id, 0) >= most_kept > 0
+                (holders if keeps else others).append(engine.id)
+        return {home, *self._sample(holders), *self._sample(others)}
+
+    def _sample(self, ids):
+        return self.random.sample(ids, min(self.SAMPLE, len(ids)))
 
     @staticmethod
     def _home(prompt, engines):
