--- a/boragetrail/cli.py
+++ b/boragetrail/cli.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import json
+import pathlib
 import sys
 import urllib.error
 import urllib.request
@@ -65,6 +66,34 @@
     typer.echo(f"{settings}: {loaded.role} {loaded.name!r} is valid")
 
 
+@app.command()
+def experiment(
+    path: pathlib.Path = typer.Argument(help="Experiment file."),
+    folder: pathlib.Path = typer.Option(
+        None, help="Folder for results.json and plots."
+    ),
+):
+    """Play placements side by side on an emulated fleet."""
+    from boragetrail.emulator import load_experiment, run_experiment
+    from boragetrail.emulator.report import plot_results, show_table
+    from boragetrail.emulator.report import write_results
+
+    loaded = _loaded(path, load_experiment(path))
+    results = run_experiment(loaded)
+    show_table(loaded, results)
+    if folder is None:
+        return
+    folder.mkdir(parents=True, exist_ok=True)
+    write_results(results, folder / "results.json")
+    try:
+        paths = plot_results(loaded, results, folder)
+    except ImportError as exc:
+        typer.echo(f"no plots, pip install 'boragetrail[plots]': {exc}")
+        return
+    for each in paths:
+        typer.echo(str(each))
+
+
 @app.command()
 def dump(address: str = typer.Argument(help="Administration address.")):
     """Show the state of a process."""
--- /dev/null
+++ b/boragetrail/emulator/report.py
@@ -0,0 +1,83 @@
+"""Write the figures of an experiment as a table, JSON and plots."""
+
+import json
+import statistics
+
+from rich.console import Console
+from rich.table import Table
+
+__all__ = ["plot_results", "show_table", "write_results"]
+
+COLUMNS = (
+    "served",
+    "on_time",
+    "tokens_read_each",
+    "tokens_copied_each",
+    "skew",
+    "over_limit",
+    "first_p50_ms",
+    "first_p95_ms",
+    "first_p99_ms",
+)
+
+
+def means_by_policy(results):
+    """Return the mean of each column over the seeds, by policy."""
+    means = {}
+    for policy in dict.fromkeys(each["policy"] for each in results):
+        runs = [each for each in results if each["policy"] == policy]
+        means[policy] = {
+            column: statistics.fmean(run[column] or 0 for run in runs)
+            for column in COLUMNS
+        }
+    return means
+
+
+def show_table(experiment, results):
+    """Print the means over the seeds."""
+    table = Table(title=f"{experiment.name}, {len(experiment.seeds)} seeds")
+    table.add_column("policy")
+    for column in COLUMNS:
+        table.add_column(column, justify="right")
+    for policy, means in means_by_policy(results).items():
+        table.add_row(policy, *(f"{means[c]:.4g}" for c in COLUMNS))
+    Console(width=130).print(table)
+
+
+def write_results(results, path):
+    """Write all figures as JSON."""
+    path.write_text(json.dumps(results, indent=1) + "\n")
+
+
+def plot_results(experiment, results, folder):
+    """Write plots as PNG files; returns their paths.
+
+    :raises ImportError: if matplotlib is not installed
+    """
+    import matplotlib
+
+    matplotlib.use("Agg")
+    from matplotlib import pyplot
+
+    paths = [folder / "reuse-skew.png", folder / "first-tokens.png"]
+    figure, axes = pyplot.subplots()
+    for policy, means in means_by_policy(results).items():
+        axes.scatter(means["tokens_read_each"], means["skew"], label=policy)
+    axes.set_xlabel("prompt tokens read for each request")
+    axes.set_ylabel("load skew, maximum over mean")
+    axes.legend()
+    figure.savefig(paths[0])
+    pyplot.close(figure)
+    figure, axes = pyplot.subplots()
+    for run in results:
+        if run["seed"] == experiment.seeds[0]:
+            times = sorted(took_s for _, took_s in run["firsts"])
+            parts = [n / len(times) for n in range(len(times))]
+            axes.plot(times, parts, label=run["policy"])
+    axes.set_xscale("log")
+    axes.set_xlabel("seconds to the first token")
+    axes.set_ylabel("part of requests")
+    axes.legend()
+    figure.savefig(paths[1])
+    pyplot.close(figure)
+    return paths
