--- a/boragetrail/direct/daemon.py
+++ b/boragetrail/direct/daemon.py
@@ -34,6 +34,7 @@
 POLL_S = 0.05
 CLOSE_TIMEOUT_S = 0.1
 SWEEP_S = 5.0
+IDLE_CHECK_S = 1.0
 ANNOUNCE_PAUSE_S = 1.0
 
 
@@ -147,6 +148,7 @@
         self.tasks.start(self.socket.run_news(self.choice.take_news), "news")
         self.tasks.start(self._join(), "join")
         self.tasks.start(self._sweep(), "sweep")
+        self.tasks.start(self._close_idle(), "idle connections")
         self.learning = self.tasks.start(self._learn(), "learn")
 
     async def close(self):
@@ -289,6 +291,13 @@
             await asyncio.sleep(SWEEP_S)
             self.fleet.drop_unlisted()
 
+    async def _close_idle(self):
+        while True:
+            await asyncio.sleep(IDLE_CHECK_S)
+            configuration = self.directory.configuration
+            if configuration is not None:
+                self.frontend.close_idle(configuration.limits)
+
     async def _open_health(self):
         server = aiohttp.web.Server(self._health, access_log=None)
         runner = aiohttp.web.ServerRunner(
--- a/boragetrail/direct/frontend.py
+++ b/boragetrail/direct/frontend.py
@@ -5,6 +5,7 @@
 import aiohttp.web
 
 from boragetrail.direct.caller import CallerAnswer
+from boragetrail.direct.idle import IdleGuard
 from boragetrail.direct.model import RequestKind
 from boragetrail.direct.request import DirectRequest
 from boragetrail.errors import Failure
@@ -15,8 +16,8 @@
 
 MOST_LINE_BYTES = 16 * 1024
 MOST_FIELDS = 200
-# Callers end idle connections earlier than this.
-KEEPALIVE_S = 90.0
+# Idle connections are closed by the configured limits long before.
+KEEPALIVE_S = 3600.0
 LINGER_S = 2.0
 BACKLOG = 1024
 CLOSE_TIMEOUT_S = 0.05
@@ -46,6 +47,7 @@
         self.server = None
         self.listener = None
         self.detached = set()
+        self.guard = IdleGuard(clock)
 
     @property
     def active(self):
@@ -70,6 +72,15 @@
             self.server, host, port, backlog=BACKLOG
         )
 
+    def close_idle(self, limits):
+        """Close connections that have been without a request too long.
+
+        :param limits: :class:`~boragetrail.direct.model.Limits`
+        """
+        connections = self.server.connections
+        for each in self.guard.expired(connections, self.busy, limits):
+            each.force_close()
+
     async def stop_accepting(self):
         """Close the port and end the connections without a request."""
         self.listener.close()
@@ -93,6 +104,7 @@
     async def _handle(self, http):
         connection = http.protocol
         self.busy.add(connection)
+        self.guard.request_seen(connection)
         request = DirectRequest(http, self.clock())
         caller = CallerAnswer(http, self.stopping)
         try:
