--- a/boragetrail/direct/peers.py
+++ b/boragetrail/direct/peers.py
@@ -112,7 +112,10 @@
         return peer, is_new
 
     def load(self, server_id):
-        """Return a :class:`~boragetrail.direct.loads.Load` that others lately had at a server."""
+        """Return what others lately had at a server.
+
+        :returns: :class:`~boragetrail.direct.loads.Load`
+        """
         return self.totals.load(server_id)
 
     def size(self):
