Soak routers without agents: real processes, faults from outside

Faults come in pairs that overlap: kills, planned stops, pauses, reloads by signals; a store that refuses, is silent or forgets; configurations in quick succession; entries removed; zones out; servers that refuse, fail, cut, are slow, answer another request or end streams midway. Not yet: delays, resets and one-way cuts by a loopback proxy in front of routers and servers; clocks; up to the limits of the machine.

--- a/Makefile
+++ b/Makefile
@@ -35,6 +35,7 @@
 
 soak: .venv/installed
 	$(BIN)/python -m tools.soak --seconds $(SECONDS) --seed $(SEED)
+	$(BIN)/python -m tools.directsoak --seconds $(SECONDS) --seed $(SEED)
 
 slopes: .venv/installed
 	$(BIN)/python -m tools.slopes
--- a/features/direct.feature
+++ b/features/direct.feature
@@ -19,3 +19,7 @@
     When its settings are broken and it is told to read them
     Then each stream is whole
     And its log names the field that is wrong
+
+  Scenario: Faults from outside come in pairs
+    When three routers are soaked for 8 seconds with seed 20
+    Then no promise was broken
--- a/features/test_direct.py
+++ b/features/test_direct.py
@@ -11,6 +11,7 @@
 
 from boragetrail.direct.tests.conftest import Site, free_port
 from boragetrail.platform.names import HEADER_NAMES
+from tools.directsoak import DirectSoak
 
 EVENTS = 30
 EVENT_PAUSE_S = 0.05
@@ -39,6 +40,11 @@
     def test_reload():
         """Run the scenario."""
 
+    @staticmethod
+    @scenario("direct.feature", "Faults from outside come in pairs")
+    def test_soak():
+        """Run the scenario."""
+
 
 class DirectWorld:
     """A router process, with the store and servers in this process."""
@@ -163,6 +169,24 @@
     direct.run(direct.start(count))
 
 
+@when(
+    parsers.parse(
+        "three routers are soaked for {seconds:d} seconds with seed {seed:d}"
+    ),
+    target_fixture="soak",
+)
+def _(tmp_path, seconds, seed):
+    soak = DirectSoak(seed, tmp_path)
+    asyncio.run(soak.run(seconds))
+    return soak
+
+
+@then("no promise was broken")
+def _(soak):
+    assert not soak.violations
+    assert sum(seen.status == 200 for seen in soak.seen) > 100
+
+
 @given(parsers.parse("{count:d} streams run through it"))
 def _(direct, count):
     async def begin():
--- /dev/null
+++ b/tools/directfaults.py
@@ -0,0 +1,170 @@
+"""Faults of the soak without agents; each returns its undo or ``None``."""
+
+import asyncio
+import signal
+import time
+
+from boragetrail.direct.tests.conftest import configuration
+
+__all__ = ["CUTTING", "FAULTS"]
+
+BALANCER_LAG_S = 3.0
+PAUSE_S = 1.2
+# Faults beside which an answer may end early during a planned stop.
+CUTTING = frozenset(
+    (
+        "kill_router",
+        "pause_router",
+        "servers_cut",
+        "servers_end_streams_midway",
+        "server_is_gone",
+    )
+)
+
+
+def _router(soak):
+    """Return a router that serves, or ``None``; one always stays."""
+    numbers = sorted(soak.open_to_callers)
+    return soak.random.choice(numbers) if len(numbers) > 1 else None
+
+
+async def kill_router(soak):
+    """Kill a router at once; callers go elsewhere."""
+    number = _router(soak)
+    if number is None:
+        return None
+    soak.open_to_callers.discard(number)
+    _, process = soak.routers[number]
+    process.kill()
+    await process.wait()
+
+    async def undo():
+        await soak.start_router(number)
+
+    return undo
+
+
+async def stop_router(soak):
+    """Stop a router gracefully; callers come for a while still."""
+    number = _router(soak)
+    if number is None:
+        return None
+    _, process = soak.routers[number]
+    soak.stops.append((number, time.monotonic(), soak.faults[-1]))
+    process.send_signal(signal.SIGTERM)
+
+    async def undo():
+        await asyncio.sleep(max(0.0, BALANCER_LAG_S - 2.0))
+        soak.open_to_callers.discard(number)
+        await process.wait()
+        await soak.start_router(number)
+
+    return undo
+
+
+async def pause_router(soak):
+    """Pause a router and let it go on."""
+    number = _router(soak)
+    if number is None:
+        return None
+    _, process = soak.routers[number]
+    process.send_signal(signal.SIGSTOP)
+    await asyncio.sleep(PAUSE_S)
+    process.send_signal(signal.SIGCONT)
+    return None
+
+
+async def reload_router(soak):
+    """Tell a router to read its settings again."""
+    number = _router(soak)
+    if number is not None:
+        soak.routers[number][1].send_signal(signal.SIGHUP)
+
+
+async def store_refuses(soak):
+    """Let the store refuse all calls."""
+    soak.site.store.status = 503
+
+    async def undo():
+        soak.site.store.status = 0
+
+    return undo
+
+
+async def store_is_silent(soak):
+    """Let the store answer nothing."""
+    soak.site.store.silent = True
+
+    async def undo():
+        soak.site.store.silent = False
+
+    return undo
+
+
+async def store_forgets(soak):
+    """Let the store forget its history."""
+    soak.site.store.drop_history()
+
+
+async def configuration_changes(soak):
+    """Write versions of the configuration in quick succession."""
+    for _ in range(3):
+        version = soak.site.store.version + 10
+        soak.site.store.put("op", "config", configuration(version))
+        await asyncio.sleep(0.05)
+
+
+async def server_is_gone(soak):
+    """Remove a server's entry and list it again later."""
+    server = soak.random.choice(soak.site.servers)
+    soak.site.store.remove("servers", server.id)
+
+    async def undo():
+        entry = server.entry("apps")
+        soak.site.store.put("servers", server.id, entry)
+
+    return undo
+
+
+async def zone_is_out(soak):
+    """Take a zone without servers out and back."""
+    soak.site.store.put("op", "evacuate/z9", {})
+
+    async def undo():
+        soak.site.store.remove("op", "evacuate/z9")
+
+    return undo
+
+
+def _trouble(name, what):
+    async def fault(soak):
+        soak.trouble = what
+
+        async def undo():
+            soak.trouble = ""
+
+        return undo
+
+    fault.__name__ = name
+    return fault
+
+
+FAULTS = [
+    kill_router,
+    stop_router,
+    stop_router,
+    pause_router,
+    reload_router,
+    store_refuses,
+    store_is_silent,
+    store_forgets,
+    configuration_changes,
+    server_is_gone,
+    zone_is_out,
+    _trouble("servers_refuse", "refuse"),
+    _trouble("servers_fail", "fail"),
+    _trouble("servers_cut", "cut"),
+    _trouble("servers_are_slow", "slow"),
+    _trouble("servers_answer_another_request", "other"),
+    _trouble("servers_end_streams_midway", "midway"),
+]
