--- a/boragetrail/direct/tests/conftest.py
+++ b/boragetrail/direct/tests/conftest.py
@@ -100,6 +100,35 @@
     return await asyncio.open_connection(host, int(port))
 
 
+def router_settings(name, host, gossip, store, **fields):
+    """Return the settings of a router with ports of its own for callers.
+
+    :param gossip: address for datagrams and rows of other routers
+    :param store: address of the store
+    """
+    return {
+        "role": "direct",
+        "name": name,
+        "zone": "z1",
+        "listen": {
+            "callers": f"{host}:{free_port()}",
+            "health": f"{host}:{free_port()}",
+            "gossip": gossip,
+            "relay": gossip,
+        },
+        "store": store,
+        "bounds": {
+            "retry_ratio": 0.2,
+            "retry_window_s": 10,
+            "retry_extra": 50,
+            "cold_factor": 1.5,
+            "cold_margin": 5,
+        },
+        "grace_s": 8.0,
+        **fields,
+    }
+
+
 class Site:
     """A store, servers and routers of one test."""
 
@@ -141,27 +170,14 @@
         """Return a router that is not open yet, at a host of its own."""
         host = f"127.0.0.{len(self.daemons) + 1}"
         address = f"{host}:{self.gossip_port}"
-        data = {
-            "role": "direct",
-            "name": f"router-{len(self.daemons)}",
-            "zone": "z1",
-            "listen": {
-                "callers": f"{host}:{free_port()}",
-                "health": f"{host}:{free_port()}",
-                "gossip": address,
-                "relay": address,
-            },
-            "store": self.store.address,
-            "seeds": [daemon.settings.gossip for daemon in self.daemons],
-            "bounds": {
-                "retry_ratio": 0.2,
-                "retry_window_s": 10,
-                "retry_extra": 50,
-                "cold_factor": 1.5,
-                "cold_margin": 5,
-            },
-            "grace_s": grace_s,
-        }
+        data = router_settings(
+            f"router-{len(self.daemons)}",
+            host,
+            address,
+            self.store.address,
+            seeds=[daemon.settings.gossip for daemon in self.daemons],
+            grace_s=grace_s,
+        )
         settings = DirectSettings(data)
         daemon = DirectDaemon(settings, platform, lambda: (settings, []))
         self.daemons.append(daemon)
--- a/features/test_direct.py
+++ b/features/test_direct.py
@@ -10,6 +10,7 @@
 from pytest_bdd import given, parsers, scenario, then, when
 
 from boragetrail.direct.tests.conftest import Site, free_port
+from boragetrail.direct.tests.conftest import router_settings
 from boragetrail.platform.names import HEADER_NAMES
 from tools.directsoak import DirectSoak
 
@@ -57,8 +58,8 @@
         self.streams = []
         self.log = folder / "router.log"
         self.path = folder / "router.json"
-        self.callers = f"127.0.0.1:{free_port()}"
-        self.health = f"127.0.0.1:{free_port()}"
+        self.callers = ""
+        self.health = ""
 
     def run(self, coroutine):
         """Run a coroutine to its end."""
@@ -66,33 +67,22 @@
 
     def settings(self):
         """Return the router's settings."""
-        address = f"127.0.0.1:{free_port()}"
-        return {
-            "role": "direct",
-            "name": "router-1",
-            "zone": "z1",
-            "listen": {
-                "callers": self.callers,
-                "health": self.health,
-                "gossip": address,
-                "relay": address,
-            },
-            "store": self.site.store.address,
-            "bounds": {
-                "retry_ratio": 0.2,
-                "retry_window_s": 10,
-                "retry_extra": 50,
-                "cold_factor": 1.5,
-                "cold_margin": 5,
-            },
-            "grace_s": STOP_S,
-            "first_start": True,
-        }
+        return router_settings(
+            "router-1",
+            "127.0.0.1",
+            f"127.0.0.1:{free_port()}",
+            self.site.store.address,
+            grace_s=STOP_S,
+            first_start=True,
+        )
 
     async def start(self, servers):
         """Start everything and wait until the router is ready."""
         await self.site.open(servers)
-        self.path.write_text(json.dumps(self.settings()))
+        settings = self.settings()
+        self.callers = settings["listen"]["callers"]
+        self.health = settings["listen"]["health"]
+        self.path.write_text(json.dumps(settings))
         with self.log.open("wb") as log:
             self.process = await asyncio.create_subprocess_exec(
                 sys.executable,
--- a/tools/directsoak.py
+++ b/tools/directsoak.py
@@ -17,6 +17,7 @@
 import typer
 
 from boragetrail.direct.tests.conftest import Site, free_port
+from boragetrail.direct.tests.conftest import router_settings
 from boragetrail.platform.names import HEADER_NAMES
 from standins.httpserver import whole_answer
 from tools.directfaults import CUTTING, FAULTS
@@ -82,28 +83,13 @@
         gossip_port = free_port()
         for number in range(ROUTERS):
             host = f"127.0.0.{number + 1}"
-            address = f"{host}:{gossip_port}"
-            settings = {
-                "role": "direct",
-                "name": f"router-{number}",
-                "zone": "z1",
-                "listen": {
-                    "callers": f"{host}:{free_port()}",
-                    "health": f"{host}:{free_port()}",
-                    "gossip": address,
-                    "relay": address,
-                },
-                "store": self.site.store.address,
-                "seeds": [f"127.0.0.1:{gossip_port}"],
-                "bounds": {
-                    "retry_ratio": 0.2,
-                    "retry_window_s": 10,
-                    "retry_extra": 50,
-                    "cold_factor": 1.5,
-                    "cold_margin": 5,
-                },
-                "grace_s": 8.0,
-            }
+            settings = router_settings(
+                f"router-{number}",
+                host,
+                f"{host}:{gossip_port}",
+                self.site.store.address,
+                seeds=[f"127.0.0.1:{gossip_port}"],
+            )
             path = self.folder / f"router-{number}.json"
             path.write_text(json.dumps(settings))
             self.routers[number] = (settings["listen"], None)
