Harm the soak's links by a loopback proxy

The soak without agents had no faults on links. Servers are now listed at the address of standins.proxy, which resets, silences, delays or refuses connections, and, new, drops the answers alone.

--- a/standins/proxy.py
+++ b/standins/proxy.py
@@ -14,6 +14,7 @@
 
     def __init__(self):
         self.silent = False
+        self.one_way = False
         self.writers = []
 
     def cut(self):
@@ -63,6 +64,11 @@
         for pair in self.pairs:
             pair.silent = True
 
+    def cut_one_way(self):
+        """Drop what the target sends on open connections, for good."""
+        for pair in self.pairs:
+            pair.one_way = True
+
     async def _serve(self, reader, writer):
         if self.refuse:
             writer.transport.abort()
@@ -80,19 +86,19 @@
         self.pairs.add(pair)
         try:
             await asyncio.gather(
-                self._pump(pair, reader, up_writer),
-                self._pump(pair, up_reader, writer),
+                self._pump(pair, reader, up_writer, False),
+                self._pump(pair, up_reader, writer, True),
             )
         finally:
             pair.cut()
             self.pairs.discard(pair)
 
-    async def _pump(self, pair, reader, writer):
+    async def _pump(self, pair, reader, writer, is_answer):
         try:
             while data := await reader.read(READ_BYTES):
                 if self.delay_s:
                     await asyncio.sleep(self.delay_s)
-                if pair.silent:
+                if pair.silent or (pair.one_way and is_answer):
                     continue
                 writer.write(data)
                 await writer.drain()
--- a/tools/directfaults.py
+++ b/tools/directfaults.py
@@ -18,6 +18,9 @@
         "servers_cut",
         "servers_end_streams_midway",
         "server_is_gone",
+        "links_cut",
+        "links_go_silent",
+        "links_cut_one_way",
     )
 )
 
@@ -136,6 +139,44 @@
     return undo
 
 
+async def links_cut(soak):
+    """Reset all connections to some servers."""
+    for proxy in soak.random.sample(soak.proxies, 2):
+        proxy.cut()
+
+
+async def links_go_silent(soak):
+    """Let open connections to a server drop all that is sent."""
+    soak.random.choice(soak.proxies).silence()
+
+
+async def links_cut_one_way(soak):
+    """Let open connections to a server drop its answers."""
+    soak.random.choice(soak.proxies).cut_one_way()
+
+
+async def links_are_slow(soak):
+    """Delay all data to and from a server."""
+    proxy = soak.random.choice(soak.proxies)
+    proxy.delay_s = 0.15
+
+    async def undo():
+        proxy.delay_s = 0.0
+
+    return undo
+
+
+async def server_takes_no_connections(soak):
+    """Reset new connections to a server."""
+    proxy = soak.random.choice(soak.proxies)
+    proxy.refuse = True
+
+    async def undo():
+        proxy.refuse = False
+
+    return undo
+
+
 def _trouble(name, what):
     async def fault(soak):
         soak.trouble = what
@@ -161,6 +202,11 @@
     configuration_changes,
     server_is_gone,
     zone_is_out,
+    links_cut,
+    links_go_silent,
+    links_cut_one_way,
+    links_are_slow,
+    server_takes_no_connections,
     _trouble("servers_refuse", "refuse"),
     _trouble("servers_fail", "fail"),
     _trouble("servers_cut", "cut"),
--- a/tools/directsoak.py
+++ b/tools/directsoak.py
@@ -20,6 +20,7 @@
 from boragetrail.direct.tests.conftest import router_settings
 from boragetrail.platform.names import HEADER_NAMES
 from standins.httpserver import whole_answer
+from standins.proxy import FaultProxy
 from tools.directfaults import CUTTING, FAULTS
 
 __all__ = ["DirectSoak"]
@@ -65,6 +66,7 @@
         self.random = random.Random(seed)
         self.folder = folder
         self.site = Site()
+        self.proxies = []
         self.routers = {}
         self.open_to_callers = set()
         self.runs_by_id = {}
@@ -80,6 +82,7 @@
         await self.site.open(SERVERS)
         for server in self.site.servers:
             server.default = self.serve
+            await self.put_proxy_before(server)
         gossip_port = free_port()
         for number in range(ROUTERS):
             host = f"127.0.0.{number + 1}"
@@ -95,6 +98,15 @@
             self.routers[number] = (settings["listen"], None)
             await self.start_router(number)
 
+    async def put_proxy_before(self, server):
+        """List a server at the address of a proxy that can do harm."""
+        port = int(server.address.partition(":")[2])
+        proxy = FaultProxy(free_port(), port)
+        await proxy.open()
+        self.proxies.append(proxy)
+        server.address = f"127.0.0.1:{proxy.port}"
+        self.site.store.put("servers", server.id, server.entry("apps"))
+
     async def start_router(self, number):
         """Start a router's process and wait until it is ready."""
         listen, _ = self.routers[number]
@@ -267,6 +279,8 @@
                 process.send_signal(signal.SIGCONT)
                 process.kill()
                 await process.wait()
+        for proxy in self.proxies:
+            proxy.close()
         await self.site.close()
 
 
