--- a/boragetrail/emulator/tests/test_experiment.py
+++ b/boragetrail/emulator/tests/test_experiment.py
@@ -9,7 +9,7 @@
 from boragetrail.emulator.experiment import load_experiment, run_once
 from boragetrail.emulator.report import means_by_policy, write_results
 
-EXAMPLE = "examples/kowhai-experiment.json"
+EXAMPLE = "examples/experiments/kowhai.json"
 
 
 @pytest.fixture
