--- a/boragetrail/direct/tests/test_rules.py
+++ b/boragetrail/direct/tests/test_rules.py
@@ -10,6 +10,8 @@
 from boragetrail.platform.names import HEADER_NAMES
 from standins.httpserver import whole_answer
 
+# Time for which a server may still work on what went on elsewhere.
+STILL_AT_WORK_S = 0.4
 LONG_MS = {HEADER_NAMES.deadline_ms: "60000"}
 
 
@@ -56,6 +58,19 @@
         assert status == 504
 
 
+class TestRoutes:
+    """Routes of a later version."""
+
+    async def test_route_that_was_added_later_is_served(self, site):
+        daemon = await site.add_router()
+        assert (await site.call(daemon, "/later/1"))[0] == 404
+        routes = [route("later", "idempotent")]
+        site.store.put("op", "config", configuration(2, routes=routes))
+        await site.until(lambda: daemon.directory.configuration.version == 2)
+        assert (await site.call(daemon, "/later/1"))[0] == 200
+        assert (await site.call(daemon, "/status/1"))[0] == 404
+
+
 class TestKeys:
     """Keys that are taken away."""
 
@@ -161,6 +176,65 @@
         assert (status, body) == (500, b"oops")
         assert len(requests_of(site)) == 2
 
+    async def test_second_try_has_only_the_time_that_is_left(self, site):
+        daemon = await site.add_router()
+
+        async def slowly(request):
+            await asyncio.sleep(0.3)
+            return await fail(request)
+
+        for server in site.servers:
+            server.default = slowly
+        await site.call(daemon, "/status/1")
+        name = HEADER_NAMES.deadline_ms.lower()
+        first, second = sorted(
+            (int(each.headers[name]) for each in requests_of(site)),
+            reverse=True,
+        )
+        assert second <= first - 300
+
+    async def test_first_server_is_left_before_the_second_is_asked(self, site):
+        """A stream must not go on in two places."""
+        daemon = await site.add_router()
+        clock = asyncio.get_running_loop().time
+        asked, left = [], []
+
+        async def behave(request):
+            asked.append(clock())
+            if len(asked) > 1:
+                return whole_answer(request)
+            request.writer.write(b"HTTP/1.1 200 OK\r\n\r\nno answer")
+            await request.sender_left()
+            left.append(clock())
+            return None
+
+        for server in site.servers:
+            server.default = behave
+        await site.call(daemon, "/resume/1")
+        await site.until(lambda: left)
+        assert len(asked) == 2
+        assert left[0] - asked[1] <= STILL_AT_WORK_S
+
+
+class TestSystemFields:
+    """Fields that only the router may set, and those that it keeps."""
+
+    async def test_no_reserved_field_of_a_caller_passes(self, site):
+        daemon = await site.add_router()
+        forged = {name: "forged" for name in HEADER_NAMES.reserved}
+        await site.call(daemon, "/order/1", headers=forged)
+        (request,) = requests_of(site)
+        assert "forged" not in request.headers.values()
+
+    async def test_failure_of_a_server_keeps_status_and_seal(self, site):
+        daemon = await site.add_router()
+        for server in site.servers:
+            server.default = fail
+        status, headers, body = await site.call(daemon, "/order/1")
+        (request,) = requests_of(site)
+        assert (status, body) == (500, b"oops")
+        assert headers[HEADER_NAMES.seal] == f"seal-{request.id}"
+
 
 class TestRequestBodies:
     """Bodies reach a server whole, once, and nowhere else."""
--- a/features/direct.feature
+++ b/features/direct.feature
@@ -4,7 +4,8 @@
     Given a direct router with 2 backend servers
     And 20 streams run through it
     When it is asked to stop
-    Then each stream is whole
+    Then it is no longer ready
+    And each stream is whole
     And it ends with status 0
     And its log tells of the start and the stop
 
--- a/features/test_direct.py
+++ b/features/test_direct.py
@@ -19,6 +19,8 @@
 START_S = 10.0
 STOP_S = 8.0
 ORDERS = 10
+# The balancer takes a router out after two misses, a second apart.
+READY_CHANGE_S = 1.0
 
 
 class TestDirect:
@@ -219,6 +221,18 @@
     direct.process.send_signal(signal.SIGHUP)
 
 
+@then("it is no longer ready")
+def _(direct):
+    async def until_not_ready():
+        async with asyncio.timeout(READY_CHANGE_S):
+            while await direct.is_ready():
+                await asyncio.sleep(0.05)
+
+    direct.run(until_not_ready())
+    # The port for callers is open until the balancer has noticed.
+    assert direct.process.returncode is None
+
+
 @then("each stream is whole")
 def _(direct):
     async def gather():
