Start little on an engine whose last step was overdue

StallGate shut while a step was overdue and opened at each event, so at a cold engine, which steps evenly every 55 ms, it was open for 33 ms after each step, and all that came then was started. Slow paces drop the limit only after four of them over eight usual paces, two to four cold steps later.

Change: the gate stays shut after an overdue step until one comes in time, and between two events only one request starts for each four that run.

Before: test_stall: 16 in the batch of a cold engine. After: 6 at most; a burst of 12 onto a warm engine still starts within 0.2 s.

--- a/boragetrail/agent/attempts.py
+++ b/boragetrail/agent/attempts.py
@@ -181,6 +181,7 @@
             self.ledger.run(attempt.entry)
             attempt.started_s = self.clock()
             name = f"attempt {attempt.dispatch.attempt_id}"
+            self.stall.started()
             meter = self._meter()
             attempt.task = self.tasks.start(self._run(attempt, meter), name)
             ended = functools.partial(self._ended, attempt, meter)
--- a/boragetrail/agent/backend.py
+++ b/boragetrail/agent/backend.py
@@ -44,15 +44,17 @@
         self.gate = gate
         self.clock = clock
         self.since_s = None
+        self.last_s = None
         self.count = 0
 
     def seen(self, events):
         """Record that some events have arrived."""
         now = self.clock()
-        self.gate.event_seen()
         if self.since_s is None:
-            self.since_s = now
+            self.since_s = self.last_s = now
             return
+        self.gate.event_seen((now - self.last_s) / events)
+        self.last_s = now
         self.count += events
         if self.count >= self.EVENTS:
             self.on_pace((now - self.since_s) / self.count)
--- a/boragetrail/policy/stall.py
+++ b/boragetrail/policy/stall.py
@@ -2,14 +2,15 @@
 
 A model engine steps all its streams together, so one overdue step speaks of
 the whole server. While a step is overdue no further request is started: a
-warm server that turns cold shows first by a step that takes too long.
+warm server that turns cold shows first by a step that takes too long. It
+stays so until a step comes in time, because a cold server steps evenly too.
 """
 
 __all__ = ["StallGate"]
 
 
 class StallGate:
-    """Shut while a step is overdue.
+    """Shut while steps are overdue, and after a few starts in each step.
 
     :param clock: function that returns monotonic seconds
 
@@ -19,40 +20,67 @@
     >>> now[0] = 0.05
     >>> gate.is_shut(baseline_s=0.01)
     True
-    >>> gate.event_seen()
+    >>> gate.event_seen(0.05)
+    >>> gate.is_shut(baseline_s=0.01)
+    True
+    >>> gate.event_seen(0.01)
     >>> gate.is_shut(baseline_s=0.01)
     False
+    >>> gate.started()
+    >>> gate.is_shut(baseline_s=0.01)
+    True
     """
 
     OVERDUE_FACTOR = 2.5
     # Seconds after which a stall is left to the limits on whole requests.
     LONGEST_S = 2.0
+    # Running streams for each request that starts before the next event.
+    STREAMS_PER_START = 4
 
     def __init__(self, clock):
         self.clock = clock
         self.streams = 0
+        self.starts = 0
         self.event_s = 0.0
+        self.gap_s = 0.0
+
+    def started(self):
+        """Record that a request was sent to the server."""
+        self.starts += 1
 
     def opened(self):
         """Record that a stream has begun."""
         self.streams += 1
-        self.event_seen()
+        self._stepped()
 
     def closed(self):
         """Record that a stream has ended."""
         self.streams -= 1
+        if not self.streams:
+            self.gap_s = 0.0
 
-    def event_seen(self):
-        """Record that a stream made a step."""
-        self.event_s = self.clock()
+    def event_seen(self, gap_s):
+        """Record that a stream made a step.
+
+        :param gap_s: seconds since the step before of the same stream
+        """
+        self.gap_s = gap_s
+        self._stepped()
 
     def is_shut(self, baseline_s):
-        """Return whether the next step is overdue.
+        """Return whether a step is overdue or enough has started.
 
         :param baseline_s: usual time of a step in seconds, or ``None``
         """
         if not self.streams or baseline_s is None:
             return False
         quiet_s = self.clock() - self.event_s
-        overdue_s = self.OVERDUE_FACTOR * baseline_s
-        return overdue_s < quiet_s < self.LONGEST_S
+        if quiet_s >= self.LONGEST_S:
+            return False
+        if self.starts >= max(1, self.streams // self.STREAMS_PER_START):
+            return True
+        return max(quiet_s, self.gap_s) > self.OVERDUE_FACTOR * baseline_s
+
+    def _stepped(self):
+        self.event_s = self.clock()
+        self.starts = 0
