End what silent servers owe once they are gone

Ruled out: ending answers by silence alone; a listed server may be slow, and an answer must not end sooner for that.

Change: attempts at a server whose entry is gone, or of which another run is listed, end after 2 s without a byte; a resumable stream goes on elsewhere, other callers learn of the failure and may ask again. E507 names them.

Entries lapse three seconds after a crash, so 2 s of silence lose nothing and leave a busy server that leaves more room.

--- a/boragetrail/direct/attempt.py
+++ b/boragetrail/direct/attempt.py
@@ -16,6 +16,7 @@
 REFUSING = frozenset((408, 421, 429, 503))
 MISDIRECTED = 421
 MOST_STRAY_ANSWERS = 4
+SERVER_IS_GONE = "the server is gone and says nothing"
 
 
 class AttemptState(enum.Enum):
@@ -66,12 +67,16 @@
     :param server: :class:`~boragetrail.direct.fleet.ServerState`
     :param names: :class:`~boragetrail.direct.ports.HeaderNames`
     :param request_id: id that the server repeats in its answer
+    :param clock: function that returns monotonic seconds
+    :ivar heard_s: time of the last byte of the answer, or of the sending
     """
 
-    def __init__(self, server, names, request_id):
+    def __init__(self, server, names, request_id, clock):
         self.server = server
         self.names = names
         self.request_id = request_id
+        self.clock = clock
+        self.heard_s = clock()
         self.state = AttemptState.NOT_SENT
         self.channel = None
         self.answer = None
@@ -112,6 +117,7 @@
             self.error = "connection was lost before the request"
             return Verdict.UNREACHABLE
         self.state = AttemptState.SENT
+        self.heard_s = self.clock()
         try:
             self.channel.start(data)
             self.answer = await self._own_answer()
@@ -132,6 +138,7 @@
                 data = await payload.readany()
                 if not data:
                     break
+                self.heard_s = self.clock()
                 yield data
         except CHANNEL_ERRORS as exc:
             self._broken(f"reading the answer: {exc!r}")
@@ -146,6 +153,18 @@
             return None
         return b"".join(parts)
 
+    def silent_s(self):
+        """Return for how long the server has said nothing, in seconds."""
+        return self.clock() - self.heard_s
+
+    def break_off(self):
+        """Break the connection to a server that is gone.
+
+        Whoever waits for the answer finds it broken.
+        """
+        if self.channel is not None:
+            self.channel.break_off(ConnectionResetError(SERVER_IS_GONE))
+
     def abort(self):
         """End the attempt; the server sees its connection close."""
         if self.channel is not None:
--- a/boragetrail/direct/channel.py
+++ b/boragetrail/direct/channel.py
@@ -40,6 +40,16 @@
             payload.set_exception(exc)
         super().connection_lost(exc)
 
+    def break_off(self, exc):
+        """End the connection as if the server had broken it.
+
+        :param exc: what readers of an answer get, an ``OSError``
+        """
+        transport = self.transport
+        self.connection_lost(exc)
+        if transport is not None:
+            transport.abort()
+
     def start(self, data):
         """Send a request.
 
--- a/boragetrail/direct/daemon.py
+++ b/boragetrail/direct/daemon.py
@@ -35,6 +35,7 @@
 POLL_S = 0.05
 CLOSE_TIMEOUT_S = 0.1
 SWEEP_S = 5.0
+GONE_CHECK_S = 0.25
 IDLE_CHECK_S = 1.0
 ANNOUNCE_PAUSE_S = 1.0
 
@@ -152,6 +153,7 @@
         self.tasks.start(self.socket.run_news(), "news")
         self.tasks.start(self._join(), "join")
         self.tasks.start(self._sweep(), "sweep")
+        self.tasks.start(self._watch_gone(), "servers that are gone")
         self.tasks.start(self._close_idle(), "idle connections")
         self.learning = self.tasks.start(self._learn(), "learn")
 
@@ -299,6 +301,11 @@
             await asyncio.sleep(SWEEP_S)
             self.fleet.drop_unlisted()
 
+    async def _watch_gone(self):
+        while True:
+            await asyncio.sleep(GONE_CHECK_S)
+            self.fleet.break_off_gone()
+
     async def _close_idle(self):
         while True:
             await asyncio.sleep(IDLE_CHECK_S)
--- a/boragetrail/direct/dispatch.py
+++ b/boragetrail/direct/dispatch.py
@@ -82,8 +82,9 @@
         record = state.record
         progress.tried.add(record.id)
         progress.tries += 1
-        attempt = Attempt(state, self.names, request.id)
+        attempt = Attempt(state, self.names, request.id, self.clock)
         progress.attempt = attempt
+        state.attempts.add(attempt)
         plan = self.choice.plan(request, progress, record.id)
         self._log_sent(request, progress, state, plan)
         progress.work = PendingWork(state, plan.unread_tokens)
@@ -91,6 +92,7 @@
             return await self._exchange(request, caller, progress, plan)
         finally:
             progress.work.end()
+            state.attempts.discard(attempt)
             attempt.abort()
 
     async def _exchange(self, request, caller, progress, plan):
--- a/boragetrail/direct/fleet.py
+++ b/boragetrail/direct/fleet.py
@@ -2,6 +2,7 @@
 
 from boragetrail.direct.channel import ChannelPool
 from boragetrail.direct.reports import ReportTable
+from boragetrail.events import Event, log_event
 from boragetrail.policy.fleetlimits import RatePart
 from boragetrail.policy.leastloaded import ServerView
 from boragetrail.policy.outcomes import OutcomeWindow, failure_rate
@@ -15,6 +16,7 @@
 
     :param record: :class:`~boragetrail.direct.model.ServerRecord`
     :param clock: function that returns monotonic seconds
+    :ivar attempts: :class:`~boragetrail.direct.attempt.Attempt` in hand
     :ivar in_flight: requests that this router has there
     :ivar pending_tokens: prompt tokens that they have to read there, as
         long as they have not answered
@@ -28,6 +30,7 @@
         self.record = record
         self.clock = clock
         self.pool = ChannelPool(record.address, clock)
+        self.attempts = set()
         self.in_flight = 0
         self.pending_tokens = 0
         self.outcomes = OutcomeWindow(clock)
@@ -69,16 +72,21 @@
     :param peers: :class:`~boragetrail.direct.peers.PeerTable`
     :param zone: availability zone of the router
     :param clock: function that returns monotonic seconds
+    :ivar replaced: states of earlier runs of servers that have attempts
     :ivar reports: what servers lately said of their load
     :ivar parts: which servers have which parts of prompts
     """
 
+    # Longest silence of a server that is not listed any more.
+    GONE_SILENCE_S = 2.0
+
     def __init__(self, directory, peers, zone, clock):
         self.directory = directory
         self.peers = peers
         self.zone = zone
         self.clock = clock
         self.states_by_id = {}
+        self.replaced = []
         self.parts = PartMap(clock)
         self.reports = ReportTable(clock)
 
@@ -167,6 +175,31 @@
                 )
         return loads
 
+    def break_off_gone(self):
+        """End the attempts at servers that are gone and silent.
+
+        Such a server is not listed any more, or another run of it is. One
+        that leaves as planned goes on with what it has begun and is not
+        silent.
+        """
+        listed = self.directory.servers_by_id
+        self.replaced = [each for each in self.replaced if each.attempts]
+        gone = [
+            state
+            for key, state in self.states_by_id.items()
+            if key not in listed
+        ]
+        for state in self.replaced + gone:
+            for attempt in list(state.attempts):
+                if attempt.silent_s() >= self.GONE_SILENCE_S:
+                    log_event(
+                        Event.SERVER_SILENT,
+                        request=attempt.request_id,
+                        server=state.record.id,
+                        silent_s=round(attempt.silent_s(), 2),
+                    )
+                    attempt.break_off()
+
     def drop_unlisted(self):
         """Close the connections to servers that are no longer listed."""
         listed = self.directory.servers_by_id
@@ -193,6 +226,8 @@
         state = self.states_by_id.get(record.id)
         if state is None or not _is_same_run(state.record, record):
             self.parts.forget(record.id)
+            if state is not None:
+                self.replaced.append(state)
             state = ServerState(record, self.clock)
             self.states_by_id[record.id] = state
         state.record = record
--- a/boragetrail/events.py
+++ b/boragetrail/events.py
@@ -50,6 +50,7 @@
     SERVER_GONE = (504, "INFO", "The platform's entry of a server is gone.")
     PARTS_LEARNED = (505, "INFO", "A server told what it has cached.")
     PARTS_UNKNOWN = (506, "WARNING", "Cached parts could not be asked for.")
+    SERVER_SILENT = (507, "WARNING", "A server that is gone owes an answer.")
     ORDER_UNKNOWN = (600, "ERROR", "An order's outcome is unknown.")
     ORDER_FENCED = (601, "WARNING", "An order with an old fencing number.")
     LEASE_TAKEN = (602, "INFO", "A lease on engine orders was taken.")
