--- a/boragetrail/direct/dispatch.py
+++ b/boragetrail/direct/dispatch.py
@@ -56,7 +56,7 @@
             async with asyncio.timeout_at(request.deadline_s):
                 failure = await self._serve(request, caller, progress)
         except TimeoutError:
-            failure = self._late(progress)
+            failure = self._late(request, progress)
         finally:
             if progress.attempt is not None:
                 progress.attempt.abort()
@@ -208,11 +208,13 @@
         detail = f"service {request.service.name!r}"
         return Refusal(reason, detail, Ran.NO, RETRY_AFTER_S)
 
-    def _late(self, progress):
+    def _late(self, request, progress):
         attempt = progress.attempt
+        allowed_s = request.deadline_s - request.received_s
+        detail = f"the {request.deadline_from} allowed {allowed_s:.2f} s"
         if progress.runs or (attempt and attempt.ran() is not Ran.NO):
-            return Failure(Reason.DEADLINE)
-        detail = "the deadline passed before a server took it"
+            return Failure(Reason.DEADLINE, detail)
+        detail = f"{detail}, and no server took it"
         return Refusal(Reason.OVERLOADED, detail, Ran.NO, RETRY_AFTER_S)
 
     def _note_answer(self, state, answer):
--- a/boragetrail/direct/filters.py
+++ b/boragetrail/direct/filters.py
@@ -95,6 +95,7 @@
 
     def _deadline(self, request):
         left_s = request.route.timeout_s
+        request.deadline_from = "route"
         text = request.http.headers.get(self.names.deadline_ms)
         if text is not None:
             try:
@@ -102,7 +103,9 @@
             except ValueError:
                 detail = f"{self.names.deadline_ms}: {text!r} is no number"
                 return Refusal(Reason.BAD_REQUEST, detail)
-            left_s = min(left_s, asked_s)
+            if asked_s < left_s:
+                left_s = asked_s
+                request.deadline_from = "caller"
         request.deadline_s = request.received_s + left_s
         return None
 
--- a/boragetrail/direct/request.py
+++ b/boragetrail/direct/request.py
@@ -13,6 +13,7 @@
     :ivar customer: :class:`~boragetrail.direct.model.Customer` or ``None``
     :ivar decision: inputs of the last choice of a server, for the log
     :ivar deadline_s: monotonic time at which the answer must be whole
+    :ivar deadline_from: what sets it: ``"route"`` or ``"caller"``
     """
 
     __slots__ = (
@@ -25,6 +26,7 @@
         "customer",
         "body",
         "deadline_s",
+        "deadline_from",
         "decision",
     )
 
@@ -38,4 +40,5 @@
         self.customer = None
         self.body = b""
         self.deadline_s = 0.0
+        self.deadline_from = ""
         self.decision = {}
--- a/boragetrail/direct/tests/test_rules.py
+++ b/boragetrail/direct/tests/test_rules.py
@@ -52,10 +52,20 @@
         for server in site.servers:
             server.default = hang
         async with asyncio.timeout(5.0):
-            status, _, _ = await site.call(
+            status, _, body = await site.call(
                 daemon, "/status/1", headers=LONG_MS
             )
         assert status == 504
+        assert b"the route allowed 0.30 s" in body
+
+    async def test_error_says_that_the_caller_gave_less(self, site):
+        daemon = await site.add_router()
+        for server in site.servers:
+            server.default = hang
+        short = {HEADER_NAMES.deadline_ms: "200"}
+        status, _, body = await site.call(daemon, "/status/1", headers=short)
+        assert status == 504
+        assert b"the caller allowed 0.20 s" in body
 
 
 class TestRoutes:
