Start routers without OpenSSL

Of 28.7 MB that a router has at its peak, asyncio, aiohttp and hashlib load OpenSSL, which no connection of a router uses. In this machine's memory 27.3 MB of a process that has imported the router are its own, 24.2 MB without OpenSSL.

Ruled out: bytecode without docstrings (27.0 MB).

Change: the start makes its modules impossible to import; the libraries do without them, as they are written to.

--- a/boragetrail/direct/__main__.py
+++ b/boragetrail/direct/__main__.py
@@ -2,6 +2,6 @@
 
 import sys
 
-from boragetrail.direct.command import main
+from boragetrail.direct.start import start
 
-sys.exit(main(sys.argv[1:]))
+sys.exit(start(sys.argv[1:]))
