Write digests and news in one place, for routers and the emulator

The emulator's routers filled in the fourteen fields of a digest themselves, as the daemon did. Teller does it for both, beside the news that it tells between digests; the daemon loses what it does not decide.

--- a/boragetrail/direct/daemon.py
+++ b/boragetrail/direct/daemon.py
@@ -9,7 +9,6 @@
 import aiohttp.web
 
 from boragetrail.direct.choice import ServerChoice
-from boragetrail.direct.digest import Digest
 from boragetrail.direct.directory import Directory
 from boragetrail.direct.dispatch import Dispatcher
 from boragetrail.direct.feed import Feed
@@ -18,7 +17,7 @@
 from boragetrail.direct.frontend import Frontend
 from boragetrail.direct.learn import PartLearner
 from boragetrail.direct.metrics import DirectMetrics
-from boragetrail.direct.news import NewsCollector
+from boragetrail.direct.news import Teller
 from boragetrail.direct.peers import PeerTable
 from boragetrail.direct.peersocket import PeerSocket
 from boragetrail.direct.ports import Table
@@ -80,9 +79,16 @@
         self.relay = RelayServer(
             self.directory, self.fleet.parts, self.dump, self.metrics.render
         )
-        self.news = NewsCollector(self.fleet, self.choice, self.incarnation)
+        self.teller = Teller(
+            self.fleet,
+            self.choice,
+            self.incarnation,
+            gossip_port=split_address(settings.gossip)[1],
+            relay_port=split_address(settings.relay)[1],
+            link_mbps=settings.link_mbps,
+        )
         self.socket = PeerSocket(
-            self.peers, self._digest, self._news, self._heard
+            self.peers, self._digest, self.teller.take_news, self._heard
         )
         self.session = None
         self.store = None
@@ -217,26 +223,8 @@
         }
 
     def _digest(self):
-        return Digest(
-            incarnation=self.incarnation,
-            sequence=0,
-            gossip_port=split_address(self.settings.gossip)[1],
-            relay_port=split_address(self.settings.relay)[1],
-            versions_by_table=self.directory.versions(),
-            loads_by_id=self.fleet.loads_by_id(),
-            reports_by_id=self.fleet.reports.recent(),
-            placements=self.choice.recent_placements(),
-            steady_s=self.feeds_by_table[Table.SERVERS].steady_s(),
-            up_s=self.peers.up_s(),
-            link_mbps=self.settings.link_mbps,
-            peers=[],
-            leaving=self.frontend.stopping,
-            wants_reply=False,
-        )
-
-    def _news(self):
-        port = split_address(self.settings.gossip)[1]
-        return self.news.take(port)
+        steady_s = self.feeds_by_table[Table.SERVERS].steady_s()
+        return self.teller.digest(steady_s, self.frontend.stopping)
 
     def _heard(self, message):
         self.fleet.heard(message)
--- a/boragetrail/direct/tests/test_news.py
+++ b/boragetrail/direct/tests/test_news.py
@@ -5,7 +5,7 @@
 from boragetrail.direct.digest import News, decode_datagram, encode_datagram
 from boragetrail.direct.directory import Directory
 from boragetrail.direct.loads import LoadChanges
-from boragetrail.direct.news import NewsCollector
+from boragetrail.direct.news import Teller
 from boragetrail.direct.peers import PeerTable
 from boragetrail.direct.peersocket import PeerSocket
 from boragetrail.direct.reports import ReportTable
@@ -118,6 +118,7 @@
         self.clock = clock
         self.directory = Directory(None, clock)
         self.reports = ReportTable(clock)
+        self.peers = PeerTable(clock, random.Random(1))
         self.ids = [f"i-{number:010x}" for number in range(self.SERVERS)]
         self.requests_by_id = dict.fromkeys(self.ids, 2)
         for key in self.ids:
@@ -143,36 +144,34 @@
         return self.placed
 
 
-class TestNewsCollector:
+class TestTeller:
     """Many routers, each with new parts all the time."""
 
     def setup_method(self):
         self.fleet = FleetAtWork(ManualClock(100.0))
         self.choice = Placements()
-        self.collector = NewsCollector(self.fleet, self.choice, "run-1")
+        self.teller = Teller(
+            self.fleet, self.choice, "run-1", PORT, PORT, 100.0
+        )
 
     def test_nothing_is_told_without_a_new_part(self):
-        assert self.collector.take(PORT) is None
+        assert self.teller.take_news() is None
 
     def test_work_that_others_know_is_not_told_again(self):
         first, second = self.fleet.ids[:2]
         self.choice.placed = [("deck", first)]
-        assert len(self.collector.take(PORT).loads_by_id) == 30
+        assert len(self.teller.take_news().loads_by_id) == 30
         self.fleet.requests_by_id[second] += 1
         self.fleet.clock.now_s += 0.3
         self.fleet.reports.note(second, 6)
-        sent = self.collector.take(PORT)
+        sent = self.teller.take_news()
         assert list(sent.loads_by_id) == [second]
         assert list(sent.reports_by_id) == [second]
 
     def test_new_part_takes_a_quarter_of_a_digest(self):
         self.choice.placed = [("0123456789ab", self.fleet.ids[0])]
-        self.collector.take(PORT)
+        self.teller.take_news()
         self.fleet.requests_by_id[self.fleet.ids[0]] += 1
-        sent = self.collector.take(PORT)
-        whole = digest(
-            loads_by_id=self.fleet.loads_by_id(),
-            reports_by_id=self.fleet.reports.recent(),
-            placements=self.choice.placed,
-        )
+        sent = self.teller.take_news()
+        whole = self.teller.digest(5.0, False)
         assert 4 * len(encode_datagram(sent)) <= len(encode_datagram(whole))
--- a/boragetrail/emulator/fleet.py
+++ b/boragetrail/emulator/fleet.py
@@ -3,11 +3,11 @@
 import random
 
 from boragetrail.direct.choice import ServerChoice
-from boragetrail.direct.digest import Digest, News
+from boragetrail.direct.digest import News
 from boragetrail.direct.directory import Directory, KnownServer
 from boragetrail.direct.fleet import Fleet
 from boragetrail.direct.model import ServerRecord, Service
-from boragetrail.direct.news import NewsCollector
+from boragetrail.direct.news import Teller
 from boragetrail.direct.peers import PeerTable
 from boragetrail.direct.peersocket import PeerSocket
 from boragetrail.direct.progress import PendingWork, Progress
@@ -29,6 +29,7 @@
 # Time of a datagram, or of an answer's head, on its way.
 DATAGRAM_S = 0.002
 PORT = 7000
+LINK_MBPS = 1000.0
 
 
 class ChatRequest:
@@ -63,7 +64,9 @@
         self.fleet = Fleet(self.directory, self.peers, zone, time)
         self.choice = ServerChoice(self.fleet, None, BOUNDS, time, self.random)
         self.choice.by_prefix = placement(self.fleet.parts, self.random)
-        self.news = NewsCollector(self.fleet, self.choice, self.host)
+        self.teller = Teller(
+            self.fleet, self.choice, self.host, PORT, PORT, LINK_MBPS
+        )
         self.sequence = 0
 
     def list_servers(self, records):
@@ -77,31 +80,17 @@
 
     def digest(self):
         """Return what this router tells others."""
-        self.sequence += 1
-        return Digest(
-            incarnation=self.host,
-            sequence=self.sequence,
-            gossip_port=PORT,
-            relay_port=PORT,
-            versions_by_table={},
-            loads_by_id=self.fleet.loads_by_id(),
-            reports_by_id=self.fleet.reports.recent(),
-            placements=self.choice.recent_placements(),
-            steady_s=self.time(),
-            up_s=self.time(),
-            link_mbps=1000.0,
-            peers=[],
-            leaving=False,
-            wants_reply=False,
-        )
+        return self._numbered(self.teller.digest(self.time(), False))
 
     def take_news(self):
         """Return what others should hear soon, or ``None``."""
-        news = self.news.take(PORT)
-        if news is not None:
-            self.sequence += 1
-            news.sequence = self.sequence
-        return news
+        news = self.teller.take_news()
+        return None if news is None else self._numbered(news)
+
+    def _numbered(self, message):
+        self.sequence += 1
+        message.sequence = self.sequence
+        return message
 
     def heard(self, message, host):
         """Take over a digest or news of another router."""
