--- a/tools/directfaults.py
+++ b/tools/directfaults.py
@@ -7,7 +7,7 @@
 
 from boragetrail.direct.tests.conftest import configuration
 
-__all__ = ["CUTTING", "FAULTS", "PlannedStop"]
+__all__ = ["CUTTING", "ENDING", "FAULTS", "PlannedStop"]
 
 BALANCER_LAG_S = 3.0
 PAUSE_S = 1.2
@@ -24,6 +24,8 @@
         "links_cut_one_way",
     )
 )
+# Faults that end connections without a promise to those that cross the end.
+ENDING = frozenset(("stop_router",))
 
 
 @dataclasses.dataclass(slots=True)
--- a/tools/directsoak.py
+++ b/tools/directsoak.py
@@ -21,7 +21,7 @@
 from boragetrail.platform.names import HEADER_NAMES
 from standins.httpserver import whole_answer
 from standins.proxy import FaultProxy
-from tools.directfaults import CUTTING, FAULTS
+from tools.directfaults import CUTTING, ENDING, FAULTS
 
 __all__ = ["DirectSoak"]
 
@@ -72,6 +72,7 @@
         self.runs_by_id = {}
         self.seen = []
         self.faults = []
+        self.spans = []
         self.stops = []
         self.trouble = ""
         self.violations = []
@@ -234,15 +235,18 @@
         while time.monotonic() < end_s:
             pair = self.random.sample(FAULTS, 2)
             self.faults.append([fault.__name__ for fault in pair])
+            began_s = time.monotonic()
             undos = [await fault(self) for fault in pair]
             await asyncio.sleep(FAULT_S)
             for undo in undos:
                 if undo is not None:
                     await undo()
             await asyncio.sleep(CALM_S)
+            self.spans.append((began_s, time.monotonic()))
         await asyncio.gather(*workers)
         self.check_runs()
         self.check_stops()
+        self.check_cuts()
         await self.close()
         return self.violations
 
@@ -275,6 +279,22 @@
                 if seen.cut and seen.router == stop.router:
                     self.check_cut(seen, stop)
 
+    def check_cuts(self):
+        """Find answers that were cut though no fault cuts any.
+
+        Changes of the configuration and reloads are such faults. The pair
+        before counts too, since its end may last.
+        """
+        before = []
+        for names, (began_s, ended_s) in zip(self.faults, self.spans):
+            pair, before = before + names, names
+            if CUTTING.union(ENDING).intersection(pair):
+                continue
+            for seen in self.seen:
+                inside = began_s < seen.began_s and seen.ended_s < ended_s
+                if seen.cut and inside:
+                    self.violated(seen, f"cut beside {names}: {seen.cut}")
+
     def check_cut(self, seen, stop):
         """Check one request without a whole answer."""
         if not stop.began_s < seen.ended_s <= stop.ended_s:
