Count no slow caller as a silent server

Cause, found by reading the change before: an attempt was silent since its last byte, also while its caller read nothing and the router therefore took nothing from the server. A server that leaves as planned and has a slow caller was given up after 2 s, and the answer cut. The test, with an answer larger than all buffers, fails before.

Change: silence counts from the moment at which the router waits for the server's bytes.

--- a/boragetrail/direct/attempt.py
+++ b/boragetrail/direct/attempt.py
@@ -68,7 +68,8 @@
     :param names: :class:`~boragetrail.direct.ports.HeaderNames`
     :param request_id: id that the server repeats in its answer
     :param clock: function that returns monotonic seconds
-    :ivar heard_s: time of the last byte of the answer, or of the sending
+    :ivar waits_since_s: time since which the server owes the next bytes, or
+        ``None`` while the caller or this router holds them up
     """
 
     def __init__(self, server, names, request_id, clock):
@@ -76,7 +77,7 @@
         self.names = names
         self.request_id = request_id
         self.clock = clock
-        self.heard_s = clock()
+        self.waits_since_s = None
         self.state = AttemptState.NOT_SENT
         self.channel = None
         self.answer = None
@@ -117,7 +118,7 @@
             self.error = "connection was lost before the request"
             return Verdict.UNREACHABLE
         self.state = AttemptState.SENT
-        self.heard_s = self.clock()
+        self.waits_since_s = self.clock()
         try:
             self.channel.start(data)
             self.answer = await self._own_answer()
@@ -135,10 +136,11 @@
         payload = self.answer.payload
         try:
             while True:
+                self.waits_since_s = self.clock()
                 data = await payload.readany()
+                self.waits_since_s = None
                 if not data:
                     break
-                self.heard_s = self.clock()
                 yield data
         except CHANNEL_ERRORS as exc:
             self._broken(f"reading the answer: {exc!r}")
@@ -155,7 +157,9 @@
 
     def silent_s(self):
         """Return for how long the server has said nothing, in seconds."""
-        return self.clock() - self.heard_s
+        if self.waits_since_s is None:
+            return 0.0
+        return self.clock() - self.waits_since_s
 
     def break_off(self):
         """Break the connection to a server that is gone.
@@ -183,6 +187,7 @@
         return None
 
     def _judge(self):
+        self.waits_since_s = None
         answer = self.answer
         headers = answer.headers
         if answer.status == MISDIRECTED:
@@ -216,6 +221,7 @@
 
     def _broken(self, error):
         self.state = AttemptState.BROKEN
+        self.waits_since_s = None
         self.error = error
         self.abort()
         return Verdict.BROKEN
--- a/boragetrail/direct/tests/test_gone.py
+++ b/boragetrail/direct/tests/test_gone.py
@@ -13,6 +13,9 @@
 from boragetrail.platform.names import HEADER_NAMES
 
 LONG_MS = {HEADER_NAMES.deadline_ms: "10000"}
+# More than all buffers between a server and a caller hold.
+LARGE_EVENT = b"id: 1\ndata: " + b"x" * 1_000_000 + b"\n\n"
+LARGE_EVENTS = 24
 # Time in which a router finds out, beyond the silence that it waits for.
 NOTICE_S = 0.8
 
@@ -117,6 +120,20 @@
         assert not call.done()
         call.cancel()
 
+    async def test_caller_that_reads_slowly_is_no_silent_server(self, patient):
+        daemon = await patient.add_router()
+        for server in patient.servers:
+            server.default = stream_of(*[LARGE_EVENT] * LARGE_EVENTS)
+        async with patient.request(
+            daemon, "/stream/1", headers=LONG_MS
+        ) as answer:
+            size = len(await answer.content.readany())
+            for server in patient.servers:
+                patient.store.remove("servers", server.id)
+            await asyncio.sleep(Fleet.GONE_SILENCE_S + NOTICE_S)
+            size += len(await answer.read())
+        assert size == LARGE_EVENTS * len(LARGE_EVENT)
+
     async def test_server_that_leaves_ends_its_streams(self, patient):
         daemon = await patient.add_router()
         call, server = await self.ask(
