Give cold engines their part when the warm ones are crowded

Engines are released and replaced there in series: four of five are new and say that they stay cold for 3 s. A cold engine was chosen only if no warm one was left, so 74 requests went to the one warm engine, up to 21 at a time, while the others had 5 to 10.

Change: if the best warm server would be over the load bound of all usable ones, a cold one is chosen whose rate has a part left. The rate itself, and the parts of the routers, are as before.

Test: one warm server among cold ones; it fails before.

--- a/boragetrail/direct/choice.py
+++ b/boragetrail/direct/choice.py
@@ -5,7 +5,7 @@
 
 from boragetrail.direct.headers import prompt_parts
 from boragetrail.policy.leastloaded import LeastLoaded
-from boragetrail.policy.prefix import PrefixPlacement
+from boragetrail.policy.prefix import PrefixPlacement, load_bound
 from boragetrail.utils import join_address
 
 __all__ = ["Plan", "ServerChoice"]
@@ -75,9 +75,18 @@
             state for state in usable if limited and self.fleet.is_cold(state)
         ]
         warm = [state for state in usable if state not in cold]
-        if warm:
-            return self._order(progress, warm)[0]
-        return self._choose_cold(request, progress, cold)
+        if not warm:
+            return self._choose_cold(request, progress, cold)
+        best = self._order(progress, warm)[0]
+        if cold and self._is_crowded(best, usable):
+            return self._choose_cold(request, progress, cold) or best
+        return best
+
+    def _is_crowded(self, state, states):
+        """Return whether a server would have more than its bounded load."""
+        running = [self.fleet.engine_view(each).running for each in states]
+        bound = load_bound(sum(running) / len(running))
+        return self.fleet.engine_view(state).running + 1 > bound
 
     def _choose_cold(self, request, progress, cold):
         """Return a cold server of whose rate a part is left, or ``None``."""
--- a/boragetrail/direct/tests/test_rules.py
+++ b/boragetrail/direct/tests/test_rules.py
@@ -152,6 +152,23 @@
         assert not site.servers[0].requests
         assert len(site.servers[1].requests) == 20
 
+    async def test_one_warm_server_among_cold_ones(self, site):
+        """Servers are replaced in series; the last warm one has its bound."""
+        daemon = await self.cold_site(site, [0])
+        daemon.peers.started_s -= daemon.peers.START_S
+        for server in site.servers:
+            server.default = hang
+        calls = [
+            asyncio.create_task(site.call(daemon, "/status/1"))
+            for _ in range(20)
+        ]
+        await site.until(lambda: len(requests_of(site)) == 20)
+        bounds = daemon.settings.bounds
+        most = self.RATE * bounds.cold_factor + bounds.cold_margin
+        assert 0 < len(site.servers[0].requests) <= most
+        for call in calls:
+            call.cancel()
+
     async def test_router_that_starts_takes_no_part_of_a_small_rate(
         self, site
     ):
--- a/boragetrail/policy/prefix.py
+++ b/boragetrail/policy/prefix.py
@@ -5,7 +5,10 @@
 
 from boragetrail.policy.placement import rendezvous_score
 
-__all__ = ["EngineView", "PartMap", "PrefixPlacement"]
+__all__ = ["EngineView", "PartMap", "PrefixPlacement", "load_bound"]
+
+LOAD_MULTIPLE = 1.6
+LOAD_SLACK = 2.0
 
 
 @dataclasses.dataclass(slots=True)
@@ -112,8 +115,6 @@
     RUNNING_TOKENS = 60
     # Tokens that a certain failure counts like.
     FAILURE_TOKENS = 60000
-    LOAD_MULTIPLE = 1.6
-    LOAD_SLACK = 2.0
     # Fewer tokens than this are read rather than copied.
     LEAST_COPIED = 200
 
@@ -131,8 +132,7 @@
         """
         if not engines:
             return []
-        mean = sum(each.running for each in engines) / len(engines)
-        bound = self.LOAD_MULTIPLE * mean + self.LOAD_SLACK
+        bound = load_bound(sum(e.running for e in engines) / len(engines))
         kept = self.kept_by_engine(prompt)
         most_kept = max(kept.values(), default=0)
         unknown = max(0, _shared_tokens(prompt) - most_kept)
@@ -217,5 +217,13 @@
         return max(engines, key=lambda e: rendezvous_score(part, e.id)).id
 
 
+def load_bound(mean):
+    """Return the most requests that an engine may get to have.
+
+    :param mean: mean number of requests of the engines of a service
+    """
+    return LOAD_MULTIPLE * mean + LOAD_SLACK
+
+
 def _shared_tokens(prompt):
     return sum(tokens for _, tokens in prompt[:-1])
