Let some routers read the store for all whatever their links; tell work whole

Where all links are slow nobody read the configuration: a trace of all feeds shows the last read 2.4 s after the start of traffic, and version 22 in force nowhere 5 s after its ack. Ruled out by the same trace: the store's lost history (410 was followed by a whole read) and timeouts of the feeds.

Now the first two in rank of the routers that the store does not turn away ask it, fast links first, and every datagram says when the store was last heard by anyone. The others ask only if that is 2 s ago; in fleets of up to eight routers all ask, as before.

With more than 33 routers news of changes reached a part of the others, and whoever missed one kept a wrong number until the next digest. Rows of all work are told whole instead, numbered, and passed on by others; sums are scaled to the routers that are not heard. Rows over 100 servers are split. Up to 20 others are told directly. Placements are told twice by each router that learns them.

--- a/boragetrail/direct/choice.py
+++ b/boragetrail/direct/choice.py
@@ -1,6 +1,5 @@
 """Choose the server to try next for a request."""
 
-import collections
 import dataclasses
 
 from boragetrail.direct.headers import prompt_parts
@@ -10,10 +9,6 @@
 
 __all__ = ["Plan", "ServerChoice"]
 
-# How long and how many placements are told to other routers.
-PLACEMENT_TOLD_S = 1.0
-PLACEMENTS_TOLD = 40
-
 
 @dataclasses.dataclass(slots=True)
 class Plan:
@@ -29,7 +24,7 @@
 
 
 class ServerChoice:
-    """Choose servers, and remember where parts of prompts went.
+    """Choose servers.
 
     :param fleet: :class:`~boragetrail.direct.fleet.Fleet`
     :param names: :class:`~boragetrail.direct.ports.HeaderNames`
@@ -45,23 +40,6 @@
         self.clock = clock
         self.by_prefix = PrefixPlacement(fleet.parts, random)
         self.least_loaded = LeastLoaded(random)
-        self.placements = collections.deque(maxlen=PLACEMENTS_TOLD)
-        self.news = False
-
-    def take_news(self):
-        """Return whether there are placements that nobody was told of."""
-        news, self.news = self.news, False
-        return news
-
-    def recent_placements(self):
-        """Return what other routers should know of parts of prompts.
-
-        :returns: list of (part, server id)
-        """
-        oldest = self.clock() - PLACEMENT_TOLD_S
-        while self.placements and self.placements[0][0] < oldest:
-            self.placements.popleft()
-        return list({entry[1:] for entry in self.placements})
 
     def choose(self, request, progress):
         """Return the state of the server to try next, or ``None``."""
@@ -125,16 +103,8 @@
         sources = self.fleet.sources(request.service.name)
         source_id = self.by_prefix.source(prompt, server_id, sources)
         unread = self.by_prefix.unread(prompt, server_id, source_id)
-        self._note_new(prompt, server_id)
+        self.fleet.placements.placed(prompt, server_id)
         self.by_prefix.placed(prompt, server_id)
         if source_id is None:
             return Plan("", unread)
         return Plan(join_address(*sources[source_id]), unread)
-
-    def _note_new(self, prompt, server_id):
-        """Keep what other routers cannot know yet of shared parts."""
-        now = self.clock()
-        for part, _ in prompt[:-1]:
-            if server_id not in self.fleet.parts.holders(part):
-                self.placements.append((now, part, server_id))
-                self.news = True
--- a/boragetrail/direct/daemon.py
+++ b/boragetrail/direct/daemon.py
@@ -9,18 +9,21 @@
 import aiohttp.web
 
 from boragetrail.direct.choice import ServerChoice
+from boragetrail.direct.digest import News
 from boragetrail.direct.directory import Directory
 from boragetrail.direct.dispatch import Dispatcher
 from boragetrail.direct.feed import Feed
 from boragetrail.direct.filters import FilterChain
 from boragetrail.direct.fleet import Fleet
 from boragetrail.direct.frontend import Frontend
+from boragetrail.direct.hearing import StoreHearing
 from boragetrail.direct.learn import PartLearner
 from boragetrail.direct.metrics import DirectMetrics
 from boragetrail.direct.news import Teller
 from boragetrail.direct.peers import PeerTable
 from boragetrail.direct.peersocket import PeerSocket
 from boragetrail.direct.ports import Table
+from boragetrail.direct.readers import reader_role
 from boragetrail.direct.relay import PeerSource, Puller, RelayServer
 from boragetrail.events import Event, log_event
 from boragetrail.utils import TaskGroup, new_incarnation, split_address
@@ -61,6 +64,9 @@
         self.peers.own = split_address(settings.gossip)
         self.peers.link_mbps = settings.link_mbps
         self.directory = Directory(platform.PlatformDecoder(), self.clock)
+        self.hearing_by_table = {
+            table: StoreHearing(self.clock) for table in Table
+        }
         self.fleet = Fleet(
             self.directory, self.peers, settings.zone, self.clock
         )
@@ -81,7 +87,7 @@
         )
         self.teller = Teller(
             self.fleet,
-            self.choice,
+            self.hearing_by_table,
             self.incarnation,
             gossip_port=split_address(settings.gossip)[1],
             relay_port=split_address(settings.relay)[1],
@@ -130,11 +136,9 @@
                 table,
                 self.store,
                 self.directory,
-                self.clock,
+                self.hearing_by_table[table],
                 self.random,
-                self.peers.is_reader,
-                self.peers.store_was_up,
-                self._others_tell(table),
+                self._reader_role,
             )
             for table in Table
         }
@@ -143,7 +147,6 @@
             self.peers,
             self._peer_source,
             self.feeds_by_table,
-            self._may_lapse,
             self.random,
         )
         await self.socket.open(*split_address(settings.gossip))
@@ -204,7 +207,7 @@
             "tables": {
                 feed.table.value: {
                     "version": self.directory.mirrors[feed.table].version,
-                    "age_s": feed.age_s(),
+                    "age_s": feed.hearing.age_s(),
                     "lost": feed.lost,
                 }
                 for feed in self.feeds_by_table.values()
@@ -219,37 +222,32 @@
             },
             "loads": self.fleet.loads_by_id(),
             "routers": self.peers.size(),
+            "datagrams_refused": self.socket.refused,
             "store_calls": self.store.calls,
         }
 
     def _digest(self):
-        steady_s = self.feeds_by_table[Table.SERVERS].steady_s()
-        return self.teller.digest(steady_s, self.frontend.stopping)
+        turned_away = any(
+            feed.failing for feed in self.feeds_by_table.values()
+        )
+        return self.teller.digest(turned_away, self.frontend.stopping)
 
     def _heard(self, message):
         self.fleet.heard(message)
+        if isinstance(message, News):
+            self.fleet.heard_placements(message.placements)
+        for table, feed in self.feeds_by_table.items():
+            if table.value in message.store:
+                age_ms, steady_ms = message.store[table.value]
+                feed.told(age_ms / 1000.0, steady_ms / 1000.0)
         if self.puller.is_behind():
             self.tasks.start(self.puller.pull_if_behind(), "pull")
 
     def _peer_source(self, peer):
         return PeerSource(self.session, peer.address[0], peer.relay_port)
 
-    def _others_tell(self, table):
-        """Return the function by which a feed leaves changes to others.
-
-        A configuration takes a slow link long. Other routers give it
-        compressed.
-        """
-        if table is Table.OPERATORS and self.peers.has_slow_link():
-            return self.peers.hear_store
-        return lambda: False
-
-    def _may_lapse(self, table):
-        """Return whether told deletions may be lapses of living servers."""
-        feed = self.feeds_by_table[table]
-        if not feed.is_away():
-            return False
-        return not self.peers.store_was_up(feed.age_s())
+    def _reader_role(self):
+        return reader_role(self.peers)
 
     def _reload(self):
         settings, errors = self.reload()
--- a/boragetrail/direct/digest.py
+++ b/boragetrail/direct/digest.py
@@ -1,13 +1,49 @@
-"""The datagrams by which a router tells others what it knows."""
+"""The datagrams by which a router tells others what it knows.
+
+Bytes from the network become typed, bounded values or one refusal; nothing
+is taken over from a datagram that can be read in part only.
+"""
 
 import dataclasses
+import ipaddress
+import math
 
 import cbor2
 
-__all__ = ["Digest", "News", "decode_datagram", "encode_datagram"]
+from boragetrail.direct.entries import pack_entries, unpack_entries
+from boragetrail.direct.relayedrows import pack_rows, unpack_rows
+
+__all__ = [
+    "DatagramRefusal",
+    "Digest",
+    "News",
+    "decode_datagram",
+    "encode_datagram",
+]
 
 MOST_DATAGRAM_BYTES = 8 * 1024
-LOAD_FIELDS = 4
+MOST_TEXT = 200
+MOST_NUMBER = 2**62
+MOST_AGE_MS = 60_000
+MOST_SECONDS = 1e9
+MOST_MBPS = 1e7
+MOST_PORT = 65535
+# Longest lists of a datagram.
+MOST_PLACEMENTS = 200
+MOST_PEERS = 64
+MOST_RELAYED = 16
+MOST_TABLES = 16
+MOST_PARTS = 64
+
+
+@dataclasses.dataclass(slots=True)
+class DatagramRefusal:
+    """Say why a datagram is not taken over.
+
+    :param detail: text that names the field
+    """
+
+    detail: str
 
 
 @dataclasses.dataclass(slots=True)
@@ -19,13 +55,18 @@
     :param gossip_port: port that it gets datagrams at
     :param relay_port: port that it gives rows at
     :param versions_by_table: version of the newest row of each table
-    :param loads_by_id: (requests, pending tokens, failures, answers) of
-        each server in use
-    :param reports_by_id: what busy servers lately said of their load, as
-        [requests, age in ms]
-    :param placements: parts of prompts that it lately sent, as
-        [part, server id]
-    :param steady_s: seconds for which it has surely heard the store
+    :param part: which row of its work this is, from 0
+    :param parts: number of rows that hold all of its work
+    :param work: (server key, requests in flight, pending tokens) of each
+        server of the row at which it has work
+    :param outcomes: (server key, failures, answers) of servers that it
+        lately used
+    :param reports: (server key, requests, age in ms) of what servers lately
+        said of their load
+    :param store: (age in ms, steady time in ms) of each table of the store
+        that was heard by any router, as
+        :class:`~boragetrail.direct.hearing.StoreHearing` tells
+    :param turned_away: whether the store does not answer this router
     :param up_s: seconds since it started
     :param link_mbps: speed of its link in megabits a second
     :param peers: addresses of some other routers, as [host, port]
@@ -38,10 +79,13 @@
     gossip_port: int
     relay_port: int
     versions_by_table: dict
-    loads_by_id: dict
-    reports_by_id: dict
-    placements: list
-    steady_s: float
+    part: int
+    parts: int
+    work: list
+    outcomes: list
+    reports: list
+    store: dict
+    turned_away: bool
     up_s: float
     link_mbps: float
     peers: list
@@ -51,63 +95,200 @@
 
 @dataclasses.dataclass(slots=True)
 class News:
-    """Tell what has changed since a router last told news.
+    """Tell the work of a router, and what else is new, to some others.
 
     :param incarnation: id of this run of the router
     :param sequence: number of the datagram within the run, digests included
     :param gossip_port: port that it gets datagrams at
     :param versions_by_table: as in a :class:`Digest`
-    :param loads_by_id: as in a digest, but only what has changed; a server
-        that it has no work at any more counts 0 throughout
-    :param reports_by_id: as in a digest, but only what it heard itself
-    :param placements: as in a digest
+    :param store: as in a digest
+    :param part: as in a digest
+    :param parts: as in a digest
+    :param work: as in a digest
+    :param relayed: :class:`~boragetrail.direct.relayedrows.RelayedRow` of
+        some other routers
+    :param reports: as in a digest, but only what it heard itself
+    :param placements: new places of parts of prompts, as
+        [part, server id]
     """
 
     incarnation: str
     sequence: int
     gossip_port: int
     versions_by_table: dict
-    loads_by_id: dict
-    reports_by_id: dict
+    store: dict
+    part: int
+    parts: int
+    work: list
+    relayed: list
+    reports: list
     placements: list
 
 
 def encode_datagram(message):
     """Return a :class:`Digest` or :class:`News` as bytes."""
-    names = type(message).__slots__
-    return cbor2.dumps([getattr(message, name) for name in names])
+    fields = []
+    for field in dataclasses.fields(message):
+        value = getattr(message, field.name)
+        if field.name in _PACKED:
+            value = pack_entries(value)
+        elif field.name == "relayed":
+            value = pack_rows(value)
+        fields.append(value)
+    return cbor2.dumps(fields)
 
 
 def decode_datagram(data):
-    """Return a digest or news, or ``None`` if the bytes can't be read."""
+    """Return a digest or news, or a :class:`DatagramRefusal`."""
     if len(data) > MOST_DATAGRAM_BYTES:
-        return None
+        return DatagramRefusal(f"{len(data)} bytes are too many")
     try:
-        fields = cbor2.loads(data)
-        is_news = len(fields) == len(News.__slots__)
-        message = News(*fields) if is_news else Digest(*fields)
-    except (ValueError, TypeError, cbor2.CBORDecodeError):
-        return None
-    return message if _is_valid(message) else None
-
-
-def _is_valid(message):
-    if not (
-        isinstance(message.versions_by_table, dict)
-        and _are_loads(message.loads_by_id)
-    ):
-        return False
-    return isinstance(message, News) or (
-        isinstance(message.steady_s, (int, float))
-        and isinstance(message.up_s, (int, float))
-        and isinstance(message.link_mbps, (int, float))
-    )
-
-
-def _are_loads(loads_by_id):
-    return isinstance(loads_by_id, dict) and all(
-        isinstance(fields, list)
-        and len(fields) == LOAD_FIELDS
-        and all(isinstance(field, int) for field in fields)
-        for fields in loads_by_id.values()
-    )
+        values = cbor2.loads(data)
+    except (cbor2.CBORDecodeError, ValueError, TypeError) as exc:
+        return DatagramRefusal(f"no CBOR: {exc!r}")
+    except RecursionError:
+        return DatagramRefusal("nested too deeply")
+    if not isinstance(values, list):
+        return DatagramRefusal("no list of fields")
+    for kind in (Digest, News):
+        if len(values) == len(kind.__slots__):
+            return _decode(kind, values)
+    return DatagramRefusal(f"{len(values)} fields")
+
+
+def _decode(kind, values):
+    fields = []
+    for name, value in zip(kind.__slots__, values):
+        try:
+            fields.append(_READERS_BY_FIELD[name](value))
+        except ValueError as exc:
+            return DatagramRefusal(f"{name}: {exc}")
+    return kind(*fields)
+
+
+def _text(value):
+    if not isinstance(value, str) or not 0 < len(value) <= MOST_TEXT:
+        raise ValueError("no text or too long")
+    return value
+
+
+def _number(value, most=MOST_NUMBER, least=0):
+    if type(value) is not int or not least <= value <= most:
+        raise ValueError(f"no whole number from {least} to {most}")
+    return value
+
+
+def _version(value):
+    return _number(value, least=-1)
+
+
+def _port(value):
+    return _number(value, MOST_PORT, 1)
+
+
+def _real(value, most=MOST_SECONDS):
+    if type(value) not in (int, float) or not math.isfinite(value):
+        raise ValueError("no finite number")
+    if not 0 <= value <= most:
+        raise ValueError(f"no number from 0 to {most}")
+    return value
+
+
+def _flag(value):
+    if type(value) is not bool:
+        raise ValueError("neither true nor false")
+    return value
+
+
+def _host(value):
+    return str(ipaddress.IPv4Address(_text(value)))
+
+
+def _list(value, most):
+    if not isinstance(value, list) or len(value) > most:
+        raise ValueError(f"no list of up to {most}")
+    return value
+
+
+def _tuple(value, *readers):
+    if len(_list(value, len(readers))) != len(readers):
+        raise ValueError(f"no list of {len(readers)}")
+    return [read(each) for read, each in zip(readers, value)]
+
+
+def _entries(value):
+    if not isinstance(value, bytes):
+        raise ValueError("no bytes of entries")
+    return unpack_entries(value)
+
+
+def _reports(value):
+    entries = _entries(value)
+    if any(age_ms > MOST_AGE_MS for _, _, age_ms in entries):
+        raise ValueError(f"an age over {MOST_AGE_MS} ms")
+    return entries
+
+
+def _versions(value):
+    if not isinstance(value, dict) or len(value) > MOST_TABLES:
+        raise ValueError(f"no versions of up to {MOST_TABLES} tables")
+    return {_text(key): _version(each) for key, each in value.items()}
+
+
+def _store(value):
+    if not isinstance(value, dict) or len(value) > MOST_TABLES:
+        raise ValueError(f"no ages of up to {MOST_TABLES} tables")
+    return {
+        _text(key): _tuple(each, _number, _number)
+        for key, each in value.items()
+    }
+
+
+def _placements(value):
+    placements = _list(value, MOST_PLACEMENTS)
+    return [_tuple(each, _text, _text) for each in placements]
+
+
+def _peers(value):
+    return [_tuple(each, _host, _port) for each in _list(value, MOST_PEERS)]
+
+
+def _relayed(value):
+    if not isinstance(value, bytes):
+        raise ValueError("no bytes of rows")
+    rows = unpack_rows(value)
+    if len(rows) > MOST_RELAYED:
+        raise ValueError(f"more than {MOST_RELAYED} rows")
+    return rows
+
+
+def _part(value):
+    return _number(value, MOST_PARTS - 1)
+
+
+def _parts(value):
+    return _number(value, MOST_PARTS, 1)
+
+
+_PACKED = frozenset(("work", "outcomes", "reports"))
+_READERS_BY_FIELD = {
+    "incarnation": _text,
+    "sequence": _number,
+    "gossip_port": _port,
+    "relay_port": _port,
+    "versions_by_table": _versions,
+    "part": _part,
+    "parts": _parts,
+    "work": _entries,
+    "outcomes": _entries,
+    "reports": _reports,
+    "relayed": _relayed,
+    "placements": _placements,
+    "store": _store,
+    "turned_away": _flag,
+    "up_s": _real,
+    "link_mbps": lambda value: _real(value, MOST_MBPS),
+    "peers": _peers,
+    "leaving": _flag,
+    "wants_reply": _flag,
+}
--- a/boragetrail/direct/directory.py
+++ b/boragetrail/direct/directory.py
@@ -41,8 +41,6 @@
     TOLD_LAPSE_GRACE_S = 1.2
     # Longest time in seconds for which a missing entry is kept.
     MOST_KEPT_S = 1.7
-    # A shorter absence of the store makes no entry lapse.
-    LAPSE_OUTAGE_S = 2.0
 
     def __init__(self, decoder, clock):
         self.decoder = decoder
@@ -66,10 +64,9 @@
                 self._operators_changed(row)
         return changed
 
-    def store_returned(self, outage_s):
-        """Note that the store answers again after an outage in seconds."""
-        if outage_s >= self.LAPSE_OUTAGE_S:
-            self.lapse_until_s = self.clock() + self.LAPSE_GRACE_S
+    def store_returned(self):
+        """Note that the store answers again after an outage."""
+        self.lapse_until_s = self.clock() + self.LAPSE_GRACE_S
 
     def store_away(self):
         """Note that rows come from another router instead of the store."""
--- a/boragetrail/direct/feed.py
+++ b/boragetrail/direct/feed.py
@@ -3,6 +3,7 @@
 import asyncio
 
 from boragetrail.direct.ports import SourceFailure
+from boragetrail.direct.readers import ReaderRole
 from boragetrail.events import Event, log_event
 
 __all__ = ["Feed"]
@@ -11,65 +12,49 @@
 class Feed:
     """Keep a directory up to date with one table.
 
+    A router that is no reader leaves changes to others as long as these are
+    known to hear the source, and gets them from there.
+
     :param table: :class:`~boragetrail.direct.ports.Table`
     :param source: :class:`~boragetrail.direct.ports.RowSource`
     :param directory: :class:`~boragetrail.direct.directory.Directory`
-    :param clock: function that returns monotonic seconds
+    :param hearing: :class:`~boragetrail.direct.hearing.StoreHearing`
     :param random: random generator for pauses
-    :param is_reader: function that returns whether this router asks often
-    :param was_up: function from an outage in seconds to whether other
-        routers heard the source all the while
-    :param others_tell: function that returns whether changes are left to
-        other routers to tell; by default they never are
-    :ivar heard_s: monotonic time of the last answer of the source
+    :param role: function that returns this router's :class:`ReaderRole`
     """
 
     # Limits of a wait for changes, and pauses after some, of routers that
     # ask often for all and of the others.
-    READER_WAIT_S = 2.0
+    READER_WAIT_S = 1.5
     WAIT_S = 10.0
     PAUSE_S = 0.8
-    LEFT_TO_OTHERS_S = 0.5
+    # Changes are left to readers until these have been silent for so long.
+    READER_SILENCE_S = 2.0
+    LEFT_TO_OTHERS_S = 0.1
     FIRST_PAUSE_S = 0.1
     MOST_PAUSE_S = 0.4
+    # The same of routers that others tell what the store says.
+    MOST_PAUSE_OF_OTHERS_S = 1.2
     # Without an answer for so long, the table counts as lost.
     LOST_S = 3.0
 
-    def __init__(
-        self,
-        table,
-        source,
-        directory,
-        clock,
-        random,
-        is_reader,
-        was_up,
-        others_tell=lambda: False,
-    ):
+    def __init__(self, table, source, directory, hearing, random, role):
         self.table = table
         self.source = source
         self.directory = directory
-        self.clock = clock
+        self.hearing = hearing
         self.random = random
-        self.is_reader = is_reader
-        self.was_up = was_up
-        self.others_tell = others_tell
-        self.heard_s = clock()
-        self.steady_since_s = clock()
+        self.role = role
         self.pause_s = self.FIRST_PAUSE_S
         self.lost = False
         self.failing = False
         self.asking = False
         self.needs_all = True
 
-    def age_s(self):
-        """Return seconds since the source answered."""
-        return self.clock() - self.heard_s
-
     async def run(self):
         """Follow the table until the task is cancelled."""
         while True:
-            if not self.needs_all and self.others_tell():
+            if not self.needs_all and self._is_left_to_others():
                 await asyncio.sleep(self.LEFT_TO_OTHERS_S)
                 continue
             self.asking = True
@@ -80,7 +65,7 @@
                 continue
             self._answered()
             changed = self.directory.apply(self.table, result)
-            if changed and not self.is_reader():
+            if changed and self.role() is ReaderRole.WAITING:
                 # Other routers tell of changes meanwhile.
                 await asyncio.sleep(self.PAUSE_S)
 
@@ -88,19 +73,17 @@
         """Return whether a change would be told by the source itself."""
         return self.asking and not self.failing
 
-    def steady_s(self):
-        """Return for how long the source has answered without a failure.
+    def told(self, age_s, steady_s):
+        """Note what another router told of the source.
 
-        It is 0 if that is not known, since the last answer is old.
+        See :meth:`~boragetrail.direct.hearing.StoreHearing.told`.
         """
-        if self.failing or self.age_s() > self.LOST_S:
-            return 0.0
-        return self.clock() - self.steady_since_s
+        self._heard(self.hearing.told(age_s, steady_s))
 
-    def is_away(self):
-        """Return whether the source has failed for long."""
-        away_s = self.directory.LAPSE_OUTAGE_S
-        return self.failing and self.age_s() >= away_s
+    def _is_left_to_others(self):
+        if self.role() is not ReaderRole.LEAVING_IT_TO_OTHERS:
+            return False
+        return self.hearing.age_s() < self.READER_SILENCE_S
 
     async def _next(self):
         mirror = self.directory.mirrors[self.table]
@@ -113,36 +96,42 @@
                 return SourceFailure(f"{self.table.value}: read is outdated")
             self.needs_all = False
             return result
-        wait_s = self.READER_WAIT_S if self.is_reader() else self.WAIT_S
+        waits = self.role() is ReaderRole.WAITING
+        wait_s = self.WAIT_S if waits else self.READER_WAIT_S
         return await self.source.changes(self.table, mirror.version, wait_s)
 
     def _answered(self):
-        outage_s = self.age_s()
-        self.heard_s = self.clock()
+        outage_s = self.hearing.answered(unbroken=not self.failing)
+        self.failing = False
         self.pause_s = self.FIRST_PAUSE_S
-        if self.failing:
-            self.failing = False
-            self.steady_since_s = self.heard_s
-            if not self.was_up(outage_s):
-                self.directory.store_returned(outage_s)
-        if self.lost:
+        self._heard(outage_s)
+
+    def _heard(self, outage_s):
+        if outage_s:
+            self.directory.store_returned()
+        if self.lost and self.hearing.age_s() < self.LOST_S:
             self.lost = False
-            log_event(
-                Event.STORE_REGAINED, table=self.table.value, after_s=outage_s
-            )
+            log_event(Event.STORE_REGAINED, table=self.table.value)
 
     async def _failed(self, failure):
         if failure.history_lost:
             self.needs_all = True
         else:
             self.failing = True
-        if not self.lost and self.age_s() > self.LOST_S:
+        age_s = self.hearing.age_s()
+        if not self.lost and age_s > self.LOST_S:
             self.lost = True
             log_event(
                 Event.STORE_LOST,
                 table=self.table.value,
                 detail=failure.detail,
-                age_s=self.age_s(),
+                age_s=age_s,
             )
         await asyncio.sleep(self.pause_s * self.random.uniform(0.7, 1.3))
-        self.pause_s = min(self.MOST_PAUSE_S, 1.5 * self.pause_s)
+        self.pause_s = min(self._most_pause_s(), 1.5 * self.pause_s)
+
+    def _most_pause_s(self):
+        others_hear = not self.hearing.is_away()
+        if others_hear or self.role() is ReaderRole.LEAVING_IT_TO_OTHERS:
+            return self.MOST_PAUSE_OF_OTHERS_S
+        return self.MOST_PAUSE_S
--- a/boragetrail/direct/fleet.py
+++ b/boragetrail/direct/fleet.py
@@ -1,6 +1,8 @@
 """What a router knows of servers from its own work and from its peers."""
 
 from boragetrail.direct.channel import ChannelPool
+from boragetrail.direct.entries import server_key
+from boragetrail.direct.placements import PlacementNews
 from boragetrail.direct.reports import ReportTable
 from boragetrail.events import Event, log_event
 from boragetrail.policy.fleetlimits import RatePart
@@ -75,6 +77,7 @@
     :ivar replaced: states of earlier runs of servers that have attempts
     :ivar reports: what servers lately said of their load
     :ivar parts: which servers have which parts of prompts
+    :ivar placements: what other routers may not know of these
     """
 
     # Longest silence of a server that is not listed any more.
@@ -88,6 +91,7 @@
         self.states_by_id = {}
         self.replaced = []
         self.parts = PartMap(clock)
+        self.placements = PlacementNews(self.parts, clock)
         self.reports = ReportTable(clock)
 
     def heard(self, digest):
@@ -96,10 +100,14 @@
         :param digest: :class:`~boragetrail.direct.digest.Digest` or
             :class:`~boragetrail.direct.digest.News`
         """
-        for server_id, (requests, age_ms) in digest.reports_by_id.items():
-            self.reports.note_told(server_id, requests, age_ms / 1000.0)
-        for part, server_id in digest.placements:
-            self.parts.note(part, server_id)
+        for key, requests, age_ms in digest.reports:
+            self.reports.note_told(key, requests, age_ms / 1000.0)
+
+    def heard_placements(self, placements):
+        """Take over new places of parts, as [part, server id] each."""
+        passes_on = self.peers.needs_relays()
+        for part, server_id in placements:
+            self.placements.heard(part, server_id, passes_on)
 
     def usable(self, service):
         """Return the states of servers that may get new work, as a list."""
@@ -159,21 +167,27 @@
         )
 
     def loads_by_id(self):
-        """Return the counts of a digest for each server in use.
+        """Return (requests, pending tokens) of each server in use."""
+        return {
+            key: (state.in_flight, state.pending_tokens)
+            for key, state in self.states_by_id.items()
+            if state.in_flight
+        }
 
-        They are (requests, pending tokens, failures, answers).
-        """
-        loads = {}
-        for key, state in self.states_by_id.items():
-            failures, answers = state.outcomes.counts()
-            if state.in_flight or answers:
-                loads[key] = (
-                    state.in_flight,
-                    state.pending_tokens,
-                    failures,
-                    answers,
-                )
-        return loads
+    def work(self):
+        """Return (server key, requests, pending tokens) of these."""
+        return [
+            (server_key(key), *load)
+            for key, load in self.loads_by_id().items()
+        ]
+
+    def outcomes(self):
+        """Return (server key, failures, answers) of servers lately used."""
+        counts = [
+            (server_key(key), *state.outcomes.counts())
+            for key, state in self.states_by_id.items()
+        ]
+        return [each for each in counts if each[2]]
 
     def break_off_gone(self):
         """End the attempts at servers that are gone and silent.
--- a/boragetrail/direct/loads.py
+++ b/boragetrail/direct/loads.py
@@ -1,9 +1,9 @@
-"""Work that other routers have at servers."""
+"""Sums of what other routers tell of servers."""
 
-import collections
 import dataclasses
+import heapq
 
-__all__ = ["Load", "LoadChanges", "LoadTotals"]
+__all__ = ["Load", "ToldSums"]
 
 
 @dataclasses.dataclass(slots=True)
@@ -16,114 +16,82 @@
     :param answers: all that it answered in the last seconds
     """
 
-    requests: int = 0
-    pending_tokens: int = 0
+    requests: float = 0
+    pending_tokens: float = 0
     failures: int = 0
     answers: int = 0
 
 
-class LoadTotals:
-    """Sum what other routers lately told of their work at each server.
+class ToldSums:
+    """Sum what other routers lately told of each server.
 
-    A digest changes the sums of the servers that it names, so that a choice
-    costs nothing for each router.
+    What a source tells replaces all that it told before. It changes the sums
+    of the servers that it names, so that reading a sum costs nothing for
+    each source.
 
     :param clock: function that returns monotonic seconds
     :param age_s: age in seconds at which what was told stops to count
 
-    >>> totals = LoadTotals(lambda: 0.0, 1.5)
-    >>> totals.told("a", {"s1": (2, 100, 0, 4)})
-    >>> totals.told("b", {"s1": (1, 0, 0, 3)})
-    >>> totals.told("a", {"s1": (1, 0, 0, 5)})
-    >>> totals.load("s1")
-    Load(requests=2, pending_tokens=0, failures=0, answers=8)
+    >>> sums = ToldSums(lambda: 0.0, 1.5)
+    >>> sums.told("a", [("s1", 2, 100)])
+    >>> sums.told("b", [("s1", 1, 0)])
+    >>> sums.told("a", [("s1", 1, 0), ("s2", 1, 0)])
+    >>> sums.sum("s1"), sums.count()
+    ((2, 0), 2)
     """
 
-    __slots__ = ("clock", "age_s", "told_by_router", "order", "loads_by_id")
+    __slots__ = ("clock", "age_s", "told_by_source", "order", "sums_by_key")
+
+    NOTHING = (0, 0)
 
     def __init__(self, clock, age_s):
         self.clock = clock
         self.age_s = age_s
-        self.told_by_router = {}
-        self.order = collections.deque()
-        self.loads_by_id = {}
-
-    def told(self, router, loads_by_id):
-        """Replace what a router told.
-
-        :param loads_by_id: fields of a :class:`Load` by server id
-        """
-        self._drop(router)
-        now = self.clock()
-        self.told_by_router[router] = (now, loads_by_id)
-        self.order.append((now, router))
-        self._add(loads_by_id, 1)
+        self.told_by_source = {}
+        self.order = []
+        self.sums_by_key = {}
 
-    def told_changes(self, router, loads_by_id):
-        """Replace some of what a router told; the rest is as it was.
+    def told(self, source, entries, told_s=None):
+        """Replace what a source told.
 
-        :param loads_by_id: as for :meth:`told`; servers at which the router
-            has nothing any more count 0
+        :param entries: list of (server key, first count, second count)
+        :param told_s: monotonic time at which it told so; now by default
         """
-        _, loads = self.told_by_router.get(router, (None, {}))
-        merged = {**loads, **loads_by_id}
-        kept = {key: each for key, each in merged.items() if any(each)}
-        self.told(router, kept)
+        if told_s is None:
+            told_s = self.clock()
+        self._drop(source)
+        self.told_by_source[source] = (told_s, entries)
+        heapq.heappush(self.order, (told_s, source))
+        self._add(entries, 1)
+
+    def sum(self, key):
+        """Return both sums of a server."""
+        self._expire()
+        return self.sums_by_key.get(key, self.NOTHING)
 
-    def load(self, server_id):
-        """Return the :class:`Load` that others have at a server."""
+    def count(self):
+        """Return the number of sources that the sums are made of."""
         self._expire()
-        return self.loads_by_id.get(server_id) or Load()
+        return len(self.told_by_source)
 
     def _expire(self):
         oldest = self.clock() - self.age_s
         while self.order and self.order[0][0] < oldest:
-            told_s, router = self.order.popleft()
-            if self.told_by_router.get(router, (None,))[0] == told_s:
-                self._drop(router)
+            told_s, source = heapq.heappop(self.order)
+            if self.told_by_source.get(source, (None,))[0] == told_s:
+                self._drop(source)
 
-    def _drop(self, router):
-        told = self.told_by_router.pop(router, None)
+    def _drop(self, source):
+        told = self.told_by_source.pop(source, None)
         if told is not None:
             self._add(told[1], -1)
 
-    def _add(self, loads_by_id, sign):
-        for server_id, fields in loads_by_id.items():
-            total = self.loads_by_id.setdefault(server_id, Load())
-            told = Load(*fields)
-            total.requests += sign * told.requests
-            total.pending_tokens += sign * told.pending_tokens
-            total.failures += sign * told.failures
-            total.answers += sign * told.answers
-            if total == Load():
-                del self.loads_by_id[server_id]
-
-
-class LoadChanges:
-    """Find out which of a router's own loads nobody was told of.
-
-    >>> changes = LoadChanges()
-    >>> changes.take({"s1": (1, 0, 0, 4), "s2": (1, 0, 0, 0)})
-    {'s1': (1, 0, 0, 4), 's2': (1, 0, 0, 0)}
-    >>> changes.take({"s1": (1, 0, 0, 4)})
-    {'s2': (0, 0, 0, 0)}
-    """
-
-    __slots__ = ("told_by_id",)
-
-    def __init__(self):
-        self.told_by_id = {}
-
-    def take(self, loads_by_id):
-        """Return what has changed since the last call.
-
-        :param loads_by_id: fields of a :class:`Load` by server id
-        """
-        told = self.told_by_id
-        self.told_by_id = dict(loads_by_id)
-        nothing = dataclasses.astuple(Load())
-        changed = {key: nothing for key in told if key not in loads_by_id}
-        for key, fields in loads_by_id.items():
-            if told.get(key) != fields:
-                changed[key] = fields
-        return changed
+    def _add(self, entries, sign):
+        sums = self.sums_by_key
+        for key, first, second in entries:
+            had_first, had_second = sums.get(key, self.NOTHING)
+            total = (had_first + sign * first, had_second + sign * second)
+            if total == self.NOTHING:
+                sums.pop(key, None)
+            else:
+                sums[key] = total
--- a/boragetrail/direct/news.py
+++ b/boragetrail/direct/news.py
@@ -1,18 +1,20 @@
 """Collect what a router tells others."""
 
 from boragetrail.direct.digest import Digest, News
-from boragetrail.direct.loads import LoadChanges
+from boragetrail.direct.relayedrows import RelayedRow
+from boragetrail.direct.work import split_work
 
 __all__ = ["Teller"]
 
 
 class Teller:
-    """Write digests, and news of what has changed between them.
+    """Write digests, and news of work between them.
 
     Both are without the number that their sender gives them.
 
     :param fleet: :class:`~boragetrail.direct.fleet.Fleet`
-    :param choice: :class:`~boragetrail.direct.choice.ServerChoice`
+    :param hearing_by_table:
+        :class:`~boragetrail.direct.hearing.StoreHearing` by table
     :param incarnation: id of this run of the router
     :param gossip_port: port at which the router gets datagrams
     :param relay_port: port at which it gives rows
@@ -21,44 +23,61 @@
 
     __slots__ = (
         "fleet",
-        "choice",
+        "hearing_by_table",
         "incarnation",
         "gossip_port",
         "relay_port",
         "link_mbps",
-        "changes",
+        "told",
         "told_s",
+        "row",
     )
 
+    # Most servers whose outcomes and reports a digest tells.
+    MOST_SERVERS = 40
+    # Rows of other routers that news pass on.
+    RELAYED = 3
+
     def __init__(
-        self, fleet, choice, incarnation, gossip_port, relay_port, link_mbps
+        self,
+        fleet,
+        hearing_by_table,
+        incarnation,
+        gossip_port,
+        relay_port,
+        link_mbps,
     ):
         self.fleet = fleet
-        self.choice = choice
+        self.hearing_by_table = hearing_by_table
         self.incarnation = incarnation
         self.gossip_port = gossip_port
         self.relay_port = relay_port
         self.link_mbps = link_mbps
-        self.changes = LoadChanges()
+        self.told = None
         self.told_s = 0.0
+        self.row = 0
 
-    def digest(self, steady_s, leaving):
+    def digest(self, turned_away, leaving):
         """Return all that others should know.
 
-        :param steady_s: seconds for which the store was surely heard
+        :param turned_away: whether the store does not answer this router
         :param leaving: whether the router stops
         :returns: :class:`~boragetrail.direct.digest.Digest`
         """
+        part, parts, work = self._next_row(self.fleet.work())
         return Digest(
             incarnation=self.incarnation,
             sequence=0,
             gossip_port=self.gossip_port,
             relay_port=self.relay_port,
             versions_by_table=self.fleet.directory.versions(),
-            loads_by_id=self.fleet.loads_by_id(),
-            reports_by_id=self.fleet.reports.recent(),
-            placements=self.choice.recent_placements(),
-            steady_s=steady_s,
+            part=part,
+            parts=parts,
+            work=work,
+            outcomes=self._some(self.fleet.outcomes()),
+            reports=self._some(self.fleet.reports.recent()),
+            store=self._store(),
+            turned_away=turned_away,
             up_s=self.fleet.peers.up_s(),
             link_mbps=self.link_mbps,
             peers=[],
@@ -69,18 +88,69 @@
     def take_news(self):
         """Return :class:`~boragetrail.direct.digest.News`, or ``None``.
 
-        There is news once a request was placed at a server that is not
-        known to keep the parts of its prompt.
+        There is news once this router's work at servers has changed, a part
+        of a prompt has a new place or rows of the platform are newer.
         """
-        if not self.choice.take_news():
+        versions = self.fleet.directory.versions()
+        work = self.fleet.work()
+        placements = self.fleet.placements.take()
+        if not placements and self.told == (versions, work):
             return None
+        self.told = (versions, work)
         since_s, self.told_s = self.told_s, self.fleet.clock()
+        part, parts, work = self._next_row(work)
         return News(
             incarnation=self.incarnation,
             sequence=0,
             gossip_port=self.gossip_port,
-            versions_by_table=self.fleet.directory.versions(),
-            loads_by_id=self.changes.take(self.fleet.loads_by_id()),
-            reports_by_id=self.fleet.reports.own_since(since_s),
-            placements=self.choice.recent_placements(),
+            versions_by_table=versions,
+            store=self._store(),
+            part=part,
+            parts=parts,
+            work=work,
+            relayed=self._relayed(),
+            reports=self._some(self.fleet.reports.own_since(since_s)),
+            placements=placements,
         )
+
+    def _store(self):
+        """Return [age in ms, steady time in ms] by table."""
+        return {
+            table.value: [
+                int(hearing.age_s() * 1000),
+                int(hearing.steady_s() * 1000),
+            ]
+            for table, hearing in self.hearing_by_table.items()
+        }
+
+    def _next_row(self, work):
+        """Return (part, parts, entries) of the rows of work in turn."""
+        rows = split_work(work)
+        self.row += 1
+        part = self.row % len(rows)
+        return part, len(rows), rows[part]
+
+    def _relayed(self):
+        """Return rows of other routers, if they need help to reach all."""
+        peers = self.fleet.peers
+        if not peers.needs_relays():
+            return []
+        now = self.fleet.clock()
+        return [
+            RelayedRow(
+                *row.address,
+                row.incarnation,
+                row.sequence,
+                int((now - row.told_s) * 1000),
+                row.part,
+                row.parts,
+                row.entries,
+            )
+            for row in peers.work.to_relay(self.RELAYED)
+        ]
+
+    def _some(self, entries):
+        """Return entries of a bounded number of servers, by chance."""
+        if len(entries) <= self.MOST_SERVERS:
+            return entries
+        return self.fleet.peers.random.sample(entries, self.MOST_SERVERS)
--- a/boragetrail/direct/peers.py
+++ b/boragetrail/direct/peers.py
@@ -1,6 +1,8 @@
 """What a router knows of the other routers."""
 
-from boragetrail.direct.loads import LoadTotals
+from boragetrail.direct.entries import server_key
+from boragetrail.direct.loads import Load, ToldSums
+from boragetrail.direct.work import WorkRow, WorkTable
 from boragetrail.events import Event, log_event
 from boragetrail.policy.placement import rendezvous_score
 
@@ -8,8 +10,6 @@
 
 # Links below this are left to callers' traffic as far as possible.
 SLOW_LINK_MBPS = 25.0
-# Common text by which routers rank themselves as readers of the store.
-READER_KEY = "store"
 
 
 class Peer:
@@ -24,7 +24,7 @@
         "known_s",
         "versions_by_table",
         "versions_s",
-        "steady_s",
+        "turned_away",
         "up_s",
         "link_mbps",
         "leaving",
@@ -39,7 +39,7 @@
         self.known_s = now_s
         self.versions_by_table = {}
         self.versions_s = float("-inf")
-        self.steady_s = 0.0
+        self.turned_away = False
         self.up_s = 0.0
         self.link_mbps = 0.0
         self.leaving = False
@@ -60,13 +60,16 @@
 
     # What was told longer ago does not count any more.
     TRUSTED_AGE_S = 1.5
+    # The same for failures of servers, which say something for longer.
+    OUTCOMES_AGE_S = 4.0
+    # Up to this many others a router tells its news to all of them itself;
+    # of more it tells some, which pass them on.
+    MOST_TOLD_DIRECTLY = 20
+    NEWS_FANOUT = 8
     # Routers unheard for so long are taken as gone.
     FORGET_S = 30.0
     # A router counts with the fleet after its last datagram for so long.
     COUNT_S = 20.0
-    # Routers that ask the store often, and how old news of them may be.
-    READERS = 2
-    READER_AGE_S = 4.0
     # In the first seconds others may not be known yet.
     START_S = 3.0
     SIZE_AT_START = 8
@@ -78,7 +81,8 @@
         self.own = ("", 0)
         self.link_mbps = float("inf")
         self.started_s = clock()
-        self.totals = LoadTotals(clock, self.TRUSTED_AGE_S)
+        self.work = WorkTable(clock, random)
+        self.outcomes = ToldSums(clock, self.OUTCOMES_AGE_S)
 
     def add(self, address):
         """Note the address of a router; returns the :class:`Peer`."""
@@ -105,12 +109,13 @@
         peer.sequence = digest.sequence
         peer.relay_port = digest.relay_port
         peer.versions_by_table = digest.versions_by_table
-        peer.steady_s = digest.steady_s
+        peer.turned_away = digest.turned_away
         peer.up_s = digest.up_s
         peer.link_mbps = digest.link_mbps
         peer.leaving = digest.leaving
         peer.heard_s = peer.versions_s = self.clock()
-        self.totals.told(address, digest.loads_by_id)
+        self.outcomes.told(address, digest.outcomes)
+        self._heard_work(peer, digest)
         return peer, is_new
 
     def heard_news(self, news, host):
@@ -127,7 +132,36 @@
         peer.sequence = news.sequence
         peer.versions_by_table = news.versions_by_table
         peer.versions_s = self.clock()
-        self.totals.told_changes(address, news.loads_by_id)
+        self._heard_work(peer, news)
+        return True
+
+    def heard_of(self, relayed):
+        """Take over what a router passed on of another one's work.
+
+        Rows of runs that this router did not hear of itself are left out.
+
+        :param relayed: :class:`~boragetrail.direct.digest.RelayedRow`
+        :returns: whether the router is known
+        """
+        address = (relayed.host, relayed.port)
+        if address == self.own:
+            return True
+        peer = self.peers_by_address.get(address)
+        if peer is None:
+            return False
+        if peer.incarnation == relayed.incarnation:
+            told_s = self.clock() - relayed.age_ms / 1000.0
+            self.work.heard(
+                WorkRow(
+                    address,
+                    relayed.incarnation,
+                    relayed.sequence,
+                    told_s,
+                    relayed.part,
+                    relayed.parts,
+                    relayed.work,
+                )
+            )
         return True
 
     def load(self, server_id):
@@ -135,7 +169,22 @@
 
         :returns: :class:`~boragetrail.direct.loads.Load`
         """
-        return self.totals.load(server_id)
+        key = server_key(server_id)
+        requests, tokens = self.work.others(key)
+        failures, answers = self.outcomes.sum(key)
+        return Load(requests, tokens, failures, answers)
+
+    def _heard_work(self, peer, message):
+        row = WorkRow(
+            peer.address,
+            message.incarnation,
+            message.sequence,
+            self.clock(),
+            message.part,
+            message.parts,
+            message.work,
+        )
+        self.work.heard(row)
 
     def size(self):
         """Return the number of routers, this one included."""
@@ -174,23 +223,6 @@
             for peer in self._counted()
         )
 
-    def is_reader(self):
-        """Return whether this router asks the store often for all.
-
-        Those are the first in rank of the routers that hear the store.
-        """
-        now = self.clock()
-        own = rendezvous_score(READER_KEY, self.own)
-        before = sum(
-            1
-            for peer in self.peers_by_address.values()
-            if now - peer.heard_s <= self.READER_AGE_S
-            and peer.steady_s > 0
-            and not peer.leaving
-            and rendezvous_score(READER_KEY, peer.address) > own
-        )
-        return before < self.READERS
-
     def _is_starting(self):
         return self.up_s() < self.START_S
 
@@ -202,6 +234,16 @@
             if max(peer.heard_s, peer.known_s) >= oldest
         ]
 
+    def needs_relays(self):
+        """Return whether routers have to pass on each other's news."""
+        return len(self.peers_by_address) > self.MOST_TOLD_DIRECTLY
+
+    def news_fanout(self):
+        """Return the number of routers to tell news to."""
+        if self.needs_relays():
+            return self.NEWS_FANOUT
+        return self.MOST_TOLD_DIRECTLY
+
     def some(self, count):
         """Return some routers by chance, as a list."""
         peers = list(self.peers_by_address.values())
@@ -231,22 +273,6 @@
             and peer.versions_by_table.get(table, -1) > version
         ]
 
-    def store_was_up(self, outage_s):
-        """Return whether others heard the store during an outage here.
-
-        :param outage_s: seconds since this router heard the store
-        """
-        now = self.clock()
-        return any(
-            peer.steady_s + now - peer.heard_s >= outage_s
-            for peer in self.peers_by_address.values()
-            if now - peer.heard_s <= self.TRUSTED_AGE_S and peer.steady_s > 0
-        )
-
-    def hear_store(self):
-        """Return whether others lately told that they hear the store."""
-        return any(peer.steady_s > 0 for peer in self.heard_peers())
-
     def heard_peers(self):
         """Return the routers that told something lately, as a list."""
         oldest = self.clock() - self.TRUSTED_AGE_S
@@ -283,4 +309,5 @@
         ]
         for address in silent:
             del self.peers_by_address[address]
+            self.work.forget(address)
             log_event(Event.PEER_GONE, peer=f"{address[0]}:{address[1]}")
--- a/boragetrail/direct/peersocket.py
+++ b/boragetrail/direct/peersocket.py
@@ -7,6 +7,7 @@
 import asyncio
 
 from boragetrail.direct.digest import (
+    DatagramRefusal,
     News,
     decode_datagram,
     encode_datagram,
@@ -19,6 +20,8 @@
 class PeerSocket(asyncio.DatagramProtocol):
     """Own the datagram socket.
 
+    :ivar refused: number of datagrams that could not be read
+
     :param table: :class:`PeerTable`
     :param make_digest: function that returns this router's
         :class:`Digest` without its list of peers
@@ -29,7 +32,6 @@
     ROUND_S = 0.3
     FANOUT = 4
     NEWS_S = 0.1
-    NEWS_FANOUT = 32
     PEERS_TOLD = 6
 
     def __init__(self, table, make_digest, take_news, on_told):
@@ -40,6 +42,7 @@
         self.transport = None
         self.sequence = 0
         self.sent_bytes = 0
+        self.refused = 0
 
     async def open(self, host, port):
         """Bind the socket."""
@@ -58,14 +61,22 @@
     def datagram_received(self, data, addr):
         """Handle one datagram; called by asyncio."""
         message = decode_datagram(data)
-        if isinstance(message, News):
+        if isinstance(message, DatagramRefusal):
+            self.refused += 1
+            log_event(
+                Event.DATAGRAM_REFUSED, peer=addr[0], detail=message.detail
+            )
+        elif isinstance(message, News):
             self._news_received(message, addr[0])
-        elif message is not None:
+        else:
             self._digest_received(message, addr[0])
 
     def _news_received(self, news, host):
         if not self.table.heard_news(news, host):
             self._introduced((host, news.gossip_port))
+        for row in news.relayed:
+            if not self.table.heard_of(row):
+                self._introduced((row.host, row.port))
         self.on_told(news)
 
     def _digest_received(self, digest, host):
@@ -107,7 +118,7 @@
             self.sequence += 1
             news.sequence = self.sequence
             data = encode_datagram(news)
-            for peer in self.table.some(self.NEWS_FANOUT):
+            for peer in self.table.some(self.table.news_fanout()):
                 self._send_data(data, peer.address)
 
     def close(self):
--- /dev/null
+++ b/boragetrail/direct/readers.py
@@ -0,0 +1,57 @@
+"""Which routers ask the platform's store for all."""
+
+import enum
+
+from boragetrail.policy.placement import rendezvous_score
+
+__all__ = ["ReaderRole", "reader_role"]
+
+# Common text by which routers rank themselves as readers of the store.
+READER_KEY = "store"
+# Routers that ask the store often.
+READERS = 2
+# Up to this many routers the others ask it as well, with long waits.
+SMALL_FLEET = 8
+# A router counts as there after its last datagram for so long.
+READER_AGE_S = 4.0
+
+
+class ReaderRole(enum.Enum):
+    """Say how a router follows the tables of the store."""
+
+    READING = "asks often for all"
+    WAITING = "waits long for changes"
+    LEAVING_IT_TO_OTHERS = "asks only if no reader hears the store"
+
+
+def reader_role(peers):
+    """Return the role of a router among those that it knows.
+
+    Readers are the first in rank of the routers that are there and not
+    turned away by the store. Those with slow links come last, since a
+    configuration takes a slow link long.
+
+    :param peers: :class:`~boragetrail.direct.peers.PeerTable`
+    :returns: :class:`ReaderRole`
+    """
+    own = _rank(peers.own, peers.has_slow_link())
+    oldest = peers.clock() - READER_AGE_S
+    able = [
+        peer
+        for peer in peers.peers_by_address.values()
+        if max(peer.heard_s, peer.versions_s) >= oldest
+        and not peer.turned_away
+        and not peer.leaving
+    ]
+    before = sum(
+        _rank(peer.address, peer.has_slow_link()) > own for peer in able
+    )
+    if before < READERS:
+        return ReaderRole.READING
+    if len(able) < SMALL_FLEET:
+        return ReaderRole.WAITING
+    return ReaderRole.LEAVING_IT_TO_OTHERS
+
+
+def _rank(address, has_slow_link):
+    return (not has_slow_link, rendezvous_score(READER_KEY, address))
--- a/boragetrail/direct/relay.py
+++ b/boragetrail/direct/relay.py
@@ -153,8 +153,6 @@
     :param make_source: function from a peer to a
         :class:`~boragetrail.direct.ports.RowSource`
     :param feeds_by_table: :class:`~boragetrail.direct.feed.Feed` by table
-    :param may_lapse: function from a table to whether deletions may be
-        lapses of living servers
     :param random: random generator
     """
 
@@ -169,14 +167,12 @@
         peers,
         make_source,
         feeds_by_table,
-        may_lapse,
         random,
     ):
         self.directory = directory
         self.feeds_by_table = feeds_by_table
         self.peers = peers
         self.make_source = make_source
-        self.may_lapse = may_lapse
         self.random = random
         self.pulling = set()
 
@@ -211,7 +207,8 @@
         result = await source.changes(table, version, 0.0)
         if isinstance(result, SourceFailure):
             return
-        if self.may_lapse(table):
+        if self.feeds_by_table[table].hearing.is_away():
+            # Deletions may be lapses of living servers.
             self.directory.store_away()
         self.directory.apply(table, result)
 
--- a/boragetrail/direct/reports.py
+++ b/boragetrail/direct/reports.py
@@ -2,6 +2,8 @@
 
 import dataclasses
 
+from boragetrail.direct.entries import server_key
+
 __all__ = ["LoadReport", "ReportTable", "parse_load"]
 
 
@@ -42,40 +44,43 @@
 
     def __init__(self, clock):
         self.clock = clock
-        self.reports_by_id = {}
+        self.reports_by_key = {}
 
     def note(self, server_id, requests):
         """Take over what a server said just now."""
         report = LoadReport(requests, self.clock(), True)
-        self.reports_by_id[server_id] = report
+        self.reports_by_key[server_key(server_id)] = report
+
+    def note_told(self, key, requests, age_s):
+        """Take over what a router told unless something newer is known.
 
-    def note_told(self, server_id, requests, age_s):
-        """Take over what a router told unless something newer is known."""
+        :param key: :func:`~boragetrail.direct.entries.server_key`
+        """
         seen_s = self.clock() - age_s
-        known = self.reports_by_id.get(server_id)
+        known = self.reports_by_key.get(key)
         if known is None or known.seen_s < seen_s:
             report = LoadReport(requests, seen_s, False)
-            self.reports_by_id[server_id] = report
+            self.reports_by_key[key] = report
 
     def requests(self, server_id):
         """Return the requests that a server lately reported, or 0."""
-        report = self.reports_by_id.get(server_id)
+        report = self.reports_by_key.get(server_key(server_id))
         if report is None or self.clock() - report.seen_s > self.AGE_S:
             return 0
         return report.requests
 
     def recent(self):
-        """Return [requests, age in ms] by server id, of fresh reports.
+        """Return (server key, requests, age in ms) of each fresh report.
 
         Old ones are dropped.
         """
         now = self.clock()
         fresh = {
             key: report
-            for key, report in self.reports_by_id.items()
+            for key, report in self.reports_by_key.items()
             if now - report.seen_s <= self.AGE_S
         }
-        self.reports_by_id = fresh
+        self.reports_by_key = fresh
         return _told(fresh, now)
 
     def own_since(self, since_s):
@@ -85,14 +90,14 @@
         """
         own = {
             key: report
-            for key, report in self.reports_by_id.items()
+            for key, report in self.reports_by_key.items()
             if report.is_own and report.seen_s >= since_s
         }
         return _told(own, self.clock())
 
 
-def _told(reports_by_id, now):
-    return {
-        key: [report.requests, int((now - report.seen_s) * 1000)]
-        for key, report in reports_by_id.items()
-    }
+def _told(reports_by_key, now):
+    return [
+        (key, report.requests, int((now - report.seen_s) * 1000))
+        for key, report in reports_by_key.items()
+    ]
--- a/boragetrail/emulator/fleet.py
+++ b/boragetrail/emulator/fleet.py
@@ -65,7 +65,7 @@
         self.choice = ServerChoice(self.fleet, None, BOUNDS, time, self.random)
         self.choice.by_prefix = placement(self.fleet.parts, self.random)
         self.teller = Teller(
-            self.fleet, self.choice, self.host, PORT, PORT, LINK_MBPS
+            self.fleet, {}, f"{number:016x}", PORT, PORT, LINK_MBPS
         )
         self.sequence = 0
 
@@ -80,7 +80,7 @@
 
     def digest(self):
         """Return what this router tells others."""
-        return self._numbered(self.teller.digest(self.time(), False))
+        return self._numbered(self.teller.digest(False, False))
 
     def take_news(self):
         """Return what others should hear soon, or ``None``."""
@@ -96,6 +96,9 @@
         """Take over a digest or news of another router."""
         if isinstance(message, News):
             self.peers.heard_news(message, host)
+            self.fleet.heard_placements(message.placements)
+            for row in message.relayed:
+                self.peers.heard_of(row)
         elif self.peers.heard(message, host)[0] is None:
             return
         self.fleet.heard(message)
@@ -229,7 +232,7 @@
     def _news(self, router):
         news = router.take_news()
         if news is not None:
-            self._tell(router, news, PeerSocket.NEWS_FANOUT)
+            self._tell(router, news, router.peers.news_fanout())
         self.time.after(PeerSocket.NEWS_S, lambda: self._news(router))
 
     def _tell(self, router, message, fanout):
--- a/boragetrail/events.py
+++ b/boragetrail/events.py
@@ -43,6 +43,7 @@
     DATAGRAM_FAILED = (412, "WARNING", "A datagram could not be sent.")
     RELOADED = (413, "INFO", "Settings were read again.")
     SETTINGS_REFUSED = (414, "ERROR", "Changed settings are not valid.")
+    DATAGRAM_REFUSED = (415, "WARNING", "A datagram could not be read.")
     SERVER_COLD = (500, "WARNING", "A backend server was found cold.")
     SERVER_WARM = (501, "INFO", "A backend server is warm.")
     SERVER_LEAVING = (502, "INFO", "A backend server refuses new work.")
