Take the fleet for as large as the platform lists it, after a start

Cause: in its first 3 s a router took a fleet of which it knew nothing for eight routers. After a kill of all, 68 routers would each have taken an eighth of a cold rate and of the repeats: 136 requests in memory where 41 a second are borne (new test, red before). Now the routers listed in the store count from the first second; a router that could read no list (the store is away) takes the fleet for 64. It still has none of the first ranks.

--- a/boragetrail/direct/daemon.py
+++ b/boragetrail/direct/daemon.py
@@ -268,7 +268,9 @@
             self._greet(seed, host, port)
         while not await self.store.announce(host):
             await asyncio.sleep(ANNOUNCE_PAUSE_S)
-        for member in await self.store.members():
+        members = await self.store.members()
+        self.peers.listed([(member, port) for member in members])
+        for member in members:
             self._greet(member, host, port)
 
     def _greet(self, host, own_host, port):
--- a/boragetrail/direct/peers.py
+++ b/boragetrail/direct/peers.py
@@ -56,6 +56,7 @@
     :param random: random generator
     :ivar own: (host, port) at which this router gets datagrams
     :ivar link_mbps: speed of this router's link in megabits a second
+    :ivar is_listed: whether a list of the fleet's routers was read
     """
 
     # What was told longer ago does not count any more.
@@ -70,9 +71,11 @@
     FORGET_S = 30.0
     # A router counts with the fleet after its last datagram for so long.
     COUNT_S = 20.0
-    # In the first seconds others may not be known yet.
+    # In the first seconds others may not be known yet. A fleet of which no
+    # list was read is taken for a large one.
     START_S = 3.0
     SIZE_AT_START = 8
+    UNLISTED_SIZE = 64
 
     def __init__(self, clock, random):
         self.clock = clock
@@ -81,6 +84,7 @@
         self.own = ("", 0)
         self.link_mbps = float("inf")
         self.started_s = clock()
+        self.is_listed = False
         self.work = WorkTable(clock, random)
         self.outcomes = ToldSums(clock, self.OUTCOMES_AGE_S)
 
@@ -92,6 +96,17 @@
             self.peers_by_address[address] = peer
         return peer
 
+    def listed(self, addresses):
+        """Note the routers that the platform lists.
+
+        Those that are gone count with the fleet for a while, so that parts
+        of limits are rather too small.
+        """
+        for address in addresses:
+            if address != self.own:
+                self.add(address)
+        self.is_listed = True
+
     def heard(self, digest, host):
         """Take over a digest.
 
@@ -189,9 +204,7 @@
     def size(self):
         """Return the number of routers, this one included."""
         counted = len(self._counted()) + 1
-        if self._is_starting():
-            return max(self.SIZE_AT_START, counted)
-        return counted
+        return max(self._least_size(), counted)
 
     def rank(self, key):
         """Return this router's rank among all for a key; 0 is the first.
@@ -205,7 +218,7 @@
             for peer in self._counted()
             if rendezvous_score(key, peer.address) > own
         )
-        return before + (self.SIZE_AT_START if self._is_starting() else 0)
+        return before + self._least_size()
 
     def is_first(self, key):
         """Return whether this router is the first of those known now.
@@ -223,8 +236,10 @@
             for peer in self._counted()
         )
 
-    def _is_starting(self):
-        return self.up_s() < self.START_S
+    def _least_size(self):
+        if self.up_s() >= self.START_S:
+            return 0
+        return self.SIZE_AT_START if self.is_listed else self.UNLISTED_SIZE
 
     def _counted(self):
         oldest = self.clock() - self.COUNT_S
--- a/boragetrail/direct/tests/test_peers.py
+++ b/boragetrail/direct/tests/test_peers.py
@@ -8,6 +8,7 @@
 from boragetrail.direct.ports import SourceFailure, Table
 from boragetrail.direct.readers import ReaderRole
 from boragetrail.direct.tests.conftest import configuration, route
+from boragetrail.policy.fleetlimits import RatePart
 from standins.clock import ManualClock
 
 
@@ -63,12 +64,29 @@
 
     def test_size_is_not_underestimated_at_the_start(self):
         table, clock = self.make()
-        assert table.size() == table.SIZE_AT_START
+        assert table.size() == table.UNLISTED_SIZE
         clock.now_s += table.START_S
         for number in range(3):
             table.heard(digest(), f"10.0.0.{number}")
         assert table.size() == 4
 
+    def test_restart_of_all_keeps_to_parts_of_the_listed_fleet(self):
+        """Parts of a cold rate that 68 routers take in their first second."""
+        limit_per_s = 41.0
+        hosts = [f"10.0.0.{number}" for number in range(68)]
+        for is_listed in (True, False):
+            taken = 0
+            for host in hosts:
+                table, clock = self.make()
+                table.own = (host, 7000)
+                if is_listed:
+                    table.listed([(each, 7000) for each in hosts])
+                part = RatePart(clock)
+                while part.take(limit_per_s, table.size(), table.rank("s")):
+                    taken += 1
+            assert taken <= limit_per_s
+            assert taken > 0 or not is_listed
+
     def test_silent_router_counts_for_a_while(self):
         # One that is cut off may still send to servers.
         table, clock = self.make()
