Explain failed requests from the logs of many routers; step the time of day

The time of day is read nowhere on the direct path, in the policy, the adapter or the settings; a test says so of each module, and another one steps it by an hour both ways at each look while requests, a change and an evacuation go on.

--- a/boragetrail/cli.py
+++ b/boragetrail/cli.py
@@ -103,10 +103,72 @@
 @app.command()
 def explain(
     request_id: str,
-    address: str = typer.Option(help="Administration address of the router."),
+    address: str = typer.Option(
+        None, help="Administration address of a router that is up."
+    ),
+    logs: pathlib.Path = typer.Option(
+        None, help="Folder with the logs of routers, a file each."
+    ),
 ):
     """Show why a request was served where it was, or refused."""
-    typer.echo(_get(f"http://{address}/explain/{request_id}"))
+    if (address is None) == (logs is None):
+        raise typer.BadParameter("give either --address or --logs")
+    if address is not None:
+        typer.echo(_get(f"http://{address}/explain/{request_id}"))
+        return
+    from boragetrail.explain import read_logs, tell_story
+
+    story = tell_story(read_logs(logs), request_id)
+    if not story:
+        typer.echo(f"{logs}: no line of request {request_id!r}", err=True)
+        raise typer.Exit(1)
+    for line in story:
+        fields = " ".join(f"{k}={v}" for k, v in line.fields.items())
+        typer.echo(
+            f"{line.time_s:.3f} {line.router} {line.event} {line.text} "
+            f"{fields}"
+        )
+
+
+@app.command()
+def failures(
+    logs: pathlib.Path = typer.Argument(
+        help="Folder with the logs of routers, a file each."
+    ),
+    from_s: float = typer.Option(0.0, help="Unix time of the first line."),
+    to_s: float = typer.Option(float("inf"), help="Unix time of the end."),
+    most: int = typer.Option(30, help="Rows of the table."),
+):
+    """Count failed requests by reason code, server and router."""
+    from boragetrail.explain import count_failures, read_logs
+
+    counts = count_failures(read_logs(logs), from_s, to_s)
+    typer.echo(f"{sum(counts.values())} failed requests")
+    for (code, server, router), count in counts.most_common(most):
+        typer.echo(f"{count:6} {code:16} {server or '-':20} {router}")
+
+
+@app.command()
+def knowledge(
+    routers: list[int] = typer.Option(
+        [16, 28, 68], help="Size of a fleet; give it once for each."
+    ),
+    servers: int = typer.Option(60, help="Number of servers."),
+    rate: float = typer.Option(11.0, help="Requests a second of a router."),
+    duration_s: float = typer.Option(0.6, help="Mean time of a request."),
+):
+    """Measure what routers know of each other's work, without sockets."""
+    from boragetrail.emulator.knowledge import Knowledge, measure_knowledge
+
+    typer.echo("routers  error  total  datagrams/s")
+    for count in routers:
+        figures = measure_knowledge(
+            Knowledge(count, servers, rate=rate, duration_s=duration_s)
+        )
+        typer.echo(
+            f"{count:7} {figures.error:6.2f} {figures.total:6.2f} "
+            f"{figures.datagrams_per_s:12.0f}"
+        )
 
 
 @app.command()
--- /dev/null
+++ b/boragetrail/direct/tests/test_clock.py
@@ -0,0 +1,73 @@
+"""Tests of a time of day that jumps: nothing is decided by it."""
+
+import ast
+import itertools
+import pathlib
+import time
+
+import pytest
+
+import boragetrail
+from boragetrail.direct.tests.conftest import configuration
+
+ROOT = pathlib.Path(boragetrail.__file__).parent
+FOLDERS = ("direct", "policy", "platform", "settings", "utils")
+WALL_CLOCK = {"time", "time_ns", "localtime", "gmtime", "ctime", "strftime"}
+
+
+def calls_of_wall_clock(tree):
+    """Return the lines that read the time of day."""
+    return [
+        node.lineno
+        for node in ast.walk(tree)
+        if (
+            isinstance(node, ast.Attribute)
+            and isinstance(node.value, ast.Name)
+            and node.value.id == "time"
+            and node.attr in WALL_CLOCK
+        )
+        or (isinstance(node, ast.ImportFrom) and node.module == "datetime")
+        or (
+            isinstance(node, ast.Import)
+            and any(each.name == "datetime" for each in node.names)
+        )
+    ]
+
+
+class TestSources:
+    """The code of the direct path."""
+
+    def test_no_module_reads_the_time_of_day(self):
+        for folder in FOLDERS:
+            for path in (ROOT / folder).rglob("*.py"):
+                if "tests" not in path.parts:
+                    tree = ast.parse(path.read_text())
+                    assert not calls_of_wall_clock(tree), path
+
+    def test_reading_the_time_of_day_is_found(self):
+        for text in (
+            "import time\ntime.time()",
+            "import datetime",
+            "from datetime import datetime",
+        ):
+            assert calls_of_wall_clock(ast.parse(text))
+
+
+class TestSteps:
+    """A router whose time of day jumps both ways at each look."""
+
+    @pytest.mark.parametrize("step_s", [3600.0, -3600.0])
+    async def test_requests_and_changes_go_on(self, site, monkeypatch, step_s):
+        daemon = await site.add_router()
+        true_time = time.time
+        turns = itertools.cycle([0.0, step_s])
+        monkeypatch.setattr(time, "time", lambda: true_time() + next(turns))
+        assert (await site.call(daemon, "/order/1"))[0] == 200
+        site.store.put("op", "config", configuration(2))
+        await site.until(lambda: daemon.directory.configuration.version == 2)
+        site.store.put("op", "evacuate/z1", {})
+        await site.until(lambda: "z1" in daemon.directory.evacuated_zones)
+        site.store.remove("op", "evacuate/z1")
+        await site.until(lambda: not daemon.directory.evacuated_zones)
+        assert (await site.call(daemon, "/order/2"))[0] == 200
+        assert daemon.is_ready()
