Ask the store rarely in an outage; keep nothing of what was told long ago

Now the first two in rank ask each 0.4 s and the others each 2 s; whoever hears the store tells the others. A large fleet whose routers are all turned away is no longer taken for a small one.

Rows that may be passed on and the order in which sums expire were emptied only when somebody asked for them, so an idle router, or one of a small fleet, kept all that it was ever told.

--- a/boragetrail/direct/feed.py
+++ b/boragetrail/direct/feed.py
@@ -33,8 +33,9 @@
     LEFT_TO_OTHERS_S = 0.1
     FIRST_PAUSE_S = 0.1
     MOST_PAUSE_S = 0.4
-    # The same of routers that others tell what the store says.
-    MOST_PAUSE_OF_OTHERS_S = 1.2
+    # The same of routers that others tell if the store answers.
+    FIRST_PAUSE_OF_OTHERS_S = 0.4
+    MOST_PAUSE_OF_OTHERS_S = 2.0
     # Without an answer for so long, the table counts as lost.
     LOST_S = 3.0
 
@@ -127,11 +128,20 @@
                 detail=failure.detail,
                 age_s=age_s,
             )
-        await asyncio.sleep(self.pause_s * self.random.uniform(0.7, 1.3))
-        self.pause_s = min(self._most_pause_s(), 1.5 * self.pause_s)
-
-    def _most_pause_s(self):
-        others_hear = not self.hearing.is_away()
-        if others_hear or self.role() is ReaderRole.LEAVING_IT_TO_OTHERS:
-            return self.MOST_PAUSE_OF_OTHERS_S
-        return self.MOST_PAUSE_S
+        await asyncio.sleep(self._next_pause_s())
+
+    def _next_pause_s(self):
+        least_s, most_s = self.FIRST_PAUSE_S, self.MOST_PAUSE_S
+        if self._is_told_by_others():
+            least_s = self.FIRST_PAUSE_OF_OTHERS_S
+            most_s = self.MOST_PAUSE_OF_OTHERS_S
+        pause_s = min(most_s, max(least_s, self.pause_s))
+        self.pause_s = 1.5 * pause_s
+        return pause_s * self.random.uniform(0.7, 1.3)
+
+    def _is_told_by_others(self):
+        """Return whether this router need not find out by itself."""
+        return not self.needs_all and self.role() in (
+            ReaderRole.STANDING_IN,
+            ReaderRole.LEAVING_IT_TO_OTHERS,
+        )
--- a/boragetrail/direct/loads.py
+++ b/boragetrail/direct/loads.py
@@ -59,6 +59,7 @@
         """
         if told_s is None:
             told_s = self.clock()
+        self._expire()
         self._drop(source)
         self.told_by_source[source] = (told_s, entries)
         heapq.heappush(self.order, (told_s, source))
--- a/boragetrail/direct/readers.py
+++ b/boragetrail/direct/readers.py
@@ -20,6 +20,7 @@
     """Say how a router follows the tables of the store."""
 
     READING = "asks often for all"
+    STANDING_IN = "does so as the store turns the first readers away"
     WAITING = "waits long for changes"
     LEAVING_IT_TO_OTHERS = "asks only if no reader hears the store"
 
@@ -27,28 +28,30 @@
 def reader_role(peers):
     """Return the role of a router among those that it knows.
 
-    Readers are the first in rank of the routers that are there and not
-    turned away by the store. Those with slow links come last, since a
-    configuration takes a slow link long.
+    Readers are the first in rank of the routers that are there. Those with
+    slow links come last, since a configuration takes a slow link long. For
+    each reader that the store turns away the next one stands in.
 
     :param peers: :class:`~boragetrail.direct.peers.PeerTable`
     :returns: :class:`ReaderRole`
     """
     own = _rank(peers.own, peers.has_slow_link())
     oldest = peers.clock() - READER_AGE_S
-    able = [
+    present = [
         peer
         for peer in peers.peers_by_address.values()
-        if max(peer.heard_s, peer.versions_s) >= oldest
-        and not peer.turned_away
-        and not peer.leaving
+        if max(peer.heard_s, peer.versions_s) >= oldest and not peer.leaving
     ]
-    before = sum(
-        _rank(peer.address, peer.has_slow_link()) > own for peer in able
-    )
-    if before < READERS:
+    before = [
+        peer
+        for peer in present
+        if _rank(peer.address, peer.has_slow_link()) > own
+    ]
+    if len(before) < READERS:
         return ReaderRole.READING
-    if len(able) < SMALL_FLEET:
+    if sum(not peer.turned_away for peer in before) < READERS:
+        return ReaderRole.STANDING_IN
+    if len(present) < SMALL_FLEET:
         return ReaderRole.WAITING
     return ReaderRole.LEAVING_IT_TO_OTHERS
 
--- a/boragetrail/direct/tests/test_news.py
+++ b/boragetrail/direct/tests/test_news.py
@@ -216,6 +216,21 @@
         return [(server_key(key), 0, 1) for key in self.ids]
 
 
+class TestMemory:
+    """A router that serves nobody for long hears others all the while."""
+
+    def test_what_was_told_long_ago_is_not_kept(self):
+        clock = ManualClock(100.0)
+        table = PeerTable(clock, random.Random(1))
+        for number in range(1, 1000):
+            clock.now_s += 0.1
+            told = digest(sequence=number, work=work(s=1))
+            table.heard(told, HOST)
+        assert len(table.work.recent) < 10
+        assert len(table.work.sums.order) < 20
+        assert len(table.outcomes.order) < 50
+
+
 class TestTeller:
     """Many routers, each with new parts all the time."""
 
--- a/boragetrail/direct/work.py
+++ b/boragetrail/direct/work.py
@@ -93,6 +93,7 @@
         self.rows_by_source[source] = row
         self.sums.told(source, row.entries, row.told_s)
         self.recent.append(row)
+        self._drop_old()
         return True
 
     def forget(self, address):
@@ -115,9 +116,7 @@
 
     def to_relay(self, most):
         """Return some rows that were heard a short time ago, by chance."""
-        oldest = self.clock() - self.RELAYED_AGE_S
-        while self.recent and self.recent[0].told_s < oldest:
-            self.recent.popleft()
+        self._drop_old()
         rows = [
             row
             for row in self.recent
@@ -130,6 +129,11 @@
                 chosen.append(row)
         return chosen
 
+    def _drop_old(self):
+        oldest = self.clock() - self.RELAYED_AGE_S
+        while self.recent and self.recent[0].told_s < oldest:
+            self.recent.popleft()
+
     def _sources(self, address):
         return [each for each in self.rows_by_source if each[0] == address]
 
