Refuse datagrams whose sender names no incarnation, and any unreadable tag

Cause, found by reading: rows that are passed on carry the sender's incarnation as eight bytes. A datagram with another text as incarnation was taken over, and the next news of this router would have raised an error in packing it. Now such a datagram is refused, as is one with a tagged value that its reader cannot make sense of, whatever error that raises (tests with twelve tags).

--- a/boragetrail/direct/digest.py
+++ b/boragetrail/direct/digest.py
@@ -7,6 +7,7 @@
 import dataclasses
 import ipaddress
 import math
+import re
 
 import cbor2
 
@@ -21,6 +22,7 @@
     "encode_datagram",
 ]
 
+INCARNATION = re.compile("[0-9a-f]{16}")
 MOST_DATAGRAM_BYTES = 8 * 1024
 MOST_TEXT = 200
 MOST_NUMBER = 2**62
@@ -144,10 +146,9 @@
         return DatagramRefusal(f"{len(data)} bytes are too many")
     try:
         values = cbor2.loads(data)
-    except (cbor2.CBORDecodeError, ValueError, TypeError) as exc:
+    except Exception as exc:
+        # Readers of tagged values raise errors of many kinds.
         return DatagramRefusal(f"no CBOR: {exc!r}")
-    except RecursionError:
-        return DatagramRefusal("nested too deeply")
     if not isinstance(values, list):
         return DatagramRefusal("no list of fields")
     for kind in (Digest, News):
@@ -172,6 +173,12 @@
     return value
 
 
+def _incarnation(value):
+    if not INCARNATION.fullmatch(_text(value)):
+        raise ValueError("no incarnation of a router")
+    return value
+
+
 def _number(value, most=MOST_NUMBER, least=0):
     if type(value) is not int or not least <= value <= most:
         raise ValueError(f"no whole number from {least} to {most}")
@@ -272,7 +279,7 @@
 
 _PACKED = frozenset(("work", "outcomes", "reports"))
 _READERS_BY_FIELD = {
-    "incarnation": _text,
+    "incarnation": _incarnation,
     "sequence": _number,
     "gossip_port": _port,
     "relay_port": _port,
--- a/boragetrail/direct/peers.py
+++ b/boragetrail/direct/peers.py
@@ -134,7 +134,7 @@
         return peer, is_new
 
     def heard_news(self, news, host):
-        """Take over what has changed at a router.
+        """Take over the work of a router and its newest rows.
 
         :returns: whether this run of the router is known
         """
@@ -155,7 +155,7 @@
 
         Rows of runs that this router did not hear of itself are left out.
 
-        :param relayed: :class:`~boragetrail.direct.digest.RelayedRow`
+        :param relayed: :class:`~boragetrail.direct.relayedrows.RelayedRow`
         :returns: whether the router is known
         """
         address = (relayed.host, relayed.port)
--- a/boragetrail/direct/tests/test_digest.py
+++ b/boragetrail/direct/tests/test_digest.py
@@ -102,6 +102,8 @@
             ("gossip_port", 0),
             ("gossip_port", 70000),
             ("incarnation", ""),
+            ("incarnation", "of another kind"),
+            ("incarnation", "00000000000000A1"),
             ("incarnation", "x" * 1000),
             ("versions_by_table", [1]),
             ("versions_by_table", {"servers": "4"}),
@@ -145,7 +147,12 @@
         assert refusal.detail.startswith(name)
 
     def test_bytes_that_are_no_list(self):
-        for data in (b"", b"\xff\x00", b"\x80", b"\x9f" * 3000):
+        tagged = (
+            cbor2.dumps(cbor2.CBORTag(number, value))
+            for number in (0, 1, 2, 4, 5, 30, 35, 36, 37, 258, 260, 261)
+            for value in ("(", [1, 0], b"\xff", {}, [], None, 10**40)
+        )
+        for data in (b"", b"\xff\x00", b"\x80", b"\x9f" * 3000, *tagged):
             assert isinstance(decode_datagram(data), DatagramRefusal)
 
     def test_too_many_bytes_are_refused_aloud(self):
--- a/boragetrail/direct/tests/test_news.py
+++ b/boragetrail/direct/tests/test_news.py
@@ -22,7 +22,7 @@
 
 HOST = "10.0.0.1"
 PORT = 7000
-RUN = "00000000000000a1"
+RUN = "00000000000000c3"
 # What a packet of the network holds.
 PACKET_BYTES = 1472
 
@@ -30,7 +30,7 @@
 def news(**fields):
     """Return news of the router that :func:`digest` speaks of."""
     data = {
-        "incarnation": "run-1",
+        "incarnation": "00000000000000a1",
         "sequence": 2,
         "gossip_port": PORT,
         "versions_by_table": {},
@@ -76,7 +76,7 @@
 
     def test_news_of_a_run_that_is_not_known(self):
         self.table.heard(digest(), HOST)
-        other = news(incarnation="run-2", work=work(s=9))
+        other = news(incarnation="00000000000000b2", work=work(s=9))
         assert not self.table.heard_news(other, HOST)
         assert self.requests("s") == [0]
 
@@ -114,7 +114,7 @@
         data = {
             "host": HOST,
             "port": PORT,
-            "incarnation": "run-1",
+            "incarnation": "00000000000000a1",
             "sequence": 5,
             "age_ms": 100,
             "part": 0,
@@ -135,7 +135,9 @@
         assert self.table.load("s").requests == 1
 
     def test_row_of_an_earlier_run_counts_no_more(self):
-        self.table.heard(digest(incarnation="run-2", work=work(s=2)), HOST)
+        self.table.heard(
+            digest(incarnation="00000000000000b2", work=work(s=2)), HOST
+        )
         self.table.heard_of(self.row(sequence=50))
         assert self.table.load("s").requests == 2
 
--- a/boragetrail/direct/tests/test_peers.py
+++ b/boragetrail/direct/tests/test_peers.py
@@ -20,7 +20,7 @@
 def digest(**fields):
     """Return a digest of a router."""
     data = {
-        "incarnation": "run-1",
+        "incarnation": "00000000000000a1",
         "sequence": 1,
         "gossip_port": 7000,
         "relay_port": 7000,
@@ -59,7 +59,9 @@
     def test_restarted_router_counts_from_one(self):
         table, _ = self.make()
         table.heard(digest(sequence=5), "10.0.0.1")
-        peer, is_new = table.heard(digest(incarnation="run-2"), "10.0.0.1")
+        peer, is_new = table.heard(
+            digest(incarnation="00000000000000b2"), "10.0.0.1"
+        )
         assert is_new and peer.sequence == 1
 
     def test_size_is_not_underestimated_at_the_start(self):
