Refuse rows and parts of other routers that hold values of another kind

Rows of another router with a version that is no number, a key that is no text or a value that is no bytes were built and raised while they were applied; parts with ids of another kind were kept. An answer of the store whose rows are no objects raised out of its call.

--- a/boragetrail/direct/learn.py
+++ b/boragetrail/direct/learn.py
@@ -30,12 +30,19 @@
     """Return a list of (part, server ids), empty if it can't be read."""
     try:
         decoded = cbor2.loads(data)
-        return [(str(part), list(ids)) for part, ids in decoded]
-    except (ValueError, TypeError, cbor2.CBORDecodeError) as exc:
+        return [(_text(part), [*map(_text, ids)]) for part, ids in decoded]
+    except Exception as exc:
+        # Readers of tagged values raise errors of many kinds.
         log_event(Event.ROW_UNREADABLE, key=PARTS_PATH, error=repr(exc))
         return []
 
 
+def _text(value):
+    if not isinstance(value, str):
+        raise ValueError(f"{value!r} is no id")
+    return value
+
+
 class PartLearner:
     """Fill the map of parts after a start.
 
--- a/boragetrail/direct/relay.py
+++ b/boragetrail/direct/relay.py
@@ -39,10 +39,21 @@
     """Return a change set, or a failure if the bytes can't be read."""
     try:
         version, whole, rows = cbor2.loads(data)
-        decoded = [Row(*row) for row in rows]
-    except (ValueError, TypeError, cbor2.CBORDecodeError) as exc:
+        decoded = [_row(*row) for row in rows]
+    except Exception as exc:
+        # Readers of tagged values raise errors of many kinds.
         return SourceFailure(f"rows of a peer: {exc!r}")
-    return ChangeSet(decoded, version, bool(whole))
+    if type(version) is not int or type(whole) is not bool:
+        return SourceFailure("rows of a peer: no version")
+    return ChangeSet(decoded, version, whole)
+
+
+def _row(key, version, data):
+    if not isinstance(key, str) or type(version) is not int:
+        raise ValueError(f"row {key!r} of version {version!r}")
+    if data is not None and not isinstance(data, bytes):
+        raise ValueError(f"row {key!r} holds no bytes")
+    return Row(key, version, data)
 
 
 class RelayServer:
--- a/boragetrail/platform/store.py
+++ b/boragetrail/platform/store.py
@@ -114,7 +114,7 @@
     try:
         rows = [_row(each) for each in data["rows"]]
         return ChangeSet(rows, int(data["ver"]), whole)
-    except (ValueError, TypeError, KeyError) as exc:
+    except (ValueError, TypeError, KeyError, AttributeError) as exc:
         return SourceFailure(f"rows of the store: {exc!r}")
 
 
