Take a list of routers that cannot be read for no list

The store may go away between a router's own entry and its reading of the list; an empty list was then taken for a fleet that is known. Test red before.

--- a/boragetrail/direct/daemon.py
+++ b/boragetrail/direct/daemon.py
@@ -269,7 +269,8 @@
         while not await self.store.announce(host):
             await asyncio.sleep(ANNOUNCE_PAUSE_S)
         members = await self.store.members()
-        self.peers.listed([(member, port) for member in members])
+        if members:
+            self.peers.listed([(member, port) for member in members])
         for member in members:
             self._greet(member, host, port)
 
--- a/boragetrail/direct/tests/test_peers.py
+++ b/boragetrail/direct/tests/test_peers.py
@@ -120,6 +120,33 @@
         assert (load.requests, load.failures, load.answers) == (0, 2, 5)
 
 
+class TestJoin:
+    """What a router knows of the fleet's size as it starts."""
+
+    async def test_list_that_cannot_be_read_is_no_empty_fleet(self, site):
+        daemon = site.make_router()
+
+        async def unreadable():
+            return []
+
+        await daemon.open()
+        daemon.peers.is_listed = False
+        daemon.store.members = unreadable
+        await daemon._join()
+        assert daemon.peers.size() == daemon.peers.UNLISTED_SIZE
+
+    async def test_listed_routers_count_at_once(self, site):
+        daemon = site.make_router()
+
+        async def hosts():
+            return [f"127.0.1.{number}" for number in range(20)]
+
+        await daemon.open()
+        daemon.store.members = hosts
+        await daemon._join()
+        assert daemon.peers.size() > 20
+
+
 class TestRelay:
     """Rows that come from other routers while the store is away."""
 
