Tell the caller of an order whose path was lost to ask again

Cause: an agent that was killed and started again came back later than the 2 s for which a router tries to reach it (30 busy processes beside). The first request with the order then ended with `link-lost`, without a Retry-After, while a repeat of the same order ends with `order-unknown` and a Retry-After after which its answer may be found.

Ruled out: a second execution (the scenario's count of runs was 1) and a wrong answer of the agent (no frame of it arrived).

Change: a path that is lost behind the dispatch of an order, claimed or with a ticket, gives `order-unknown`, ran unknown, Retry-After 2 s.

Test first: test_orders.py (router), both cases failed before.

--- a/boragetrail/router/orders.py
+++ b/boragetrail/router/orders.py
@@ -182,12 +182,9 @@
                     )
                 elif _never_reached(message):
                     # An earlier request with this ticket may have run.
-                    message = Refusal(
-                        Reason.ORDER_UNKNOWN,
-                        message.detail,
-                        Ran.UNKNOWN,
-                        ASK_RETRY_AFTER_S,
-                    )
+                    message = _ask_again(message)
+                elif _path_lost(message):
+                    message = _ask_again(message)
                 yield message
 
     async def _run_claimed(self, context):
@@ -272,6 +269,8 @@
                     message = Refusal(
                         Reason.ORDER_UNKNOWN, message.detail, Ran.UNKNOWN
                     )
+                elif _path_lost(message):
+                    message = _ask_again(message)
                 yield message
 
     async def _find_answer(self, context, row):
@@ -325,9 +324,15 @@
         return message
     if message.reason == Reason.DEADLINE:
         return message
-    retry_after_s = 0.0 if _agent_restarted(message) else ASK_RETRY_AFTER_S
+    if _agent_restarted(message):
+        return Refusal(Reason.ORDER_UNKNOWN, message.detail, Ran.UNKNOWN)
+    return _ask_again(message)
+
+
+def _ask_again(failure):
+    """Return a refusal after which a repeat may find the answer."""
     return Refusal(
-        Reason.ORDER_UNKNOWN, message.detail, Ran.UNKNOWN, retry_after_s
+        Reason.ORDER_UNKNOWN, failure.detail, Ran.UNKNOWN, ASK_RETRY_AFTER_S
     )
 
 
@@ -344,6 +349,14 @@
     )
 
 
+def _path_lost(message):
+    return (
+        isinstance(message, Failure)
+        and message.reason == Reason.LINK_LOST
+        and message.ran != Ran.NO
+    )
+
+
 def _stored_answer(context, value, body):
     data = base64.b64decode(body)
     attempt_id = f"{context.request_id}.stored"
--- /dev/null
+++ b/boragetrail/router/tests/test_orders.py
@@ -0,0 +1,74 @@
+"""Tests of orders whose answer is lost on the way."""
+
+import asyncio
+
+from boragetrail.errors import LinkFailure
+from boragetrail.orders import issue_ticket
+from boragetrail.policy import Candidate, Choice
+from boragetrail.reasons import Ran, Reason
+from boragetrail.router.orders import OrderController
+from boragetrail.store import Row
+
+
+class Context:
+    """The parts of a request's context that orders use."""
+
+    def __init__(self, key):
+        self.service = "bookings"
+        self.customer = "customer-1"
+        self.key = key
+        self.method = "POST"
+        self.path = "/"
+        self.body = b"unit 12"
+
+
+class Dispatcher:
+    """Lose the path to the agent of each order."""
+
+    def choices(self, context):
+        return [Choice(Candidate("bookings-0"), "least")]
+
+    async def run_at(self, *arguments, **options):
+        yield LinkFailure(Reason.LINK_LOST, "agent of 'bookings-0'")
+
+
+class Claims:
+    """Grant each claim."""
+
+    async def claim(self, key, value, version):
+        return Row(key, version + 1, value), True
+
+
+class Router:
+    """Reach each agent."""
+
+    incarnation = "i1"
+
+    def link(self, name):
+        return self
+
+    async def connection(self):
+        return self
+
+
+async def _run(key):
+    orders = OrderController(Dispatcher(), Claims(), Router())
+    return [message async for message in orders.run(Context(key))]
+
+
+class TestLostPath:
+    """An agent stays away for longer than a router tries to reach it."""
+
+    def test_claimed(self):
+        (answer,) = asyncio.run(_run("key-1"))
+        assert (answer.reason, answer.ran) == (
+            Reason.ORDER_UNKNOWN,
+            Ran.UNKNOWN,
+        )
+        assert answer.retry_after_s > 0
+
+    def test_ticket(self):
+        ticket = issue_ticket("bookings-0", "i1", 1000).encode()
+        (answer,) = asyncio.run(_run(ticket))
+        assert answer.reason == Reason.ORDER_UNKNOWN
+        assert answer.retry_after_s > 0
