Warm the scenarios' engines with long answers

The stand-in's engines started warm, so agents saw no change of pace and allowed one more request after 32 paces only: 480 paces an engine, at 11 paces a chat.

Ruled out: failed chats (all whole from the 9th round on), agents that fall back to cold (each limit only grew).

Change: engines start cold, as an operator's do, so the pace shows that they are warm; the chats have 60 words. The bound of 20 s stays.

--- a/features/conftest.py
+++ b/features/conftest.py
@@ -20,7 +20,7 @@
 
     def __init__(self, runner):
         self.runner = runner
-        deployment = asante_boateng(cold_words=60)
+        deployment = asante_boateng(cold_words=60, starts_cold=True)
         deployment.routers[0].settings["limits"] = {"body_bytes": 1_000_000}
         self.fleet = Fleet(deployment, proxied=True)
         self.answers = []
@@ -133,12 +133,16 @@
         return False
 
     async def warm_up(self):
-        """Serve chats until every engine's agent allows all its slots."""
+        """Serve chats until every engine's agent allows all its slots.
+
+        The agent of an engine that shows no change of pace allows one more
+        request after 32 paces, so the answers are long.
+        """
 
         async def warm():
             texts = [f"warm {time.monotonic()} {n}" for n in range(20)]
             await asyncio.gather(
-                *[self.chat(text, n % 3, 12) for n, text in enumerate(texts)]
+                *[self.chat(text, n % 3) for n, text in enumerate(texts)]
             )
             dumps = [
                 await self.fleet.dump(server.name)
