Let the soak count sums over all routers

Cause: BUDGET and FAILBACK limit what all routers send together, and a withdrawn key must be refused by each; the soak compared requests one by one and could see none of the three.

Change: servers note each arrival. tools/sums.py, plain functions with tests, compares repeats in any ten seconds with ratio and fixed number, requests in any second at a cold server with its rate, and requests that began 4 s after a key's withdrawal. New faults withdraw a key and return all servers cold; the limits of the soak's routers are tight enough to be reached.

A first form that made one server cold found nothing, since warm ones remained, and one that read the key at the server found nothing, since routers do not pass it on; both were changed.

--- a/tools/directfaults.py
+++ b/tools/directfaults.py
@@ -5,7 +5,7 @@
 import signal
 import time
 
-from boragetrail.direct.tests.conftest import configuration
+from tools.sums import Span
 
 __all__ = ["CUTTING", "ENDING", "FAULTS", "PlannedStop"]
 
@@ -24,6 +24,12 @@
         "links_cut_one_way",
     )
 )
+# Faults in which what the operators wrote cannot be read.
+UNREAD = frozenset(("store_refuses", "store_is_silent"))
+# Time within which a change is in force everywhere.
+IN_FORCE_S = 4.0
+WITHDRAWN_S = 1.5
+COLD_MS = 4000
 # Faults that end connections without a promise to those that cross the end.
 ENDING = frozenset(("stop_router",))
 
@@ -131,18 +137,52 @@
 async def configuration_changes(soak):
     """Write versions of the configuration in quick succession."""
     for _ in range(3):
-        version = soak.site.store.version + 10
-        soak.site.store.put("op", "config", configuration(version))
+        soak.write_configuration()
         await asyncio.sleep(0.05)
 
 
+async def key_is_withdrawn(soak):
+    """Withdraw a customer's key and give it back later."""
+    soak.withdraw_key(True)
+    from_s = time.monotonic() + IN_FORCE_S
+    can_be_read = not UNREAD.intersection(soak.faults[-1])
+
+    async def undo():
+        await asyncio.sleep(from_s + WITHDRAWN_S - time.monotonic())
+        if can_be_read:
+            span = Span(soak.OTHER_KEY, from_s, time.monotonic())
+            soak.withdrawn.append(span)
+        soak.withdraw_key(False)
+
+    return undo
+
+
+async def servers_return_cold(soak):
+    """Remove all servers' entries and list them again as cold servers."""
+    servers = soak.site.servers
+    for server in servers:
+        soak.site.store.remove("servers", server.id)
+    can_be_read = not UNREAD.intersection(soak.faults[-1])
+
+    async def undo():
+        now = time.monotonic()
+        for server in servers:
+            entry = server.entry("apps", coldLeftMs=COLD_MS)
+            soak.site.store.put("servers", server.id, entry)
+            if can_be_read:
+                span = Span(server.id, now, now + COLD_MS / 1000.0)
+                soak.cold.append(span)
+
+    return undo
+
+
 async def server_is_gone(soak):
     """Remove a server's entry and list it again later."""
     server = soak.random.choice(soak.site.servers)
     soak.site.store.remove("servers", server.id)
 
     async def undo():
-        entry = server.entry("apps")
+        entry = server.entry("apps", coldLeftMs=soak.cold_left_ms(server))
         soak.site.store.put("servers", server.id, entry)
 
     return undo
@@ -219,6 +259,8 @@
     store_is_silent,
     store_forgets,
     configuration_changes,
+    key_is_withdrawn,
+    servers_return_cold,
     server_is_gone,
     zone_is_out,
     links_cut,
--- a/tools/directsoak.py
+++ b/tools/directsoak.py
@@ -5,6 +5,7 @@
 """
 
 import asyncio
+import functools
 import json
 import pathlib
 import random
@@ -16,12 +17,15 @@
 import aiohttp
 import typer
 
-from boragetrail.direct.tests.conftest import Site, free_port
-from boragetrail.direct.tests.conftest import router_settings
+from boragetrail.direct.tests.conftest import KEY, Site, configuration
+from boragetrail.direct.tests.conftest import free_port, router_settings
+from boragetrail.direct.tests.conftest import service
 from boragetrail.platform.names import HEADER_NAMES
 from standins.httpserver import whole_answer
 from standins.proxy import FaultProxy
 from tools.directfaults import CUTTING, ENDING, FAULTS
+from tools.sums import Arrival, arrivals_while_away
+from tools.sums import most_in_window, most_repeats_over
 
 __all__ = ["DirectSoak"]
 
@@ -37,6 +41,18 @@
 # Statuses that promise that a request has not run.
 NOT_RUN = frozenset((408, 421, 429, 503))
 KINDS = ("order", "status", "stream", "resume")
+# Limits of the whole fleet.
+COLD_PER_S = 6.0
+BOUNDS = {
+    "retry_ratio": 0.05,
+    "retry_window_s": 10,
+    "retry_extra": 6,
+    "cold_factor": 1.5,
+    "cold_margin": 5,
+}
+COLD_WINDOW_S = 1.0
+# Part of the requests that come from the second customer.
+OTHER_KEY_PART = 0.2
 
 
 class Seen:
@@ -60,8 +76,13 @@
     :param seed: seed of faults and callers
     :param folder: folder for settings and logs of the routers
     :ivar violations: what broke a promise, as texts
+    :ivar withdrawn: :class:`~tools.sums.Span` in which a key is no longer
+        in force
+    :ivar cold: :class:`~tools.sums.Span` in which a server is cold
     """
 
+    OTHER_KEY = "key-of-customer-2"
+
     def __init__(self, seed, folder):
         self.random = random.Random(seed)
         self.folder = folder
@@ -70,6 +91,11 @@
         self.routers = {}
         self.open_to_callers = set()
         self.runs_by_id = {}
+        self.arrivals = []
+        self.keys_by_id = {}
+        self.withdrawn = []
+        self.cold = []
+        self.keys = [self.OTHER_KEY]
         self.seen = []
         self.faults = []
         self.spans = []
@@ -81,8 +107,9 @@
     async def start(self):
         """Start the store, the servers and the routers."""
         await self.site.open(SERVERS)
+        self.write_configuration()
         for server in self.site.servers:
-            server.default = self.serve
+            server.default = functools.partial(self.serve, server)
             await self.put_proxy_before(server)
         gossip_port = free_port()
         for number in range(ROUTERS):
@@ -93,12 +120,37 @@
                 f"{host}:{gossip_port}",
                 self.site.store.address,
                 seeds=[f"127.0.0.1:{gossip_port}"],
+                bounds=BOUNDS,
             )
             path = self.folder / f"router-{number}.json"
             path.write_text(json.dumps(settings))
             self.routers[number] = (settings["listen"], None)
             await self.start_router(number)
 
+    def write_configuration(self):
+        """Write the next version of the configuration."""
+        tenants = [
+            {"name": "customer-1", "apiKeys": [KEY]},
+            {"name": "customer-2", "apiKeys": self.keys},
+        ]
+        value = configuration(
+            self.site.store.version + 10,
+            tenants=tenants,
+            services=[service("apps", coldPerS=COLD_PER_S)],
+        )
+        self.site.store.put("op", "config", value)
+
+    def withdraw_key(self, withdrawn):
+        """Withdraw the key of the second customer, or give it back."""
+        self.keys = [] if withdrawn else [self.OTHER_KEY]
+        self.write_configuration()
+
+    def cold_left_ms(self, server):
+        """Return the milliseconds for which a server stays cold."""
+        ends = [span.to_s for span in self.cold if span.name == server.id]
+        left_s = max(ends, default=0.0) - time.monotonic()
+        return max(0, round(1000 * left_s))
+
     async def put_proxy_before(self, server):
         """List a server at the address of a proxy that can do harm."""
         port = int(server.address.partition(":")[2])
@@ -137,8 +189,11 @@
         except (aiohttp.ClientError, asyncio.TimeoutError):
             return False
 
-    async def serve(self, request):
+    async def serve(self, server, request):
         """Answer as a server does, with the trouble in force."""
+        key = self.keys_by_id.get(request.id, "")
+        now = time.monotonic()
+        self.arrivals.append(Arrival(now, request.id, server.id, key))
         trouble = self.trouble if self.random.random() < 0.4 else ""
         if trouble == "refuse":
             fields = [f"{HEADER_NAMES.not_run}: 1"]
@@ -190,6 +245,9 @@
         headers = self.site.fields()
         headers[HEADER_NAMES.request_id] = seen.id
         headers[HEADER_NAMES.deadline_ms] = DEADLINE_MS
+        if self.random.random() < OTHER_KEY_PART:
+            headers[HEADER_NAMES.key] = self.OTHER_KEY
+        self.keys_by_id[seen.id] = headers[HEADER_NAMES.key]
         url = f"http://{self.routers[number][0]['callers']}/{kind}/1"
         timeout = aiohttp.ClientTimeout(total=6.0, sock_connect=1.0)
         try:
@@ -220,8 +278,11 @@
             self.violated(seen, f"another body: {body!r}")
 
     def violated(self, seen, text):
+        """Note a broken promise to a caller."""
+        self.broken(f"{seen.kind} {seen.id} of router {seen.router}: {text}")
+
+    def broken(self, line):
         """Note a broken promise."""
-        line = f"{seen.kind} {seen.id} of router {seen.router}: {text}"
         self.violations.append(line)
         print(f"VIOLATION {line[:400]}", flush=True)
 
@@ -247,6 +308,7 @@
         self.check_runs()
         self.check_stops()
         self.check_cuts()
+        self.check_sums()
         await self.close()
         return self.violations
 
@@ -295,6 +357,37 @@
                 if seen.cut and inside:
                     self.violated(seen, f"cut beside {names}: {seen.cut}")
 
+    def check_sums(self):
+        """Compare what all routers sent with the limits of the fleet."""
+        arrivals = [each for each in self.arrivals if each.request_id]
+        begun_by_id = {seen.id: seen.began_s for seen in self.seen}
+        over = most_repeats_over(
+            arrivals,
+            sorted(begun_by_id.values()),
+            BOUNDS["retry_window_s"],
+            BOUNDS["retry_ratio"],
+            BOUNDS["retry_extra"],
+        )
+        if over > 0:
+            self.broken(f"{over:.1f} repeats over the limit")
+        for span in self.withdrawn:
+            for late in arrivals_while_away(arrivals, span, begun_by_id):
+                self.broken(f"{late} beside the withdrawal {span}")
+        for span in self.cold:
+            self.check_cold(span, arrivals)
+
+    def check_cold(self, span, arrivals):
+        """Compare what a cold server got with the rate that it bears."""
+        times = [
+            each.at_s
+            for each in arrivals
+            if each.server == span.name and span.from_s < each.at_s < span.to_s
+        ]
+        most = COLD_PER_S * BOUNDS["cold_factor"] + BOUNDS["cold_margin"]
+        count = most_in_window(times, COLD_WINDOW_S)
+        if count > most:
+            self.broken(f"{count} requests a second at a cold server {span}")
+
     def check_cut(self, seen, stop):
         """Check one request without a whole answer."""
         if not stop.began_s < seen.ended_s <= stop.ended_s:
