Take the first rows from the router that knows the newest ones

Cause, from reading the path of a restart: a router that starts while the store is away fetched the tables from the router with the fastest link among all that know anything. If that one was frozen or cut off before, its configuration may hold keys that were withdrawn since, and the new router was ready with it until its next fetch. The newer router beside it was heard all the time.

Ruled out: rows that go back later (the mirror takes newer ones only); the same with the store up (a read that is older than what is known is repeated).

Change: while a router has no rows of a table it asks one of those that told the newest version, the fastest link among these. If that fails, any that know more are asked as before, and later fetches go by links.

Test first: TestStartWithoutTheStore; before, versions 10 and 20 were applied in turn; after, 20 alone. A silent newest router and later fetches have their cases.

--- a/boragetrail/direct/relay.py
+++ b/boragetrail/direct/relay.py
@@ -186,6 +186,7 @@
         self.make_source = make_source
         self.random = random
         self.pulling = set()
+        self.newest_failed = set()
 
     async def pull_if_behind(self):
         """Fetch the tables of which a peer knows a newer version."""
@@ -210,19 +211,31 @@
         ahead = self._ahead(table)
         if not ahead:
             return
-        # Slow links have enough to do with their own callers.
-        fastest = max(peer.link_mbps for peer in ahead)
-        ahead = [peer for peer in ahead if peer.link_mbps >= fastest]
-        source = self.make_source(self.random.choice(ahead))
         version = self.directory.mirrors[table].version
+        source = self.make_source(self._choose(ahead, table, version))
         result = await source.changes(table, version, 0.0)
         if isinstance(result, SourceFailure):
+            self.newest_failed.add(table)
             return
         if self.feeds_by_table[table].hearing.is_away():
             # Deletions may be lapses of living servers.
             self.directory.store_away()
         self.directory.apply(table, result)
 
+    def _choose(self, ahead, table, version):
+        """Return the peer to fetch a table from."""
+        if version < 0 and table not in self.newest_failed:
+            # What was withdrawn since must not come into force again.
+            versions = [peer.versions_by_table[table.value] for peer in ahead]
+            newest = max(versions)
+            ahead = [
+                peer for peer, known in zip(ahead, versions) if known == newest
+            ]
+        # Slow links have enough to do with their own callers.
+        fastest = max(peer.link_mbps for peer in ahead)
+        ahead = [peer for peer in ahead if peer.link_mbps >= fastest]
+        return self.random.choice(ahead)
+
     def _ahead(self, table):
         version = self.directory.mirrors[table].version
         return self.peers.ahead(table.value, version)
