Test the troubles of similar fleets on the direct path

Cause: five of the six troubles had single tests here and there, and nobody could see which path was covered: no test sent a second copy of an answer while the next request ran, none a stream that drips without end, none an error in the code, none a restart without the store after a key was withdrawn and a server had left.

Each was shown able to fail on a scratch copy: any answer taken for the own one (TestSecondCopies; its first form compared the answer with itself and did not fail), no deadline (TestSlowStreams), handlers' errors not caught (TestUnexpectedErrors), any key taken for known (TestRestart).

--- /dev/null
+++ b/boragetrail/direct/tests/test_trouble.py
@@ -0,0 +1,139 @@
+"""Tests of troubles that fleets of routers are known to meet."""
+
+import asyncio
+import contextlib
+
+import aiohttp
+
+from boragetrail.direct.tests.conftest import configuration
+from boragetrail.platform.names import HEADER_NAMES
+from standins.httpserver import whole_answer
+
+PAUSE_S = 0.5
+OTHER_KEY = "key-of-customer-2"
+
+
+def stream_head(request):
+    """Return the head of a stream's answer."""
+    lines = (
+        "HTTP/1.1 200 OK",
+        f"{HEADER_NAMES.request_id}: {request.id}",
+        f"{HEADER_NAMES.seal}: seal",
+        "Content-Type: text/event-stream",
+        "Transfer-Encoding: chunked",
+    )
+    return "\r\n".join(lines).encode() + b"\r\n\r\n"
+
+
+def chunk(data):
+    """Return a chunk of a body."""
+    return b"%x\r\n%s\r\n" % (len(data), data)
+
+
+class RepeatingServer:
+    """Send each answer once more after the next request has arrived."""
+
+    def __init__(self):
+        self.last = b""
+
+    async def serve(self, request):
+        """Answer a request behind a copy of the answer before."""
+        answer = whole_answer(request, request.id.encode())
+        late, self.last = self.last, answer
+        request.writer.write(late)
+        await request.writer.drain()
+        await asyncio.sleep(0.02)
+        return answer
+
+
+class TestSecondCopies:
+    """A server sends an answer again on a connection that is in use."""
+
+    async def test_next_caller_gets_its_own_answer(self, site):
+        daemon = await site.add_router()
+        for server in site.servers:
+            server.default = RepeatingServer().serve
+        for number in range(6):
+            fields = {HEADER_NAMES.request_id: f"status-{number}"}
+            answer = await site.call(daemon, "/status/1", headers=fields)
+            assert answer[2].decode() == f"status-{number}"
+
+
+class TestSlowStreams:
+    """Slow streams go on, stalled ones end."""
+
+    async def test_slow_stream_is_kept(self, site):
+        daemon = await site.add_router()
+        events = [b"id: %d\ndata: e\n\n" % n for n in range(3)]
+
+        async def slow(request):
+            request.writer.write(stream_head(request))
+            for event in events:
+                request.writer.write(chunk(event))
+                await request.writer.drain()
+                await asyncio.sleep(PAUSE_S)
+            return chunk(b"")
+
+        for server in site.servers:
+            server.default = slow
+        status, _, body = await site.call(daemon, "/stream/1")
+        assert (status, body) == (200, b"".join(events))
+
+    async def test_server_that_sends_a_byte_now_and_then(self, site):
+        daemon = await site.add_router()
+        ended = asyncio.Event()
+
+        async def drip(request):
+            request.writer.write(stream_head(request))
+            left = asyncio.ensure_future(request.sender_left())
+            while not left.done():
+                request.writer.write(chunk(b"."))
+                await asyncio.sleep(0.02)
+            ended.set()
+
+        for server in site.servers:
+            server.default = drip
+        soon = {HEADER_NAMES.deadline_ms: "400"}
+        async with asyncio.timeout(5.0):
+            with contextlib.suppress(aiohttp.ClientPayloadError):
+                answer = await site.call(daemon, "/stream/1", headers=soon)
+                assert answer[0] == 504
+            await ended.wait()
+        assert not daemon.fleet.loads_by_id()
+
+
+class TestUnexpectedErrors:
+    """An error in the code concerns one request."""
+
+    async def test_next_request_is_served(self, site, monkeypatch):
+        daemon = await site.add_router()
+
+        def fail(*arguments):
+            raise ZeroDivisionError
+
+        with monkeypatch.context() as patch:
+            patch.setattr(daemon.dispatcher.choice, "choose", fail)
+            assert (await site.call(daemon, "/order/1"))[0] == 502
+        assert (await site.call(daemon, "/order/1"))[0] == 200
+
+
+class TestRestart:
+    """A router starts while the store is away."""
+
+    async def test_withdrawn_key_and_server_stay_out_of_use(self, site):
+        first = await site.add_router()
+        tenants = [{"name": "customer-2", "apiKeys": [OTHER_KEY]}]
+        site.store.put("op", "config", configuration(2, tenants=tenants))
+        site.store.remove("servers", site.servers[1].id)
+        await site.until(lambda: first.directory.configuration.version == 2)
+        await site.until(lambda: len(first.directory.servers_by_id) == 1)
+        site.store.status = 503
+        second = site.make_router()
+        await second.open()
+        await site.until(second.is_ready)
+        assert (await site.call(second, "/order/1"))[0] == 401
+        fields = {HEADER_NAMES.key: OTHER_KEY}
+        for _ in range(6):
+            answer = await site.call(second, "/order/1", headers=fields)
+            assert answer[0] == 200
+        assert not site.servers[1].requests
