Refuse malformed rows of the platform and endless events; fuzz both

Cause 1, found by Hypothesis at once (seed derandomized, a value of a configuration replaced): a configuration whose priority, prefix or version had another type was taken over. Each request of its route, or each comparison of versions, then raised: one malformed row took the service of every router. Examples kept by the tests' own derandomized choice: pathPrefix [], priority null, version null. Cause 2, found by reading for memory without bound: the rest of an event that does not end was kept up to the deadline, and searched again with each piece.

Change: values of rows are read as texts, numbers in range and whole numbers; a row that is not so is unreadable (E407) and the last readable one stays, as for other mistakes before. An event of more than 1 MiB breaks the attempt.

Tests first: TestPlatformRows.test_configurations and TestEndlessEvents failed before. Also new and passing at once: datagrams, rows and parts of routers, header fields, streams in any pieces, a server's answer cut at each byte of its head and body and 300 changed bytes, each followed by a request that has to be right.

--- a/Makefile
+++ b/Makefile
@@ -2,8 +2,9 @@
 BIN = .venv/bin
 SECONDS ?= 300
 SEED ?= 1
+MINUTES ?= 5
 
-.PHONY: run test speed lint format proto measure soak slopes spread clean
+.PHONY: run test speed lint format proto measure soak fuzz slopes spread clean
 
 .venv/installed: pyproject.toml
 	$(PYTHON) -m venv .venv
@@ -37,6 +38,9 @@
 	$(BIN)/python -m tools.soak --seconds $(SECONDS) --seed $(SEED)
 	$(BIN)/python -m tools.directsoak --seconds $(SECONDS) --seed $(SEED)
 
+fuzz: .venv/installed
+	$(BIN)/python -m tools.fuzz --minutes $(MINUTES)
+
 slopes: .venv/installed
 	$(BIN)/python -m tools.slopes
 
--- a/boragetrail/direct/dispatch.py
+++ b/boragetrail/direct/dispatch.py
@@ -3,6 +3,7 @@
 import asyncio
 
 from boragetrail.direct.attempt import Attempt, AttemptState, Verdict
+from boragetrail.direct.eventstream import MOST_EVENT_BYTES
 from boragetrail.direct.headers import HeaderRewriter
 from boragetrail.direct.model import RequestKind
 from boragetrail.direct.progress import PendingWork, Progress
@@ -22,6 +23,7 @@
 LEAST_LEFT_S = 0.02
 # What a server answers when the time of a request is up.
 OUT_OF_TIME = 504
+EVENT_TOO_LONG = f"an event of more than {MOST_EVENT_BYTES} bytes"
 
 
 class Dispatcher:
@@ -169,6 +171,9 @@
         began = False
         async for data in attempt.chunks():
             whole = events.feed(data)
+            if events.is_too_long():
+                attempt.server.failed()
+                return Failure(Reason.TRUNCATED, EVENT_TOO_LONG)
             if whole:
                 await caller.write(whole)
             if whole and not began:
--- a/boragetrail/direct/eventstream.py
+++ b/boragetrail/direct/eventstream.py
@@ -1,7 +1,8 @@
 """Pass on whole events of a stream and remember the last one."""
 
-__all__ = ["WholeEvents"]
+__all__ = ["MOST_EVENT_BYTES", "WholeEvents"]
 
+MOST_EVENT_BYTES = 1024 * 1024
 SEPARATOR = b"\n\n"
 ID_FIELD = b"id:"
 
@@ -36,6 +37,10 @@
         self._note_id(whole)
         return whole
 
+    def is_too_long(self):
+        """Return whether the event that has not ended may not be kept."""
+        return len(self.rest) > MOST_EVENT_BYTES
+
     def _note_id(self, whole):
         start = whole.rfind(b"\n" + ID_FIELD)
         if start < 0 and not whole.startswith(ID_FIELD):
--- /dev/null
+++ b/boragetrail/direct/tests/test_fuzz.py
@@ -0,0 +1,257 @@
+"""Properties that hold for any bytes of other processes.
+
+CI plays the same examples each time; ``make fuzz`` draws new ones.
+"""
+
+import json
+import random
+
+import aiohttp
+import cbor2
+from hypothesis import given
+from hypothesis import strategies as st
+
+from boragetrail.direct.digest import DatagramRefusal, decode_datagram
+from boragetrail.direct.eventstream import MOST_EVENT_BYTES, WholeEvents
+from boragetrail.direct.headers import passed_fields, prompt_parts
+from boragetrail.direct.learn import decode_parts
+from boragetrail.direct.ports import ChangeSet, Row, SourceFailure
+from boragetrail.direct.relay import decode_changes
+from boragetrail.direct.tests.conftest import KEY, configuration
+from boragetrail.platform.decode import PlatformDecoder
+from standins.httpserver import whole_answer
+
+SERVER_ENTRY = {
+    "service": "apps",
+    "address": "127.0.0.1:1",
+    "zone": "z1",
+    "version": "v1",
+    "slots": 8,
+    "state": "ready",
+    "coldLeftMs": 0,
+}
+VALUES = st.recursive(
+    st.none()
+    | st.booleans()
+    | st.integers()
+    | st.floats()
+    | st.text(max_size=8)
+    | st.binary(max_size=8),
+    lambda children: (
+        st.lists(children, max_size=4)
+        | st.dictionaries(st.text(max_size=8), children, max_size=4)
+    ),
+    max_leaves=12,
+)
+JSON_VALUES = st.recursive(
+    st.none() | st.booleans() | st.integers() | st.floats() | st.text(),
+    lambda children: (
+        st.lists(children, max_size=4)
+        | st.dictionaries(st.text(max_size=8), children, max_size=4)
+    ),
+    max_leaves=8,
+)
+STREAM = b"id: 1\ndata: a\n\nid: 2\r\ndata: b\n\n\n\nid:3\n\ndata: c"
+OWN = b"own"
+
+
+def places(value, path=()):
+    """Return the paths to all values within a value.
+
+    >>> places({"a": [1]})
+    [(), ('a',), ('a', 0)]
+    """
+    found = [path]
+    if isinstance(value, dict):
+        inner = value.items()
+    elif isinstance(value, list):
+        inner = enumerate(value)
+    else:
+        return found
+    for key, each in inner:
+        found.extend(places(each, (*path, key)))
+    return found
+
+
+def with_value(value, path, new):
+    """Return a copy of a value with another value at a path."""
+    if not path:
+        return new
+    copy = dict(value) if isinstance(value, dict) else list(value)
+    copy[path[0]] = with_value(value[path[0]], path[1:], new)
+    return copy
+
+
+def use_configuration(made):
+    """Use a configuration as requests do."""
+    for routes in made.routes_by_host.values():
+        for route in routes:
+            found = made.find_route(route.host, route.prefix + "1")
+            assert 0 <= found.timeout_s < float("inf")
+            assert max(0, min(9, found.priority)) >= 0
+            random.choices(range(len(found.shares)), [1, *_weights(found)[1:]])
+            made.services_by_name.get(found.shares[0].service)
+    for service in made.services_by_name.values():
+        assert 0 <= service.cold_rate < float("inf")
+    assert made.customers_by_key.get(KEY) is None or made.needs_keys
+    assert made.version + 1 > 0
+    assert made.limits.body_bytes + 1 > 0
+
+
+def _weights(route):
+    return [share.weight for share in route.shares]
+
+
+class TestMessages:
+    """Messages of other routers."""
+
+    @given(st.binary(max_size=200) | VALUES.map(cbor2.dumps))
+    def test_datagrams(self, data):
+        message = decode_datagram(data)
+        assert isinstance(message, DatagramRefusal)
+
+    @given(st.binary(max_size=200) | VALUES.map(cbor2.dumps))
+    def test_rows(self, data):
+        assert isinstance(decode_changes(data), (ChangeSet, SourceFailure))
+
+    @given(st.binary(max_size=200) | VALUES.map(cbor2.dumps))
+    def test_parts(self, data):
+        for part, servers in decode_parts(data):
+            assert all(isinstance(each, str) for each in (part, *servers))
+
+
+class TestPlatformRows:
+    """Rows of the platform with one value replaced."""
+
+    @given(st.sampled_from(places(configuration())), JSON_VALUES)
+    def test_configurations(self, path, new):
+        data = json.dumps(with_value(configuration(), path, new)).encode()
+        made = PlatformDecoder().configuration(Row("config", 1, data))
+        if made is not None:
+            use_configuration(made)
+
+    @given(st.sampled_from(places(SERVER_ENTRY)), JSON_VALUES)
+    def test_servers(self, path, new):
+        data = json.dumps(with_value(SERVER_ENTRY, path, new)).encode()
+        made = PlatformDecoder().server(Row("i-1", 1, data))
+        if made is not None:
+            assert 0 <= made.cold_s < float("inf")
+            assert isinstance(made.slots, int)
+
+    @given(st.binary(max_size=100))
+    def test_bytes(self, data):
+        decoder = PlatformDecoder()
+        decoder.configuration(Row("config", 1, data))
+        decoder.server(Row("i-1", 1, data))
+
+
+class TestHeaders:
+    """Header fields of callers."""
+
+    @given(st.text())
+    def test_prompts(self, text):
+        for part, tokens in prompt_parts(text):
+            assert part and tokens >= 0
+
+    @given(st.lists(st.tuples(st.binary(min_size=1), st.binary())))
+    def test_dropped_fields_never_pass(self, fields):
+        dropped = frozenset((b"x-own",))
+        fields = [*fields, (b"X-Own", b"1"), (b"connection", b"X-Other")]
+        fields.append((b"x-other", b"2"))
+        names = {name.lower() for name, _ in passed_fields(fields, dropped)}
+        assert not names & {b"x-own", b"x-other", b"connection"}
+
+
+class TestEvents:
+    """Streams that arrive in any pieces."""
+
+    @given(st.lists(st.integers(0, len(STREAM)), max_size=8))
+    def test_pieces(self, cuts):
+        events = WholeEvents()
+        ends = sorted(cuts) + [len(STREAM)]
+        begins = [0, *ends[:-1]]
+        passed = b"".join(
+            events.feed(STREAM[begin:end]) for begin, end in zip(begins, ends)
+        )
+        assert passed + events.rest == STREAM
+        assert passed.endswith(b"id:3\n\n")
+        assert events.last_id == "3"
+
+    @given(st.lists(st.binary(max_size=64), max_size=20))
+    def test_bytes(self, pieces):
+        events = WholeEvents()
+        passed = b"".join(events.feed(piece) for piece in pieces)
+        assert passed + events.rest == b"".join(pieces)
+        assert b"\n\n" not in events.rest
+        assert len(events.rest) <= MOST_EVENT_BYTES
+
+
+class Harm:
+    """Do harm to one answer of a server.
+
+    :param change: function from the bytes of an answer to other bytes
+    """
+
+    def __init__(self, change):
+        self.change = change
+
+    async def serve(self, request):
+        """Send the changed answer and end the connection."""
+        request.writer.write(self.change(whole_answer(request, OWN)))
+        request.writer.close()
+        return b""
+
+
+class TestAnswers:
+    """Answers of a server that are cut or changed, and the next one."""
+
+    HEAD_BYTES = 90
+    CHANGES = 300
+
+    async def test_cut_at_each_byte(self, site):
+        daemon = await self._open(site)
+        for cut in range(self.HEAD_BYTES + len(OWN)):
+            harm = Harm(lambda answer, cut=cut: answer[:cut])
+            status, body = await self._play(site, daemon, harm)
+            assert status >= 500 or (status, body) == (200, OWN)
+
+    async def test_one_byte_is_another(self, site):
+        daemon = await self._open(site)
+        chance = random.Random(7)
+        for _ in range(self.CHANGES):
+            place, byte = (
+                chance.randrange(self.HEAD_BYTES),
+                chance.randbytes(1),
+            )
+            harm = Harm(
+                lambda answer, place=place, byte=byte: (
+                    answer[:place] + byte + answer[place + 1 :]
+                )
+            )
+            status, body = await self._play(site, daemon, harm)
+            assert status != 200 or OWN.startswith(body)
+
+    async def _open(self, site):
+        """Return a router with one server, which answers each request."""
+
+        async def serve(request):
+            return whole_answer(request, OWN)
+
+        gone = site.servers.pop()
+        site.store.remove("servers", gone.id)
+        await gone.close()
+        daemon = await site.add_router()
+        site.servers[0].default = serve
+        return daemon
+
+    async def _play(self, site, daemon, harm):
+        """Return status and body of the harmed answer."""
+        site.servers[0].behaviours.append(harm.serve)
+        try:
+            status, _, body = await site.call(daemon, "/order/1")
+        except aiohttp.ClientError:
+            status, body = 599, b""
+        site.servers[0].behaviours.clear()
+        answer = await site.call(daemon, "/status/1")
+        assert (answer[0], answer[2]) == (200, OWN)
+        return status, body
--- a/boragetrail/direct/tests/test_trouble.py
+++ b/boragetrail/direct/tests/test_trouble.py
@@ -4,12 +4,15 @@
 import contextlib
 
 import aiohttp
+import pytest
 
+from boragetrail.direct.eventstream import MOST_EVENT_BYTES
 from boragetrail.direct.tests.conftest import configuration
 from boragetrail.platform.names import HEADER_NAMES
 from standins.httpserver import whole_answer
 
 PAUSE_S = 0.5
+PIECE = b"." * 16 * 1024
 OTHER_KEY = "key-of-customer-2"
 
 
@@ -102,6 +105,28 @@
         assert not daemon.fleet.loads_by_id()
 
 
+class TestEndlessEvents:
+    """A server sends an event that does not end."""
+
+    async def test_router_keeps_no_more_than_its_limit(self, site):
+        daemon = await site.add_router()
+        sent = []
+
+        async def flood(request):
+            request.writer.write(stream_head(request))
+            while sum(sent) < 8 * MOST_EVENT_BYTES:
+                request.writer.write(chunk(PIECE))
+                await request.writer.drain()
+                sent.append(len(PIECE))
+            return chunk(b"")
+
+        for server in site.servers:
+            server.default = flood
+        with pytest.raises(aiohttp.ClientPayloadError):
+            await site.call(daemon, "/stream/1")
+        assert sum(sent) < 8 * MOST_EVENT_BYTES
+
+
 class TestUnexpectedErrors:
     """An error in the code concerns one request."""
 
--- a/boragetrail/platform/decode.py
+++ b/boragetrail/platform/decode.py
@@ -25,6 +25,15 @@
 __all__ = ["PlatformDecoder"]
 
 LOWEST_PRIORITY = 9
+MOST_NUMBER = 10**15
+UNREADABLE = (
+    ValueError,
+    TypeError,
+    KeyError,
+    AttributeError,
+    OverflowError,
+    RecursionError,
+)
 
 
 class PlatformDecoder(Decoder):
@@ -52,7 +61,7 @@
 def _read(row, decode):
     try:
         return decode(json.loads(row.data))
-    except (ValueError, TypeError, KeyError, AttributeError) as exc:
+    except UNREADABLE as exc:
         log_event(
             Event.ROW_UNREADABLE,
             key=row.key,
@@ -62,14 +71,40 @@
         return None
 
 
+def _text(value):
+    if not isinstance(value, str):
+        raise ValueError(f"{value!r} is no text")
+    return value
+
+
+def _number(value):
+    is_number = isinstance(value, (int, float)) and value is not True
+    if not is_number or value is False or not 0 <= value <= MOST_NUMBER:
+        raise ValueError(f"{value!r} is no number in range")
+    return value
+
+
+def _whole(value):
+    if _number(value) != int(value):
+        raise ValueError(f"{value!r} is no whole number")
+    return int(value)
+
+
+def _customer(data):
+    priority = data.get("priority")
+    if priority is not None:
+        priority = _whole(priority)
+    return Customer(_text(data["name"]), priority)
+
+
 def _configuration(data):
     customers = {}
     for each in data.get("tenants") or []:
-        customer = Customer(each["name"], each.get("priority"))
+        customer = _customer(each)
         for key in each["apiKeys"]:
-            customers[key] = customer
+            customers[_text(key)] = customer
     return Configuration(
-        data["version"],
+        _whole(data["version"]),
         [_route(each) for each in data["routes"]],
         [_service(each) for each in data["services"]],
         customers,
@@ -82,20 +117,23 @@
     kind = KINDS_BY_WORD[data["routeType"]]
     # A split route lists its services under ``backends``.
     if data.get("backends"):
-        shares = [Share(e["service"], e["weight"]) for e in data["backends"]]
+        shares = [
+            Share(_text(each["service"]), _number(each["weight"]))
+            for each in data["backends"]
+        ]
     else:
-        shares = [Share(data["service"], 1)]
-    timeout_s = data["timeoutMs"] / 1000.0
+        shares = [Share(_text(data["service"]), 1)]
+    timeout_s = _number(data["timeoutMs"]) / 1000.0
     return Route(
-        name=data["name"],
-        host=data["host"].lower(),
-        prefix=data["pathPrefix"],
+        name=_text(data["name"]),
+        host=_text(data["host"]).lower(),
+        prefix=_text(data["pathPrefix"]),
         kind=kind,
         shares=shares,
         timeout_s=timeout_s,
-        goal_s=data.get("goalMs", data["timeoutMs"]) / 1000.0,
-        attempts=data.get("maxAttempts", 1),
-        priority=data.get("priority", LOWEST_PRIORITY),
+        goal_s=_number(data.get("goalMs", data["timeoutMs"])) / 1000.0,
+        attempts=_whole(data.get("maxAttempts", 1)),
+        priority=_whole(data.get("priority", LOWEST_PRIORITY)),
         public=bool(data.get("public", False)),
         affine=bool(data.get("sticky", False)),
         resumable=(
@@ -106,9 +144,9 @@
 
 def _service(data):
     return Service(
-        name=data["name"],
-        connections=data["maxConns"],
-        cold_rate=data.get("coldPerS", 0.0),
+        name=_text(data["name"]),
+        connections=_whole(data["maxConns"]),
+        cold_rate=_number(data.get("coldPerS", 0.0)),
         # Here ``backend`` describes the service's model engines.
         is_model=bool(data.get("backend")),
     )
@@ -116,27 +154,27 @@
 
 def _limits(data):
     return Limits(
-        header_bytes=data["maxHeaderBytes"],
-        body_bytes=data["maxBodyBytes"],
-        header_timeout_s=data["headerTimeoutMs"] / 1000.0,
-        idle_timeout_s=data["idleTimeoutMs"] / 1000.0,
+        header_bytes=_whole(data["maxHeaderBytes"]),
+        body_bytes=_whole(data["maxBodyBytes"]),
+        header_timeout_s=_number(data["headerTimeoutMs"]) / 1000.0,
+        idle_timeout_s=_number(data["idleTimeoutMs"]) / 1000.0,
     )
 
 
 def _server(key, data):
     host, port = split_address(data["address"])
-    service = data["service"]
-    zone = data["zone"]
-    if not all(isinstance(each, str) and each for each in (service, zone)):
-        raise ValueError("service and zone must be texts")
-    cold_ms = data.get("coldLeftMs", 0)
+    service = _text(data["service"])
+    zone = _text(data["zone"])
+    if not service or not zone:
+        raise ValueError("service and zone must not be empty")
+    cold_ms = _number(max(0, data.get("coldLeftMs", 0)))
     return ServerRecord(
         id=key,
         service=service,
         address=(host, port),
         zone=zone,
-        slots=int(data.get("slots", 1)),
+        slots=_whole(data.get("slots", 1)),
         ready=data["state"] == READY_WORD,
-        cold_s=max(0.0, float(cold_ms)) / 1000.0,
-        born_ms=data.get("born", 0),
+        cold_s=cold_ms / 1000.0,
+        born_ms=_number(data.get("born", 0)),
     )
--- a/conftest.py
+++ b/conftest.py
@@ -2,10 +2,18 @@
 
 import pathlib
 
+import hypothesis
 import pytest
 
 KNOWN_RED = pathlib.Path(__file__).parent / "KNOWN-RED.txt"
 PREFIX = "test: "
+FUZZ_EXAMPLES = 2000
+
+hypothesis.settings.register_profile("ci", derandomize=True, deadline=None)
+hypothesis.settings.register_profile(
+    "fuzz", max_examples=FUZZ_EXAMPLES, deadline=None, database=None
+)
+hypothesis.settings.load_profile("ci")
 
 
 def known_red():
--- /dev/null
+++ b/tools/fuzz.py
@@ -0,0 +1,43 @@
+"""Draw new examples for the fuzzed properties until the time is over."""
+
+import sys
+import time
+
+import pytest
+import typer
+
+__all__ = ["fuzz"]
+
+PROPERTIES = "boragetrail/direct/tests/test_fuzz.py"
+
+
+def fuzz(minutes=5.0, seed=None, clock=time.monotonic):
+    """Play the properties with one seed after the other.
+
+    A seed that fails is printed with its example, and ends the run.
+
+    :param minutes: time after which no other seed begins
+    :param seed: first seed; the time of the start by default
+    :param clock: function that returns monotonic seconds
+    :returns: exit status
+    """
+    end_s = clock() + 60.0 * minutes
+    first = int(time.time()) if seed is None else seed
+    played = 0
+    status = 0
+    while not status and (clock() < end_s or not played):
+        options = ["-p", "no:cacheprovider", "--hypothesis-profile=fuzz"]
+        options.append(f"--hypothesis-seed={first + played}")
+        status = int(pytest.main([*options, PROPERTIES]))
+        played += 1
+    print(f"seeds {first} to {first + played - 1}: exit status {status}")
+    return status
+
+
+def main(minutes: float = 5.0, seed: int | None = None):
+    """Fuzz for some minutes."""
+    sys.exit(fuzz(minutes, seed))
+
+
+if __name__ == "__main__":
+    typer.run(main)
