--- a/boragetrail/platform/decode.py
+++ b/boragetrail/platform/decode.py
@@ -25,7 +25,7 @@
 __all__ = ["PlatformDecoder"]
 
 LOWEST_PRIORITY = 9
-MOST_NUMBER = 10**15
+MOST_NUMBER = 2**63
 UNREADABLE = (
     ValueError,
     TypeError,
