Log how far a lost response had come, its prompt's parts and its server

The logs could not tell whether an engine ended or only a connection, and named no parts, so the three hypotheses of the incident looked the same. E207 and boragetrail_lost_responses_total are new; a connection that is refused right after a loss says that the server crashed. Nothing is decided by it.

--- a/boragetrail/direct/attempt.py
+++ b/boragetrail/direct/attempt.py
@@ -7,7 +7,13 @@
 
 from boragetrail.reasons import Executed
 
-__all__ = ["Attempt", "AttemptState", "ExchangeOutcome", "ServerResponse"]
+__all__ = [
+    "Attempt",
+    "AttemptState",
+    "ExchangeOutcome",
+    "ResponsePhase",
+    "ServerResponse",
+]
 
 # Exceptions that a read raises if the connection was lost or the response is
 # invalid.
@@ -44,6 +50,18 @@
     FAILED = "broken"
 
 
+class ResponsePhase(str, enum.Enum):
+    """Name how far the response to an attempt has come.
+
+    A response has begun when its head has arrived, and has progressed when
+    one of its events, or all of its body, has arrived.
+    """
+
+    NO_HEAD = "no head"
+    BEGUN = "begun"
+    PROGRESSED = "progressed"
+
+
 class ServerResponse:
     """Hold the head of a server's response and the reader of its body."""
 
@@ -75,6 +93,9 @@
     :ivar waiting_since_s: monotonic time since which the router waits for
         bytes of the server, or ``None`` while it does not wait, for example
         because the caller reads slowly
+    :ivar progressed: whether an event, or all of the body, has arrived
+    :ivar connection_lost: whether the connection was lost, or the server
+        sent invalid bytes, before the response was complete
     """
 
     def __init__(self, server, names, request_id, clock):
@@ -83,11 +104,22 @@
         self.request_id = request_id
         self.clock = clock
         self.waiting_since_s = None
+        self.progressed = False
+        self.connection_lost = False
         self.state = AttemptState.NOT_SENT
         self.connection = None
         self.response = None
         self.error = ""
 
+    @property
+    def phase(self):
+        """Return the :class:`ResponsePhase` that the response has reached."""
+        if self.progressed:
+            return ResponsePhase.PROGRESSED
+        if self.response is not None:
+            return ResponsePhase.BEGUN
+        return ResponsePhase.NO_HEAD
+
     def executed(self):
         """Return whether the request was executed, as far as is known."""
         if self.state in (AttemptState.NOT_SENT, AttemptState.REFUSED):
@@ -128,6 +160,7 @@
             self.connection.send_request(data)
             self.response = await self._read_response()
         except CONNECTION_ERRORS as exc:
+            self.connection_lost = True
             return self._fail(f"waiting for the response: {exc!r}")
         if self.response is None:
             return self._fail("only responses to other requests arrived")
@@ -148,9 +181,11 @@
                     break
                 yield data
         except CONNECTION_ERRORS as exc:
+            self.connection_lost = True
             self._fail(f"reading the response: {exc!r}")
             return
         self.state = AttemptState.COMPLETE
+        self.progressed = True
         self._release()
 
     async def body(self):
--- a/boragetrail/direct/daemon.py
+++ b/boragetrail/direct/daemon.py
@@ -8,6 +8,7 @@
 import aiohttp
 import aiohttp.web
 
+from boragetrail.direct.crashes import CrashMonitor
 from boragetrail.direct.datagrams import Update
 from boragetrail.direct.directory import Directory
 from boragetrail.direct.discovery import CacheDiscovery
@@ -77,7 +78,12 @@
             self.fleet, names, bounds, self.clock, self.random
         )
         self.dispatcher = Dispatcher(
-            self.fleet, self.selector, names, bounds, self.clock
+            self.fleet,
+            self.selector,
+            names,
+            bounds,
+            self.clock,
+            CrashMonitor(self.metrics, self.tasks),
         )
         filter_chain = FilterChain(
             self.directory, platform.HEADER_NAMES, self.random
--- a/boragetrail/direct/dispatch.py
+++ b/boragetrail/direct/dispatch.py
@@ -39,11 +39,13 @@
     :param names: :class:`~boragetrail.direct.interfaces.HeaderNames`
     :param bounds: :class:`~boragetrail.settings.direct.Bounds`
     :param clock: function that returns monotonic seconds
+    :param crash_monitor: :class:`~boragetrail.direct.crashes.CrashMonitor`
     """
 
-    def __init__(self, fleet, selector, names, bounds, clock):
+    def __init__(self, fleet, selector, names, bounds, clock, crash_monitor):
         self.fleet = fleet
         self.selector = selector
+        self.crash_monitor = crash_monitor
         self.names = names
         self.bounds = bounds
         self.clock = clock
@@ -80,6 +82,8 @@
             failure = await self._try_server(request, caller, progress, state)
             if failure is None:
                 return None
+            if progress.prompt and progress.attempt.connection_lost:
+                self.crash_monitor.response_lost(request, progress)
             if not self._may_retry(request, progress, failure):
                 return failure
             self._log_retry(request, progress, failure, state)
@@ -207,6 +211,7 @@
                 await caller.write(complete)
             if complete and not stream_started:
                 stream_started = True
+                attempt.progressed = True
                 self._log_stream_started(request, attempt)
         if attempt.state is not AttemptState.COMPLETE:
             attempt.server.record_failure()
--- a/boragetrail/direct/metrics.py
+++ b/boragetrail/direct/metrics.py
@@ -8,7 +8,7 @@
 
 
 class DirectMetrics:
-    """Holds the metrics of finished requests."""
+    """Holds the metrics of finished requests and of lost responses."""
 
     def __init__(self):
         self.registry = aioprometheus.Registry()
@@ -24,6 +24,21 @@
             registry=self.registry,
         )
 
+        self.lost_responses = aioprometheus.Counter(
+            "boragetrail_lost_responses_total",
+            "Responses whose connection was lost, by how far they had come.",
+            registry=self.registry,
+        )
+
+    def record_lost_response(self, phase, crashed):
+        """Record a response whose connection to the server was lost.
+
+        :param phase: :class:`~boragetrail.direct.attempt.ResponsePhase`
+        :param crashed: whether the server crashed
+        """
+        labels = {"phase": phase.value, "crashed": str(crashed).lower()}
+        self.lost_responses.inc(labels)
+
     def record_request(self, code, service, took_s):
         """Record one finished request.
 
--- a/boragetrail/events.py
+++ b/boragetrail/events.py
@@ -24,6 +24,11 @@
     HANDLER_FAILED = (204, "ERROR", "An exception ended a request.")
     REQUEST_SENT = (205, "INFO", "A request is sent to a server.")
     STREAM_STARTED = (206, "INFO", "The first part of a stream was forwarded.")
+    RESPONSE_LOST = (
+        207,
+        "WARNING",
+        "A connection to a server was lost before the response was complete.",
+    )
     LINK_OPENED = (300, "INFO", "A connection to an agent opened.")
     LINK_LOST = (301, "WARNING", "A connection to an agent was lost.")
     LINK_TIMED_OUT = (302, "WARNING", "A connection to an agent timed out.")
