--- /dev/null
+++ b/boragetrail/direct/tests/test_crash.py
@@ -0,0 +1,160 @@
+"""Tests with a prompt part that crashes each engine that responds to it."""
+
+import asyncio
+import contextlib
+import itertools
+
+import aiohttp
+import pytest
+
+from boragetrail.direct.tests.conftest import configuration, route
+from boragetrail.direct.tests.test_trouble import chunk, stream_head
+from boragetrail.platform.names import HEADER_NAMES
+
+DEADLY_PART = "d0"
+# Time from the fifth crash until all routers know of the part, and requests
+# that may still reach servers afterwards.
+CONTACT_S = 3.0
+MAX_LATER_REQUESTS = 3
+PREFILL_S = 0.03
+PAUSE_S = 0.15
+SOUND_INTERVAL_S = 0.03
+ROUTES = [
+    route("stream", "streaming", sticky=True),
+    route("resume", "streaming", sticky=True, resumable=True),
+]
+
+
+class Engines:
+    """Own engines that crash when they begin to respond to a part.
+
+    :ivar crashes: number of crashes so far
+    :ivar deadly_requests: number of requests with the part that arrived
+    """
+
+    def __init__(self, cluster):
+        self.cluster = cluster
+        self.crashes = 0
+        self.deadly_requests = 0
+        self.tasks = set()
+
+    def open(self):
+        """Let the servers of the cluster behave as engines."""
+        for server in self.cluster.servers:
+            self._prepare(server)
+
+    def _prepare(self, server):
+        async def respond(request):
+            return await self._respond(server, request)
+
+        server.default = respond
+
+    async def _respond(self, server, request):
+        prompt = request.headers[HEADER_NAMES.prompt_parts.lower()]
+        deadly = DEADLY_PART in prompt
+        self.deadly_requests += deadly
+        request.writer.write(stream_head(request))
+        await asyncio.sleep(PREFILL_S)
+        if not deadly:
+            return chunk(b"id: 1\ndata: e\n\n") + chunk(b"")
+        self.crashes += 1
+        server.crash()
+        self.cluster.unlist_server(server)
+        task = asyncio.ensure_future(self._replace())
+        self.tasks.add(task)
+        await asyncio.sleep(1.0)
+        return b""
+
+    async def _replace(self):
+        self._prepare(await self.cluster.add_server())
+
+
+class Callers:
+    """Send sound and deadly requests of one customer through all routers.
+
+    :ivar sound_results: whether each sound request was answered in full
+    """
+
+    def __init__(self, cluster):
+        self.cluster = cluster
+        self.daemons = itertools.cycle(cluster.daemons)
+        self.numbers = itertools.count()
+        self.sound_results = []
+
+    async def send(self, path, *parts):
+        """Send a request through the next router.
+
+        :returns: (status, header fields), with status 0 for a broken response
+        """
+        parts = ("base", "shared", *parts, f"own{next(self.numbers)}")
+        prompt = ",".join(f"{part}:100" for part in parts)
+        fields = {HEADER_NAMES.prompt_parts: prompt}
+        try:
+            status, fields, _ = await self.cluster.call(
+                next(self.daemons), path, headers=fields
+            )
+        except aiohttp.ClientError:
+            return 0, {}
+        return status, fields
+
+    async def send_sound(self):
+        """Send sound requests until cancelled."""
+        while True:
+            status, _ = await self.send("/stream/1")
+            self.sound_results.append(status == 200)
+            await asyncio.sleep(SOUND_INTERVAL_S)
+
+
+@contextlib.asynccontextmanager
+async def background(coroutine):
+    """Run a coroutine until the block ends."""
+    task = asyncio.ensure_future(coroutine)
+    yield task
+    task.cancel()
+    await asyncio.wait([task])
+
+
+@pytest.fixture
+async def engines(cluster):
+    """Four engines behind three routers."""
+    cluster.store.put("op", "config", configuration(2, routes=ROUTES))
+    for _ in range(2):
+        await cluster.add_server()
+    engines = Engines(cluster)
+    engines.open()
+    for _ in range(3):
+        await cluster.add_router()
+    for daemon in cluster.daemons:
+        await cluster.until(lambda: len(daemon.peers.live_peers()) == 2)
+    return engines
+
+
+class TestDeadlyPart:
+    """Requests with a part that crashes engines come at all routers."""
+
+    # Guards against engines that crash one after the other.
+    async def test_few_requests_reach_engines_after_five_crashes(
+        self, cluster, engines
+    ):
+        callers = Callers(cluster)
+        async with background(callers.send_sound()):
+            for _ in range(10):
+                if engines.crashes < 5:
+                    await callers.send("/stream/1", DEADLY_PART)
+                    await asyncio.sleep(PAUSE_S)
+            await asyncio.sleep(CONTACT_S)
+            earlier = engines.deadly_requests
+            callers.sound_results.clear()
+            for _ in range(9):
+                await callers.send("/stream/1", DEADLY_PART)
+                await asyncio.sleep(PAUSE_S)
+        assert engines.deadly_requests - earlier <= MAX_LATER_REQUESTS
+        assert callers.sound_results
+        assert all(callers.sound_results)
+
+    # Guards against a request that is retried after it crashed an engine.
+    async def test_a_request_crashes_one_engine_only(self, cluster, engines):
+        callers = Callers(cluster)
+        await callers.send("/resume/1", DEADLY_PART)
+        await asyncio.sleep(PAUSE_S)
+        assert engines.crashes == 1
--- a/standins/httpserver.py
+++ b/standins/httpserver.py
@@ -61,6 +61,7 @@
     :ivar behaviours: queue of handlers, one for each of the next requests
     :ivar default: handler when the queue is empty; sends a complete
         response unless a test replaces it
+    :ivar writers: writers of the open connections
     """
 
     def __init__(self):
@@ -68,6 +69,7 @@
         self.behaviours = collections.deque()
         self.default = _default_response
         self.connections = 0
+        self.writers = set()
         self.server = None
         self.address = ""
 
@@ -81,6 +83,12 @@
         """Stop listening."""
         self.server.close()
 
+    def crash(self):
+        """Stop listening and close all connections within their responses."""
+        self.server.close()
+        for writer in self.writers:
+            writer.close()
+
     def entry(self, service, zone="z1", **fields):
         """Return the server's entry in the store."""
         return {
@@ -96,6 +104,7 @@
 
     async def _serve(self, reader, writer):
         self.connections += 1
+        self.writers.add(writer)
         try:
             while True:
                 request = await _read(reader, writer)
@@ -110,6 +119,8 @@
                 writer.write(data)
         except (asyncio.IncompleteReadError, ConnectionError):
             writer.close()
+        finally:
+            self.writers.discard(writer)
 
 
 async def _default_response(request):
