--- a/boragetrail/direct/datagrams.py
+++ b/boragetrail/direct/datagrams.py
@@ -5,12 +5,10 @@
 """
 
 import dataclasses
-import ipaddress
-import math
-import re
 
 import cbor2
 
+from boragetrail.direct import checks
 from boragetrail.direct.counts import pack_counts, unpack_counts
 from boragetrail.direct.relayedshards import pack_shards, unpack_shards
 
@@ -22,15 +20,9 @@
     "encode_datagram",
 ]
 
-INCARNATION_PATTERN = re.compile("[0-9a-f]{16}")
 MAX_DATAGRAM_BYTES = 8 * 1024
-MAX_TEXT_LENGTH = 200
-# Default bound of integers; MAX_REAL is that of other numbers.
-MAX_INTEGER = 2**62
 MAX_REPORT_AGE_MS = 60_000
-MAX_REAL = 1e9
 MAX_LINK_MBPS = 1e7
-MAX_PORT = 65535
 # Maximum lengths of the lists and mappings in a datagram.
 MAX_PLACEMENTS = 200
 MAX_PEERS = 64
@@ -176,62 +168,6 @@
     return message_type(*fields)
 
 
-def _text(value):
-    if not isinstance(value, str) or not 0 < len(value) <= MAX_TEXT_LENGTH:
-        raise ValueError("not a string, empty or too long")
-    return value
-
-
-def _incarnation(value):
-    if not INCARNATION_PATTERN.fullmatch(_text(value)):
-        raise ValueError("not an incarnation of 16 hexadecimal digits")
-    return value
-
-
-def _integer(value, maximum=MAX_INTEGER, minimum=0):
-    if type(value) is not int or not minimum <= value <= maximum:
-        raise ValueError(f"not an integer from {minimum} to {maximum}")
-    return value
-
-
-def _version(value):
-    return _integer(value, minimum=-1)
-
-
-def _port(value):
-    return _integer(value, MAX_PORT, 1)
-
-
-def _real(value, maximum=MAX_REAL):
-    if type(value) not in (int, float) or not math.isfinite(value):
-        raise ValueError("not a finite number")
-    if not 0 <= value <= maximum:
-        raise ValueError(f"not a number from 0 to {maximum}")
-    return value
-
-
-def _flag(value):
-    if type(value) is not bool:
-        raise ValueError("not a boolean")
-    return value
-
-
-def _host(value):
-    return str(ipaddress.IPv4Address(_text(value)))
-
-
-def _list(value, max_length):
-    if not isinstance(value, list) or len(value) > max_length:
-        raise ValueError(f"not a list with a maximum length of {max_length}")
-    return value
-
-
-def _tuple(value, *decoders):
-    if len(_list(value, len(decoders))) != len(decoders):
-        raise ValueError(f"not a list of length {len(decoders)}")
-    return [decode(each) for decode, each in zip(decoders, value)]
-
-
 def _counts(value):
     if not isinstance(value, bytes):
         raise ValueError("not packed counts")
@@ -248,25 +184,35 @@
 def _versions(value):
     if not isinstance(value, dict) or len(value) > MAX_TABLES:
         raise ValueError(f"not versions of at most {MAX_TABLES} tables")
-    return {_text(key): _version(each) for key, each in value.items()}
+    return {
+        checks.text(key): checks.version(each) for key, each in value.items()
+    }
 
 
 def _store(value):
     if not isinstance(value, dict) or len(value) > MAX_TABLES:
         raise ValueError(f"not ages of at most {MAX_TABLES} tables")
     return {
-        _text(key): _tuple(each, _integer, _integer)
+        checks.text(key): checks.fixed_list(
+            each, checks.integer, checks.integer
+        )
         for key, each in value.items()
     }
 
 
 def _placements(value):
-    placements = _list(value, MAX_PLACEMENTS)
-    return [_tuple(each, _text, _text) for each in placements]
+    placements = checks.bounded_list(value, MAX_PLACEMENTS)
+    return [
+        checks.fixed_list(each, checks.text, checks.text)
+        for each in placements
+    ]
 
 
 def _peers(value):
-    return [_tuple(each, _host, _port) for each in _list(value, MAX_PEERS)]
+    return [
+        checks.fixed_list(each, checks.host, checks.port)
+        for each in checks.bounded_list(value, MAX_PEERS)
+    ]
 
 
 def _relayed(value):
@@ -279,19 +225,19 @@
 
 
 def _shard_index(value):
-    return _integer(value, MAX_SHARDS - 1)
+    return checks.integer(value, MAX_SHARDS - 1)
 
 
 def _shard_count(value):
-    return _integer(value, MAX_SHARDS, 1)
+    return checks.integer(value, MAX_SHARDS, 1)
 
 
 _COUNT_FIELDS = frozenset(("work", "outcomes", "reports"))
 _DECODERS_BY_FIELD = {
-    "incarnation": _incarnation,
-    "sequence": _integer,
-    "gossip_port": _port,
-    "relay_port": _port,
+    "incarnation": checks.incarnation,
+    "sequence": checks.integer,
+    "gossip_port": checks.port,
+    "relay_port": checks.port,
     "versions_by_table": _versions,
     "shard_index": _shard_index,
     "shard_count": _shard_count,
@@ -301,10 +247,10 @@
     "relayed": _relayed,
     "placements": _placements,
     "store": _store,
-    "store_unreachable": _flag,
-    "uptime_s": _real,
-    "link_mbps": lambda value: _real(value, MAX_LINK_MBPS),
+    "store_unreachable": checks.flag,
+    "uptime_s": checks.real,
+    "link_mbps": lambda value: checks.real(value, MAX_LINK_MBPS),
     "peers": _peers,
-    "leaving": _flag,
-    "wants_reply": _flag,
+    "leaving": checks.flag,
+    "wants_reply": checks.flag,
 }
