Quarantine prompt parts that crash engines, by evidence of all routers

Cause: a failure was attributed to the server alone. The part of the prompt that had caused it was never compared with that of the failure before, and each router saw one or two of the first five crashes.

Change: routers exchange records of crashes (a lost response whose server then refuses connections, with the parts of its prompt) and of first events that a server survived. A part is convicted when it explains two crashes (three if servers recently survived it) and none survived it since; crashes it explains do not count against other parts. Requests with it are refused with 503 and the time of the next trial; routers take turns with single trials, and a survived trial ends the quarantine. Starting routers are told at once. Old routers refuse the new type of datagram and are otherwise unaffected.

Ruled out: a verdict by each router alone (three routers and five crashes do not give any of them enough evidence); counting lost connections without the check of the port (one grey engine would convict).

--- a/boragetrail/direct/crashes.py
+++ b/boragetrail/direct/crashes.py
@@ -1,50 +1,102 @@
 """Detection of servers that crash while they respond to requests."""
 
+import asyncio
+
+import xxhash
+
+from boragetrail.direct.attempt import ResponsePhase
 from boragetrail.events import Event, log_event
+from boragetrail.policy.quarantine import Trial
+
+__all__ = ["CrashMonitor", "log_quarantine", "shared_parts"]
 
-__all__ = ["CrashMonitor"]
+MAX_PART_LENGTH = 32
 
 
 class CrashMonitor:
-    """Check after lost responses whether their servers crashed.
+    """Observe crashes of servers and keep out requests that cause them.
 
-    A server crashed if its host refuses a new connection. If the check opens
-    a connection, the server's pool keeps it. Any other result of the check
-    says nothing about the server, since the network may be the cause.
+    A server crashed if its host refuses a new connection after a connection
+    to it was lost. If the check opens a connection, the server's pool keeps
+    it. Any other result of the check says nothing about the server, since
+    the network may be the cause.
 
+    :param directory: :class:`~boragetrail.direct.directory.Directory`
+    :param quarantine: :class:`~boragetrail.policy.quarantine.PromptQuarantine`
+    :param gossip: :class:`~boragetrail.direct.crashgossip.CrashGossip`
     :param metrics: :class:`~boragetrail.direct.metrics.DirectMetrics`
     :param tasks: :class:`~boragetrail.utils.BackgroundTasks`
     :ivar checks_by_address: running checks by the server's address
     """
 
-    def __init__(self, metrics, tasks):
+    def __init__(self, directory, quarantine, gossip, metrics, tasks):
+        self.directory = directory
+        self.quarantine = quarantine
+        self.gossip = gossip
         self.metrics = metrics
         self.tasks = tasks
         self.checks_by_address = {}
 
+    def admit(self, request, parts):
+        """Decide whether a request may be sent to a server.
+
+        :param request: :class:`~boragetrail.direct.request.DirectRequest`
+        :param parts: ids of the shared parts of its prompt
+        :returns: :class:`~boragetrail.policy.quarantine.Admission`
+        """
+        admission = self.quarantine.admit(parts, self.gossip.peers.rank)
+        if admission.is_trial:
+            log_event(
+                Event.PART_TRIED, request=request.id, part=admission.part
+            )
+            trial_s = self.quarantine.trial_s_by_part[admission.part]
+            self.gossip.add(Trial(admission.part, trial_s))
+        return admission
+
+    def response_progressed(self, parts):
+        """Record that a server survived the begin of a response."""
+        self.quarantine.survived(parts)
+
     def response_lost(self, request, progress):
         """Check the server of an attempt whose connection was lost.
 
         :param request: :class:`~boragetrail.direct.request.DirectRequest`
         :param progress:
             :class:`~boragetrail.direct.progress.RequestProgress`
+        :returns: ``asyncio.Task`` whose result is whether the server crashed
         """
-        attempt = progress.attempt
-        self._check(attempt.server).add_done_callback(
-            lambda check: self._record(request, progress, attempt, check)
+        return self.tasks.start(
+            self._response_lost(request, progress.attempt, progress.parts),
+            "lost response",
         )
 
-    def _record(self, request, progress, attempt, check):
-        crashed = not check.cancelled() and check.result()
+    async def _response_lost(self, request, attempt, parts):
+        server = attempt.server
+        phase = attempt.phase
+        crashed = await asyncio.shield(self._check(server))
         log_event(
             Event.RESPONSE_LOST,
             request=request.id,
-            server=attempt.server.record.id,
-            phase=attempt.phase.value,
+            server=server.record.id,
+            phase=phase.value,
             crashed=crashed,
-            parts=[part for part, _ in progress.prompt],
+            parts=parts,
         )
-        self.metrics.record_lost_response(attempt.phase, crashed)
+        self.metrics.record_lost_response(phase, crashed)
+        if crashed and phase is not ResponsePhase.PROGRESSED:
+            self._report(server.record, parts, phase)
+        return crashed
+
+    def _report(self, record, parts, phase):
+        listed = self.directory.servers_by_id.get(record.id)
+        if listed is None or not listed.record.ready:
+            # A server that shuts down may end its last responses.
+            return
+        report = self.quarantine.make_report(
+            run_key(record), parts, phase is ResponsePhase.BEGUN
+        )
+        if report is not None and self.quarantine.add_crash(report):
+            self.gossip.add(report)
 
     def _check(self, server):
         """Return the task that checks a server; one at a time for each.
@@ -64,6 +116,40 @@
         return check
 
 
+def log_quarantine(held, released):
+    """Log the parts that were quarantined or left the quarantine."""
+    for part in held:
+        log_event(Event.PART_HELD, part=part)
+    for part in released:
+        log_event(Event.PART_RELEASED, part=part)
+
+
+def run_key(record):
+    """Return the key of one run of a server.
+
+    :param record: :class:`~boragetrail.direct.model.ServerRecord`
+    """
+    return xxhash.xxh64_intdigest(f"{record.id}/{record.started_ms}".encode())
+
+
+def shared_parts(prompt):
+    """Return the ids of the parts that other prompts may contain.
+
+    The last part is unique to the request. Long ids are replaced by a hash.
+
+    :param prompt: list of (id, tokens)
+
+    >>> shared_parts([("base", 800), ("x" * 40, 10), ("own", 20)])
+    ['base', '926f564e1b3e18d5']
+    """
+    return [
+        part
+        if len(part) <= MAX_PART_LENGTH
+        else xxhash.xxh64_hexdigest(part.encode())
+        for part, _ in prompt[:-1]
+    ]
+
+
 async def _refuses_connections(pool):
     try:
         connection = await pool.open()
--- /dev/null
+++ b/boragetrail/direct/crashgossip.py
@@ -0,0 +1,85 @@
+"""Exchange of the records of crashes with other routers."""
+
+import collections
+
+from boragetrail.direct.crashmessages import decode_records, encode_records
+from boragetrail.policy.quarantine import CrashReport, Survival, Trial
+
+__all__ = ["CrashGossip"]
+
+
+class CrashGossip:
+    """Queue records of crashes for peers and apply those of peers.
+
+    Each record is sent soon after it becomes known. In a large fleet peers
+    forward records that are new to them [1]_. Besides, each router regularly
+    sends all records that still matter to a few peers, and to each peer that
+    has just started.
+
+    :param quarantine: :class:`~boragetrail.policy.quarantine.PromptQuarantine`
+    :param peers: :class:`~boragetrail.direct.peers.PeerTable`
+    :param clock: function that returns monotonic seconds
+    :ivar queue: (record, number of times that it is still to be sent)
+
+    .. [1] A. Demers et al., "Epidemic Algorithms for Replicated Database
+       Maintenance", PODC 1987.
+    """
+
+    # Each record is sent twice to tolerate the loss of a datagram.
+    SEND_COUNT = 2
+    # A datagram with this many records fits into one network packet.
+    MAX_PER_DATAGRAM = 12
+    MAX_QUEUED = 256
+
+    def __init__(self, quarantine, peers, clock):
+        self.quarantine = quarantine
+        self.peers = peers
+        self.clock = clock
+        self.queue = collections.deque(maxlen=self.MAX_QUEUED)
+
+    def add(self, record):
+        """Queue a record of this router."""
+        self.queue.append((record, self.SEND_COUNT))
+
+    def apply(self, message):
+        """Apply the records of a peer.
+
+        :param message:
+            :class:`~boragetrail.direct.crashmessages.CrashMessage`
+        """
+        add_by_type = {
+            CrashReport: self.quarantine.add_crash,
+            Survival: self.quarantine.add_survival,
+            Trial: self.quarantine.add_trial,
+        }
+        for record in decode_records(message, self.clock()):
+            is_new = add_by_type[type(record)](record)
+            if is_new and self.peers.needs_relaying():
+                self.add(record)
+
+    def take_messages(self):
+        """Return the messages that are due for many peers, as a list."""
+        for survival in self.quarantine.take_survivals():
+            self.add(survival)
+        batch = list(self.queue)
+        self.queue.clear()
+        for record, sends_left in batch:
+            if sends_left > 1:
+                self.queue.append((record, sends_left - 1))
+        return self._messages([record for record, _ in batch])
+
+    def snapshot(self):
+        """Return messages with all records that still matter, as a list."""
+        quarantine = self.quarantine
+        quarantine.remove_expired()
+        return self._messages(
+            quarantine.active_reports() + quarantine.active_trials()
+        )
+
+    def _messages(self, records):
+        now_s = self.clock()
+        size = self.MAX_PER_DATAGRAM
+        return [
+            encode_records(records[start : start + size], now_s)
+            for start in range(0, len(records), size)
+        ]
--- a/boragetrail/direct/daemon.py
+++ b/boragetrail/direct/daemon.py
@@ -8,7 +8,8 @@
 import aiohttp
 import aiohttp.web
 
-from boragetrail.direct.crashes import CrashMonitor
+from boragetrail.direct.crashes import CrashMonitor, log_quarantine
+from boragetrail.direct.crashgossip import CrashGossip
 from boragetrail.direct.datagrams import Update
 from boragetrail.direct.directory import Directory
 from boragetrail.direct.discovery import CacheDiscovery
@@ -27,6 +28,7 @@
 from boragetrail.direct.relay import PeerSource, PeerFetcher, RelayServer
 from boragetrail.direct.selector import ServerSelector
 from boragetrail.events import Event, log_event
+from boragetrail.policy.quarantine import PromptQuarantine
 from boragetrail.utils import BackgroundTasks, new_incarnation, split_address
 
 __all__ = ["DirectDaemon"]
@@ -74,6 +76,12 @@
         )
         names = platform.HEADER_NAMES
         bounds = settings.bounds
+        self.quarantine = PromptQuarantine(
+            self.clock, self.random, log_quarantine
+        )
+        self.crash_gossip = CrashGossip(
+            self.quarantine, self.peers, self.clock
+        )
         self.selector = ServerSelector(
             self.fleet, names, bounds, self.clock, self.random
         )
@@ -83,7 +91,13 @@
             names,
             bounds,
             self.clock,
-            CrashMonitor(self.metrics, self.tasks),
+            CrashMonitor(
+                self.directory,
+                self.quarantine,
+                self.crash_gossip,
+                self.metrics,
+                self.tasks,
+            ),
         )
         filter_chain = FilterChain(
             self.directory, platform.HEADER_NAMES, self.random
@@ -110,6 +124,7 @@
             self._digest,
             self.message_builder.take_update,
             self._apply_message,
+            self.crash_gossip,
         )
         self.session = None
         self.store = None
@@ -247,6 +262,7 @@
             "routers": self.peers.size(),
             "datagrams_refused": self.socket.datagrams_refused,
             "store_calls": self.store.calls,
+            "quarantined_parts": sorted(self.quarantine.holds_by_part),
         }
 
     def _digest(self):
--- a/boragetrail/direct/datagrams.py
+++ b/boragetrail/direct/datagrams.py
@@ -9,6 +9,12 @@
 import cbor2
 
 from boragetrail.direct import checks
+from boragetrail.direct.crashmessages import (
+    CrashMessage,
+    check_kind,
+    check_parts_with_age,
+    check_reports,
+)
 from boragetrail.direct.counts import pack_counts, unpack_counts
 from boragetrail.direct.relayedshards import pack_shards, unpack_shards
 
@@ -125,7 +131,7 @@
 
 
 def encode_datagram(message):
-    """Encode a :class:`Digest` or :class:`Update` as bytes."""
+    """Encode a message as bytes."""
     fields = []
     for field in dataclasses.fields(message):
         value = getattr(message, field.name)
@@ -138,10 +144,12 @@
 
 
 def decode_datagram(data):
-    """Decode a digest or an update.
+    """Decode a message.
 
     :param data: bytes from the network
-    :returns: :class:`Digest`, :class:`Update` or :class:`InvalidDatagram`
+    :returns: :class:`Digest`, :class:`Update`,
+        :class:`~boragetrail.direct.crashmessages.CrashMessage` or
+        :class:`InvalidDatagram`
     """
     if len(data) > MAX_DATAGRAM_BYTES:
         return InvalidDatagram(f"{len(data)} bytes exceed the size limit")
@@ -152,7 +160,7 @@
         return InvalidDatagram(f"not valid CBOR: {exc!r}")
     if not isinstance(values, list):
         return InvalidDatagram("not a list of fields")
-    for message_type in (Digest, Update):
+    for message_type in (Digest, Update, CrashMessage):
         if len(values) == len(message_type.__slots__):
             return _decode(message_type, values)
     return InvalidDatagram(f"{len(values)} fields match no message type")
@@ -253,4 +261,8 @@
     "peers": _peers,
     "leaving": checks.flag,
     "wants_reply": checks.flag,
+    "kind": check_kind,
+    "crash_reports": check_reports,
+    "survivals": check_parts_with_age,
+    "trials": check_parts_with_age,
 }
--- a/boragetrail/direct/dispatch.py
+++ b/boragetrail/direct/dispatch.py
@@ -3,6 +3,7 @@
 import asyncio
 
 from boragetrail.direct.attempt import Attempt, AttemptState, ExchangeOutcome
+from boragetrail.direct.crashes import shared_parts
 from boragetrail.direct.eventstream import MAX_EVENT_BYTES
 from boragetrail.direct.headers import HeaderRewriter
 from boragetrail.direct.model import RequestKind
@@ -59,7 +60,8 @@
         :param caller: :class:`~boragetrail.direct.response.CallerResponse`
         :returns: :class:`~boragetrail.errors.Failure`, or ``None`` on success
         """
-        progress = RequestProgress(self.selector.prompt(request))
+        prompt = self.selector.prompt(request)
+        progress = RequestProgress(prompt, shared_parts(prompt))
         self._retry_quota(request.service).record_request()
         try:
             async with asyncio.timeout_at(request.deadline_s):
@@ -76,18 +78,42 @@
 
     async def _serve(self, request, caller, progress):
         while True:
+            failure = self._admit(request, progress)
+            if failure is not None:
+                return failure
             state = self.selector.choose(request, progress)
             if state is None:
                 return self._no_server_failure(request, progress)
             failure = await self._try_server(request, caller, progress, state)
             if failure is None:
                 return None
-            if progress.prompt and progress.attempt.connection_lost:
+            if progress.parts and progress.attempt.connection_lost:
                 self.crash_monitor.response_lost(request, progress)
             if not self._may_retry(request, progress, failure):
                 return failure
             self._log_retry(request, progress, failure, state)
 
+    def _admit(self, request, progress):
+        """Return the failure of a request with a quarantined part.
+
+        :returns: :class:`~boragetrail.errors.Failure`, or ``None`` if the
+            request may be sent
+        """
+        admission = self.crash_monitor.admit(request, progress.parts)
+        progress.is_trial = admission.is_trial
+        if admission.admitted:
+            return None
+        return self._quarantine_failure(
+            progress, admission.part, admission.retry_after_s
+        )
+
+    @staticmethod
+    def _quarantine_failure(progress, part, retry_after_s):
+        detail = f"part {part}"
+        if progress.possible_executions:
+            return Failure(Reason.BACKEND_FAILED, f"quarantined {detail}")
+        return Refusal(Reason.QUARANTINED, detail, Executed.NO, retry_after_s)
+
     async def _try_server(self, request, caller, progress, state):
         """Run one attempt at a server.
 
@@ -120,6 +146,11 @@
         if not await attempt.open(max_idle_s):
             state.record_failure()
             return Refusal(Reason.UNREACHABLE, attempt.error)
+        if not progress.is_trial:
+            # A part may have been quarantined since the server was selected.
+            failure = self._admit(request, progress)
+            if failure is not None:
+                return failure
         left_s = request.deadline_s - self.clock()
         resume_after = progress.splitter.last_id if caller.started else ""
         head = self.rewriter.request_head(
@@ -168,6 +199,7 @@
             return Failure(Reason.TRUNCATED, attempt.error)
         fields = self.rewriter.response_fields(response.raw_headers)
         if response.ok:
+            self.crash_monitor.response_progressed(progress.parts)
             attempt.server.record_response()
             caller.set_response(response.status, fields, body)
             return None
@@ -212,6 +244,7 @@
             if complete and not stream_started:
                 stream_started = True
                 attempt.progressed = True
+                self.crash_monitor.response_progressed(progress.parts)
                 self._log_stream_started(request, attempt)
         if attempt.state is not AttemptState.COMPLETE:
             attempt.server.record_failure()
--- a/boragetrail/direct/peersocket.py
+++ b/boragetrail/direct/peersocket.py
@@ -6,6 +6,7 @@
 
 import asyncio
 
+from boragetrail.direct.crashmessages import CrashMessage
 from boragetrail.direct.datagrams import (
     InvalidDatagram,
     Update,
@@ -28,6 +29,7 @@
         :class:`~boragetrail.direct.datagrams.Update` or ``None``
     :param on_message: function that is called with each update, and with
         each digest that is newer than the last datagram of its sender
+    :param crash_gossip: :class:`~boragetrail.direct.crashgossip.CrashGossip`
     :ivar datagrams_refused: number of datagrams that could not be decoded
     """
 
@@ -35,12 +37,16 @@
     DIGEST_FANOUT = 4
     UPDATE_INTERVAL_S = 0.1
     PEERS_PER_DIGEST = 6
+    CRASH_SNAPSHOT_FANOUT = 1
 
-    def __init__(self, table, make_digest, take_update, on_message):
+    def __init__(
+        self, table, make_digest, take_update, on_message, crash_gossip
+    ):
         self.table = table
         self.make_digest = make_digest
         self.take_update = take_update
         self.on_message = on_message
+        self.crash_gossip = crash_gossip
         self.transport = None
         self.sequence = 0
         self.sent_bytes = 0
@@ -73,6 +79,8 @@
             )
         elif isinstance(message, Update):
             self._update_received(message, addr[0])
+        elif isinstance(message, CrashMessage):
+            self.crash_gossip.apply(message)
         else:
             self._digest_received(message, addr[0])
 
@@ -98,6 +106,7 @@
             )
         if digest.wants_reply:
             self._send_digest(peer.address, False)
+            self._send_crash_snapshot([peer])
         self.on_message(digest)
 
     def request_digest(self, address):
@@ -114,26 +123,39 @@
             await asyncio.sleep(self.DIGEST_INTERVAL_S * jitter)
             for peer in self.table.sample(self.DIGEST_FANOUT):
                 self._send_digest(peer.address, False)
+            self._send_crash_snapshot(
+                self.table.sample(self.CRASH_SNAPSHOT_FANOUT)
+            )
             self.table.remove_silent()
 
     async def run_updates(self):
         """Send an update soon after each change until cancelled."""
         while True:
             await asyncio.sleep(self.UPDATE_INTERVAL_S)
+            for message in self.crash_gossip.take_messages():
+                self._send_to_many(message)
             update = self.take_update()
-            if update is None:
-                continue
-            self.sequence += 1
-            update.sequence = self.sequence
-            data = encode_datagram(update)
-            for peer in self.table.sample(self.table.update_fanout()):
-                self._send_data(data, peer.address)
+            if update is not None:
+                self.sequence += 1
+                update.sequence = self.sequence
+                self._send_to_many(update)
 
     def close(self):
         """Close the socket."""
         if self.transport is not None:
             self.transport.close()
 
+    def _send_to_many(self, message):
+        data = encode_datagram(message)
+        for peer in self.table.sample(self.table.update_fanout()):
+            self._send_data(data, peer.address)
+
+    def _send_crash_snapshot(self, peers):
+        for message in self.crash_gossip.snapshot():
+            data = encode_datagram(message)
+            for peer in peers:
+                self._send_data(data, peer.address)
+
     def _discover(self, address):
         own = self.transport.get_extra_info("sockname")[:2]
         if address == own or address in self.table.peers_by_address:
--- a/boragetrail/direct/progress.py
+++ b/boragetrail/direct/progress.py
@@ -9,6 +9,8 @@
     """Hold what happened to a request so far.
 
     :ivar prompt: parts of the prompt as (id, tokens); empty if none
+    :ivar parts: ids of the parts that other prompts may contain
+    :ivar is_trial: whether the next attempt tries a quarantined part
     :ivar tried_ids: ids of the servers that were tried
     :ivar attempt_count: number of attempts, also of those whose connection
         failed before the request was sent
@@ -27,6 +29,8 @@
 
     __slots__ = (
         "prompt",
+        "parts",
+        "is_trial",
         "tried_ids",
         "attempt_count",
         "attempts_sent",
@@ -37,8 +41,10 @@
         "server_error",
     )
 
-    def __init__(self, prompt):
+    def __init__(self, prompt, parts):
         self.prompt = prompt
+        self.parts = parts
+        self.is_trial = False
         self.tried_ids = set()
         self.attempt_count = 0
         self.attempts_sent = 0
--- a/boragetrail/direct/tests/test_datagrams.py
+++ b/boragetrail/direct/tests/test_datagrams.py
@@ -17,7 +17,12 @@
 from boragetrail.direct.peers import PeerTable
 from boragetrail.direct.peersocket import PeerSocket
 from boragetrail.direct.relayedshards import RelayedShard, pack_shards
-from boragetrail.direct.tests.test_updates import HOST, Transport, update
+from boragetrail.direct.tests.test_updates import (
+    HOST,
+    Transport,
+    make_crash_gossip,
+    update,
+)
 from boragetrail.direct.tests.test_peers import digest
 from standins.clock import ManualClock
 
@@ -62,6 +67,7 @@
             lambda: digest(),
             lambda: None,
             self.fleet.apply_load_reports,
+            make_crash_gossip(self.peers),
         )
         self.socket.transport = Transport()
 
--- a/boragetrail/direct/tests/test_updates.py
+++ b/boragetrail/direct/tests/test_updates.py
@@ -3,6 +3,7 @@
 import random
 
 from boragetrail.direct.counts import server_key
+from boragetrail.direct.crashgossip import CrashGossip
 from boragetrail.direct.datagrams import (
     Update,
     decode_datagram,
@@ -18,6 +19,7 @@
 from boragetrail.direct.reports import ReportTable
 from boragetrail.direct.tests.test_peers import digest, work
 from boragetrail.policy.prefix import PrefixCacheIndex
+from boragetrail.policy.quarantine import PromptQuarantine
 from standins.clock import ManualClock
 
 HOST = "10.0.0.1"
@@ -27,6 +29,14 @@
 MAX_PAYLOAD_BYTES = 1472
 
 
+def make_crash_gossip(peers):
+    """Return the exchange of crash records with peers."""
+    quarantine = PromptQuarantine(
+        peers.clock, peers.random, lambda held, released: None
+    )
+    return CrashGossip(quarantine, peers, peers.clock)
+
+
 def update(**fields):
     """Return an update; ``fields`` replace its default values.
 
@@ -96,7 +106,11 @@
     def test_unknown_sender_is_asked_for_a_digest(self):
         received = []
         socket = PeerSocket(
-            self.table, lambda: digest(), lambda: None, received.append
+            self.table,
+            lambda: digest(),
+            lambda: None,
+            received.append,
+            make_crash_gossip(self.table),
         )
         socket.transport = Transport()
         sent = update(placements=[["deck", "s"]])
--- a/boragetrail/emulator/fleet.py
+++ b/boragetrail/emulator/fleet.py
@@ -192,7 +192,7 @@
         :returns: function that cancels the request, or ``None`` if no
             engine accepts it
         """
-        progress = RequestProgress(request.prompt)
+        progress = RequestProgress(request.prompt, [])
         state = router.selector.choose(RequestStub(), progress)
         if state is None:
             return None
--- a/boragetrail/events.py
+++ b/boragetrail/events.py
@@ -73,6 +73,13 @@
         "WARNING",
         "An unlisted server stopped responding.",
     )
+    PART_HELD = (
+        508,
+        "ERROR",
+        "A prompt part that crashes servers was quarantined.",
+    )
+    PART_RELEASED = (509, "INFO", "A prompt part left the quarantine.")
+    PART_TRIED = (510, "WARNING", "A request tries a quarantined part.")
     ORDER_UNKNOWN = (600, "ERROR", "An order's outcome is unknown.")
     ORDER_FENCED = (601, "WARNING", "An order has a stale fencing token.")
     LEASE_ACQUIRED = (602, "INFO", "A lease on model loading was acquired.")
--- /dev/null
+++ b/boragetrail/policy/quarantine.py
@@ -0,0 +1,480 @@
+"""Quarantine of prompt parts that crash servers.
+
+A request may crash each server that begins to respond to it, a so-called
+query of death [1]_. The cause is one part of its prompt, which other requests
+contain as well. The quarantine finds that part from reports of crashes and of
+responses, by any router, and keeps the part from the servers.
+
+A report of a crash lists the parts of a request whose response the crash
+ended. A part is suspect while no response to it has begun since. One part of
+each such request is innocent with high probability: it is common, and other
+responses to it begin all the time. What remains is convicted as soon as it
+explains several crashes.
+
+.. [1] B. Beyer, C. Jones, J. Petoff, N. Murphy, "Site Reliability
+   Engineering", O'Reilly, 2016, chapter 22.
+"""
+
+import collections
+import dataclasses
+import math
+
+__all__ = [
+    "Admission",
+    "CrashReport",
+    "PromptQuarantine",
+    "Survival",
+    "Trial",
+]
+
+BEGUN_WEIGHT = 1.0
+NO_HEAD_WEIGHT = 0.5
+
+
+@dataclasses.dataclass(slots=True, frozen=True)
+class CrashReport:
+    """Describe a request whose response was ended by a server's crash.
+
+    :param server: key of one run of the server
+    :param parts: ids of the shared parts of the prompt, in order
+    :param begun: whether the head of the response had arrived
+    :param crashed_s: monotonic time of the crash
+    """
+
+    server: int
+    parts: tuple
+    begun: bool
+    crashed_s: float
+
+
+@dataclasses.dataclass(slots=True, frozen=True)
+class Survival:
+    """Tell that a server survived the begin of a response to a part.
+
+    :param part: id of the part
+    :param survived_s: monotonic time of the first event or body
+    """
+
+    part: str
+    survived_s: float
+
+
+@dataclasses.dataclass(slots=True, frozen=True)
+class Trial:
+    """Tell that a request was admitted to try whether a part still crashes.
+
+    :param part: id of the part
+    :param started_s: monotonic time of the admission
+    """
+
+    part: str
+    started_s: float
+
+
+@dataclasses.dataclass(slots=True, frozen=True)
+class Admission:
+    """Say whether a request may be sent to a server.
+
+    :param admitted: whether it may
+    :param is_trial: whether it tries a quarantined part
+    :param part: id of the quarantined part, or empty
+    :param retry_after_s: seconds after which the caller may try again
+    """
+
+    admitted: bool
+    is_trial: bool = False
+    part: str = ""
+    retry_after_s: float = 0.0
+
+
+class Hold:
+    """Hold until when a convicted part is kept from all servers."""
+
+    __slots__ = ("ends_s", "crashes")
+
+    def __init__(self, ends_s, crashes):
+        self.ends_s = ends_s
+        self.crashes = crashes
+
+
+class PromptQuarantine:
+    """Convict the prompt parts that crash servers, and try them later.
+
+    The state is a set of records that routers exchange in any order, with
+    duplicates. Routers with the same records convict the same parts.
+
+    :param clock: function that returns monotonic seconds
+    :param random: random generator
+    :param on_change: function that is called with the lists of the parts
+        that were quarantined and of those that left the quarantine
+    :ivar reports_by_key: :class:`CrashReport` by server and parts
+    :ivar survived_s_by_part: time of the last known survival of each part
+    :ivar trial_s_by_part: time of the last known trial of each part
+    :ivar holds_by_part: :class:`Hold` of each convicted part
+    :ivar suspect_parts: parts that some report counts against
+
+    >>> import random
+    >>> now_s = [100.0]
+    >>> quarantine = PromptQuarantine(
+    ...     lambda: now_s[0], random.Random(1), lambda held, released: None
+    ... )
+    >>> for server in (1, 2):
+    ...     report = CrashReport(server, ("base", "odd"), True, now_s[0])
+    ...     new = quarantine.add_crash(report)
+    ...     now_s[0] += 0.5
+    ...     survived = quarantine.survived(["base"])
+    >>> list(quarantine.holds_by_part)
+    ['odd']
+    >>> quarantine.admit(["base", "odd"], lambda part: 0).admitted
+    False
+    """
+
+    # Sum of the weights of crashes that convicts a part, and that which
+    # convicts a part that servers recently survived.
+    MIN_CRASHES = 2.0
+    MIN_CRASHES_OF_KNOWN = 3.0
+    KNOWN_S = 60.0
+    # A crash does not count against a part that a server survived less than
+    # this before, or at any time after.
+    SURVIVAL_MARGIN_S = 1.0
+    # Servers that crash within this time may have a common cause, such as a
+    # loss of power, and count as one.
+    COMMON_CAUSE_S = 0.05
+    # A part is held for this long after its last crash. The time doubles
+    # with each later crash that is no closer to the previous one than
+    # MIN_TRIAL_GAP_S.
+    HOLD_S = 30.0
+    MAX_HOLD_S = 300.0
+    MIN_TRIAL_GAP_S = 10.0
+    # Routers take turns with trials. A trial without a result ends.
+    TRIAL_TURN_S = 2.0
+    TRIAL_TIMEOUT_S = 10.0
+    # Callers that were refused return spread over this time.
+    RETURN_SPREAD_S = 5.0
+    REPORT_TTL_S = 600.0
+    MAX_REPORTS = 128
+    MAX_REPORTS_PER_SERVER = 8
+    MAX_PARTS_PER_REPORT = 16
+    MAX_SURVIVALS = 4096
+
+    def __init__(self, clock, random, on_change):
+        self.clock = clock
+        self.random = random
+        self.on_change = on_change
+        self.reports_by_key = collections.OrderedDict()
+        self.survived_s_by_part = collections.OrderedDict()
+        self.trial_s_by_part = {}
+        self.holds_by_part = {}
+        self.suspect_parts = frozenset()
+        self.told_s_by_part = {}
+        self.untold_parts = set()
+
+    def admit(self, parts, rank):
+        """Decide whether a request may be sent to a server.
+
+        :param parts: ids of the shared parts of its prompt
+        :param rank: function that returns this router's rank for a part; the
+            router with rank 0 tries the part first
+        :returns: :class:`Admission`
+        """
+        held = [part for part in parts if part in self.holds_by_part]
+        if not held:
+            return Admission(True)
+        now_s = self.clock()
+        part = max(held, key=lambda each: self._trial_due_s(each, rank))
+        wait_s = self._trial_due_s(part, rank) - now_s
+        if wait_s > 0:
+            spread_s = self.random.uniform(0, self.RETURN_SPREAD_S)
+            return Admission(False, False, part, wait_s + spread_s)
+        for each in held:
+            self.trial_s_by_part[each] = now_s
+        return Admission(True, True, part)
+
+    def holds(self, parts):
+        """Return whether one of the parts is quarantined."""
+        return any(part in self.holds_by_part for part in parts)
+
+    def are_known(self, parts):
+        """Return whether servers recently survived all of the parts."""
+        oldest_s = self.clock() - self.KNOWN_S
+        return all(self._survived_s(part) >= oldest_s for part in parts)
+
+    def survived(self, parts):
+        """Record that a server survived the begin of a response.
+
+        :param parts: ids of the shared parts of the prompt
+        """
+        now_s = self.clock()
+        for part in parts:
+            self.add_survival(Survival(part, now_s))
+
+    def add_survival(self, survival):
+        """Add a survival.
+
+        :returns: whether it changes what is known of a suspect part
+        """
+        part = survival.part
+        if survival.survived_s <= self._survived_s(part):
+            return False
+        self.survived_s_by_part[part] = survival.survived_s
+        self.survived_s_by_part.move_to_end(part)
+        if len(self.survived_s_by_part) > self.MAX_SURVIVALS:
+            self.survived_s_by_part.popitem(last=False)
+        if part not in self.suspect_parts:
+            return False
+        self.untold_parts.add(part)
+        self._update()
+        return True
+
+    def add_crash(self, report):
+        """Add a report of a crash.
+
+        :param report: :class:`CrashReport`; its parts beyond
+            ``MAX_PARTS_PER_REPORT`` are ignored
+        :returns: whether the report is new
+        """
+        self._remove_expired()
+        key = (report.server, report.parts)
+        known = self.reports_by_key.get(key)
+        if known is not None and known.begun >= report.begun:
+            return False
+        if known is None and self._is_full(report):
+            return False
+        self.reports_by_key[key] = report
+        self._remember_survivals(report)
+        self._update()
+        return True
+
+    def add_trial(self, trial):
+        """Add a trial; returns whether it is newer than the last one."""
+        known_s = self.trial_s_by_part.get(trial.part, -math.inf)
+        # The clocks of two routers agree up to the delay of a datagram.
+        if trial.started_s < known_s + self.SURVIVAL_MARGIN_S:
+            return False
+        if trial.part not in self.holds_by_part:
+            return False
+        self.trial_s_by_part[trial.part] = trial.started_s
+        return True
+
+    def make_report(self, server, parts, begun):
+        """Return the report of a crash that this router observed.
+
+        Parts that a server has just survived are left out.
+
+        :param server: key of one run of the server
+        :param parts: ids of the shared parts of the prompt
+        :param begun: whether the head of the response had arrived
+        :returns: :class:`CrashReport`, or ``None`` if no part is suspect
+        """
+        now_s = self.clock()
+        suspects = [
+            part
+            for part in parts
+            if now_s - self._survived_s(part) > self.SURVIVAL_MARGIN_S
+        ]
+        if not suspects:
+            return None
+        suspects = tuple(suspects[-self.MAX_PARTS_PER_REPORT :])
+        return CrashReport(server, suspects, begun, now_s)
+
+    def take_survivals(self):
+        """Return the survivals that other routers have to know.
+
+        :returns: list of :class:`Survival`
+        """
+        parts, self.untold_parts = self.untold_parts, set()
+        taken = []
+        for part in parts:
+            survived_s = self._survived_s(part)
+            if survived_s > self.told_s_by_part.get(part, -math.inf):
+                self.told_s_by_part[part] = survived_s
+                taken.append(Survival(part, survived_s))
+        return taken
+
+    def active_reports(self):
+        """Return the reports that count against a part, as a list."""
+        return [
+            report
+            for report in self.reports_by_key.values()
+            if self._suspects(report)
+        ]
+
+    def active_trials(self):
+        """Return the last :class:`Trial` of each convicted part."""
+        return [
+            Trial(part, started_s)
+            for part, started_s in self.trial_s_by_part.items()
+        ]
+
+    def remove_expired(self):
+        """Remove old reports; call this at intervals."""
+        if self._remove_expired():
+            self._update()
+
+    def _survived_s(self, part):
+        return self.survived_s_by_part.get(part, -math.inf)
+
+    def _trial_due_s(self, part, rank):
+        """Return from when on this router may try a convicted part."""
+        due_s = self.holds_by_part[part].ends_s
+        due_s += rank(part) * self.TRIAL_TURN_S
+        trial_s = self.trial_s_by_part.get(part, -math.inf)
+        return max(due_s, trial_s + self.TRIAL_TIMEOUT_S)
+
+    def _is_full(self, report):
+        """Return whether there is no room for a report.
+
+        A report that counts against no part gives way.
+        """
+        of_server = sum(
+            1 for server, _ in self.reports_by_key if server == report.server
+        )
+        if of_server >= self.MAX_REPORTS_PER_SERVER and not report.begun:
+            return True
+        if len(self.reports_by_key) < self.MAX_REPORTS:
+            return False
+        for key, known in self.reports_by_key.items():
+            if not self.holds(known.parts):
+                del self.reports_by_key[key]
+                return False
+        return True
+
+    def _remember_survivals(self, report):
+        """Queue known survivals that matter for a report."""
+        oldest_s = report.crashed_s - self.KNOWN_S
+        for part in report.parts:
+            told_s = self.told_s_by_part.get(part, -math.inf)
+            if told_s < oldest_s <= self._survived_s(part):
+                self.untold_parts.add(part)
+
+    def _remove_expired(self):
+        oldest_s = self.clock() - self.REPORT_TTL_S
+        expired = [
+            key
+            for key, report in self.reports_by_key.items()
+            if report.crashed_s < oldest_s
+        ]
+        for key in expired:
+            del self.reports_by_key[key]
+        return bool(expired)
+
+    def _suspects(self, report):
+        """Return the parts of a report that it counts against."""
+        latest_s = report.crashed_s - self.SURVIVAL_MARGIN_S
+        return [
+            part for part in report.parts if self._survived_s(part) < latest_s
+        ]
+
+    def _update(self):
+        """Convict the parts that explain the crashes best."""
+        evidence = _Evidence()
+        for report in self.reports_by_key.values():
+            evidence.add(report, self._suspects(report))
+        self.suspect_parts = frozenset(evidence.times_by_part)
+        holds = {}
+        part = self._convict(evidence)
+        while part is not None:
+            holds[part] = self._hold(evidence.times(part))
+            evidence.explain(part)
+            part = self._convict(evidence)
+        known_holds, self.holds_by_part = self.holds_by_part, holds
+        held = sorted(holds.keys() - known_holds.keys())
+        released = sorted(known_holds.keys() - holds.keys())
+        if held or released:
+            self.on_change(held, released)
+        for records in (self.trial_s_by_part, self.told_s_by_part):
+            for part in [each for each in records if each not in holds]:
+                if part not in self.suspect_parts:
+                    del records[part]
+
+    def _convict(self, evidence):
+        """Return the part that explains most of the crashes, or ``None``."""
+        known_since_s = self.clock() - self.KNOWN_S
+        best, best_rating = None, ()
+        for part in evidence.times_by_part:
+            weight = evidence.weight(part, self.COMMON_CAUSE_S)
+            known = self._survived_s(part) >= known_since_s
+            if weight < (
+                self.MIN_CRASHES_OF_KNOWN if known else self.MIN_CRASHES
+            ):
+                continue
+            # Of parts that always occur together, the later one is the more
+            # specific one.
+            rating = (weight, not known, evidence.positions[part], part)
+            if rating > best_rating:
+                best, best_rating = part, rating
+        return best
+
+    def _hold(self, times_s):
+        """Return the :class:`Hold` after crashes, given in order."""
+        repeats = sum(
+            1
+            for earlier_s, later_s in zip(times_s, times_s[1:])
+            if later_s - earlier_s >= self.MIN_TRIAL_GAP_S
+        )
+        hold_s = min(self.MAX_HOLD_S, self.HOLD_S * 2**repeats)
+        return Hold(times_s[-1] + hold_s, len(times_s))
+
+
+class _Evidence:
+    """Crashes by part, as far as they are not explained by another part.
+
+    :ivar times_by_part: {server: (time, weight)} by part
+    :ivar positions: largest position of each part in a prompt
+    """
+
+    __slots__ = ("times_by_part", "positions", "begun_servers", "explained")
+
+    def __init__(self):
+        self.times_by_part = {}
+        self.positions = {}
+        self.begun_servers = set()
+        self.explained = set()
+
+    def add(self, report, suspects):
+        """Count a report against the suspect ones of its parts."""
+        weight = BEGUN_WEIGHT if report.begun else NO_HEAD_WEIGHT
+        if report.begun and suspects:
+            self.begun_servers.add(report.server)
+        for part in suspects:
+            times = self.times_by_part.setdefault(part, {})
+            known = times.get(report.server, (math.inf, 0.0))
+            times[report.server] = (
+                min(known[0], report.crashed_s),
+                max(known[1], weight),
+            )
+            # Counted from the end, since the first parts may be left out.
+            position = report.parts.index(part) - len(report.parts)
+            known_position = self.positions.get(part, position)
+            self.positions[part] = max(position, known_position)
+
+    def weight(self, part, common_cause_s):
+        """Return the weight of the unexplained crashes of a part.
+
+        A request whose response had not begun does not count if another one
+        at the server had.
+
+        :param common_cause_s: crashes closer to each other count as one
+        """
+        total, last_s = 0.0, -math.inf
+        crashes = sorted(
+            (crashed_s, weight)
+            for server, (crashed_s, weight) in self.times_by_part[part].items()
+            if server not in self.explained
+            and (weight == BEGUN_WEIGHT or server not in self.begun_servers)
+        )
+        for crashed_s, weight in crashes:
+            if crashed_s - last_s > common_cause_s:
+                total += weight
+            last_s = crashed_s
+        return total
+
+    def times(self, part):
+        """Return the sorted times of all crashes of a part."""
+        return sorted(
+            crashed_s for crashed_s, _ in self.times_by_part[part].values()
+        )
+
+    def explain(self, part):
+        """Leave the crashes of a convicted part out from now on."""
+        self.explained.update(self.times_by_part[part])
--- a/boragetrail/reasons.py
+++ b/boragetrail/reasons.py
@@ -94,6 +94,12 @@
         Executed.NO,
         "The request could not start before its deadline.",
     )
+    QUARANTINED = (
+        "quarantined",
+        503,
+        Executed.NO,
+        "A part of the prompt has crashed servers.",
+    )
     DEADLINE = (
         "deadline",
         504,
