Retry no request that has crashed a server and has an unknown part

Seen: at Sen Vang, where streams may be resumed, four of the first eight crashes were the retry of a request that had just crashed an engine.

Cause: a lost connection is retried at once at another server, whatever had been the reason.

Change: if the server refuses connections afterwards, and no event of the response had arrived, the request is retried only if servers recently survived all shared parts of its prompt. The retry waits at most 50 ms for that check.

--- a/boragetrail/direct/crashes.py
+++ b/boragetrail/direct/crashes.py
@@ -29,6 +29,9 @@
     :ivar checks_by_address: running checks by the server's address
     """
 
+    # Longest time that a retry waits for the check.
+    MAX_CHECK_S = 0.05
+
     def __init__(self, directory, quarantine, gossip, metrics, tasks):
         self.directory = directory
         self.quarantine = quarantine
@@ -70,6 +73,20 @@
             "lost response",
         )
 
+    async def may_crash_again(self, progress, check):
+        """Return whether a retry of a request may crash another server.
+
+        :param progress:
+            :class:`~boragetrail.direct.progress.RequestProgress`
+        :param check: task of :meth:`response_lost`
+        """
+        if progress.attempt.phase is ResponsePhase.PROGRESSED:
+            return False
+        if self.quarantine.are_known(progress.parts):
+            return False
+        await asyncio.wait([check], timeout=self.MAX_CHECK_S)
+        return check.done() and not check.cancelled() and check.result()
+
     async def _response_lost(self, request, attempt, parts):
         server = attempt.server
         phase = attempt.phase
--- a/boragetrail/direct/dispatch.py
+++ b/boragetrail/direct/dispatch.py
@@ -87,8 +87,8 @@
             failure = await self._try_server(request, caller, progress, state)
             if failure is None:
                 return None
-            if progress.parts and progress.attempt.connection_lost:
-                self.crash_monitor.response_lost(request, progress)
+            if await self._crashes_servers(request, progress):
+                return failure
             if not self._may_retry(request, progress, failure):
                 return failure
             self._log_retry(request, progress, failure, state)
@@ -114,6 +114,15 @@
             return Failure(Reason.BACKEND_FAILED, f"quarantined {detail}")
         return Refusal(Reason.QUARANTINED, detail, Executed.NO, retry_after_s)
 
+    async def _crashes_servers(self, request, progress):
+        """Return whether a failed request may crash another server."""
+        if not progress.parts or not progress.attempt.connection_lost:
+            return False
+        check = self.crash_monitor.response_lost(request, progress)
+        if not request.route.retryable:
+            return False
+        return await self.crash_monitor.may_crash_again(progress, check)
+
     async def _try_server(self, request, caller, progress, state):
         """Run one attempt at a server.
 
