--- a/boragetrail/policy/quarantine.py
+++ b/boragetrail/policy/quarantine.py
@@ -151,6 +151,8 @@
     TRIAL_TIMEOUT_S = 10.0
     # Callers that were refused return spread over this time.
     RETURN_SPREAD_S = 5.0
+    # The same survival is told once in this time at most.
+    TELL_INTERVAL_S = 1.0
     REPORT_TTL_S = 600.0
     MAX_REPORTS = 128
     MAX_REPORTS_PER_SERVER = 8
@@ -166,7 +168,7 @@
         self.trial_s_by_part = {}
         self.holds_by_part = {}
         self.suspect_parts = frozenset()
-        self.told_s_by_part = {}
+        self.told_at_s_by_survival = {}
         self.untold_parts = set()
 
     def admit(self, parts, rank):
@@ -237,6 +239,9 @@
         key = (report.server, report.parts)
         known = self.reports_by_key.get(key)
         if known is not None and known.begun >= report.begun:
+            if not self._suspects(known):
+                # The sender has missed why the report counts for nothing.
+                self.untold_parts.update(known.parts)
             return False
         if known is None and self._is_full(report):
             return False
@@ -283,13 +288,18 @@
         :returns: list of :class:`Survival`
         """
         parts, self.untold_parts = self.untold_parts, set()
-        taken = []
-        for part in parts:
-            survived_s = self._survived_s(part)
-            if survived_s > self.told_s_by_part.get(part, -math.inf):
-                self.told_s_by_part[part] = survived_s
-                taken.append(Survival(part, survived_s))
-        return taken
+        now_s = self.clock()
+        oldest_s = now_s - self.TELL_INTERVAL_S
+        recent = {
+            survival: told_at_s
+            for survival, told_at_s in self.told_at_s_by_survival.items()
+            if told_at_s > oldest_s
+        }
+        survivals = {Survival(part, self._survived_s(part)) for part in parts}
+        untold = [each for each in survivals if each not in recent]
+        recent.update((each, now_s) for each in untold)
+        self.told_at_s_by_survival = recent
+        return untold
 
     def active_reports(self):
         """Return the reports that count against a part, as a list."""
@@ -343,8 +353,7 @@
         """Queue known survivals that matter for a report."""
         oldest_s = report.crashed_s - self.KNOWN_S
         for part in report.parts:
-            told_s = self.told_s_by_part.get(part, -math.inf)
-            if told_s < oldest_s <= self._survived_s(part):
+            if self._survived_s(part) >= oldest_s:
                 self.untold_parts.add(part)
 
     def _remove_expired(self):
@@ -382,10 +391,11 @@
         released = sorted(known_holds.keys() - holds.keys())
         if held or released:
             self.on_change(held, released)
-        for records in (self.trial_s_by_part, self.told_s_by_part):
-            for part in [each for each in records if each not in holds]:
-                if part not in self.suspect_parts:
-                    del records[part]
+        self.trial_s_by_part = {
+            part: started_s
+            for part, started_s in self.trial_s_by_part.items()
+            if part in holds
+        }
 
     def _convict(self, evidence):
         """Return the part that explains most of the crashes, or ``None``."""
