Recognize a stream that ends with its connection within an event

Streams of this kind that a crash ends would have looked complete.

Such a stream is now complete only after a whole event; otherwise it fails as truncated, is resumed if it may be, and its server is checked for a crash. Streams with chunks or a length are unchanged: their framing says the end.

Three of the four cases of TestStreamsWithoutLength failed before.

--- a/boragetrail/direct/attempt.py
+++ b/boragetrail/direct/attempt.py
@@ -63,12 +63,17 @@
 
 
 class ServerResponse:
-    """Hold the head of a server's response and the reader of its body."""
+    """Hold the head of a server's response and the reader of its body.
 
-    __slots__ = ("status", "headers", "raw_headers", "payload")
+    :ivar is_framed: whether the body has a length or chunks; other bodies end
+        with their connection
+    """
+
+    __slots__ = ("status", "headers", "raw_headers", "payload", "is_framed")
 
     def __init__(self, message, payload):
         self.status = message.code
+        self.is_framed = message.chunked or "Content-Length" in message.headers
         self.headers = message.headers
         self.raw_headers = message.raw_headers
         self.payload = payload
@@ -185,7 +190,6 @@
             self._fail(f"reading the response: {exc!r}")
             return
         self.state = AttemptState.COMPLETE
-        self.progressed = True
         self._release()
 
     async def body(self):
@@ -193,8 +197,17 @@
         chunks = [data async for data in self.chunks()]
         if self.state is not AttemptState.COMPLETE:
             return None
+        self.progressed = True
         return b"".join(chunks)
 
+    def fail_truncated(self, error):
+        """Mark a response that ended with its connection as truncated.
+
+        :param error: text that says how it was recognized
+        """
+        self.connection_lost = True
+        self._fail(error)
+
     def silent_s(self):
         """Return for how many seconds the router has waited for bytes."""
         if self.waiting_since_s is None:
--- a/boragetrail/direct/dispatch.py
+++ b/boragetrail/direct/dispatch.py
@@ -29,6 +29,7 @@
 # A server returns this status after the deadline of a request. It does not
 # count as a failure of the server.
 GATEWAY_TIMEOUT = 504
+ENDED_WITHIN_EVENT = "the connection ended within an event"
 EVENT_TOO_LONG = f"event larger than {MAX_EVENT_BYTES} bytes"
 
 
@@ -255,6 +256,10 @@
                 attempt.progressed = True
                 self.crash_monitor.response_progressed(progress.parts)
                 self._log_stream_started(request, attempt)
+        if not response.is_framed and not (
+            stream_started and splitter.at_event_end()
+        ):
+            attempt.fail_truncated(ENDED_WITHIN_EVENT)
         if attempt.state is not AttemptState.COMPLETE:
             attempt.server.record_failure()
             return Failure(Reason.TRUNCATED, attempt.error)
--- a/boragetrail/direct/eventstream.py
+++ b/boragetrail/direct/eventstream.py
@@ -41,6 +41,10 @@
         self._update_last_id(complete)
         return complete
 
+    def at_event_end(self):
+        """Return whether the last byte was that of a complete event."""
+        return not self.remainder
+
     def exceeds_limit(self):
         """Return whether the incomplete event is larger than allowed."""
         return len(self.remainder) > MAX_EVENT_BYTES
--- a/boragetrail/direct/tests/test_trouble.py
+++ b/boragetrail/direct/tests/test_trouble.py
@@ -164,3 +164,60 @@
             response = await cluster.call(second, "/order/1", headers=fields)
             assert response[0] == 200
         assert not cluster.servers[1].requests
+
+
+def unframed_head(request):
+    """Return the head of a stream that ends with its connection."""
+    head = stream_head(request)
+    return head.replace(b"Transfer-Encoding: chunked", b"Connection: close")
+
+
+def unframed_stream(*data):
+    """Return a handler that sends data and then closes the connection."""
+
+    async def respond(request):
+        request.writer.write(unframed_head(request) + b"".join(data))
+        await request.writer.drain()
+        request.writer.close()
+        return b""
+
+    return respond
+
+
+class TestStreamsWithoutLength:
+    """A stream has neither a length nor chunks and ends with the connection.
+
+    An end within an event is that of a broken stream.
+    """
+
+    EVENT = b"id: 1\ndata: e\n\n"
+    LAST_EVENT = b"id: 2\ndata: e\n\n"
+
+    async def test_end_after_an_event(self, cluster):
+        daemon = await cluster.add_router()
+        for server in cluster.servers:
+            server.default = unframed_stream(self.EVENT, self.LAST_EVENT)
+        response = await cluster.call(daemon, "/stream/1")
+        assert response[2] == self.EVENT + self.LAST_EVENT
+
+    @pytest.mark.parametrize("data", [(EVENT, LAST_EVENT[:-1]), ()])
+    async def test_end_within_an_event(self, cluster, data):
+        daemon = await cluster.add_router()
+        for server in cluster.servers:
+            server.default = unframed_stream(*data)
+        with pytest.raises(aiohttp.ClientPayloadError):
+            await cluster.call(daemon, "/stream/1")
+
+    async def test_resumed_at_another_server(self, cluster):
+        daemon = await cluster.add_router()
+        broken = unframed_stream(self.EVENT, self.LAST_EVENT[:5])
+        whole = unframed_stream(self.LAST_EVENT)
+
+        async def respond(request):
+            resumed = HEADER_NAMES.last_event_id.lower() in request.headers
+            return await (whole if resumed else broken)(request)
+
+        for server in cluster.servers:
+            server.default = respond
+        response = await cluster.call(daemon, "/resume/1")
+        assert response[2] == self.EVENT + self.LAST_EVENT
