Forward events that end with CR LF or CR as they arrive

Such events were held back until the stream ended, which is worse now that a stream without a length must end after an event. Two of three cases of TestLineEnds failed before.

--- a/boragetrail/direct/eventstream.py
+++ b/boragetrail/direct/eventstream.py
@@ -3,7 +3,8 @@
 __all__ = ["MAX_EVENT_BYTES", "EventSplitter"]
 
 MAX_EVENT_BYTES = 1024 * 1024
-SEPARATOR = b"\n\n"
+SEPARATORS = (b"\n\n", b"\r\n\r\n", b"\r\r")
+LINE_ENDS = (b"\n", b"\r")
 ID_FIELD = b"id:"
 
 
@@ -32,11 +33,10 @@
     def feed(self, data):
         """Add bytes and return all that belong to complete events."""
         data = self.remainder + data
-        end = data.rfind(SEPARATOR)
-        if end < 0:
+        end = max(_end_of_last(separator, data) for separator in SEPARATORS)
+        if not end:
             self.remainder = data
             return b""
-        end += len(SEPARATOR)
         complete, self.remainder = data[:end], data[end:]
         self._update_last_id(complete)
         return complete
@@ -50,8 +50,14 @@
         return len(self.remainder) > MAX_EVENT_BYTES
 
     def _update_last_id(self, complete):
-        start = complete.rfind(b"\n" + ID_FIELD)
+        start = max(complete.rfind(end + ID_FIELD) for end in LINE_ENDS)
         if start < 0 and not complete.startswith(ID_FIELD):
             return
-        line = complete[start + 1 :].partition(b"\n")[0]
+        line = complete[start + 1 :].splitlines()[0]
         self.last_id = line[len(ID_FIELD) :].strip().decode("latin-1")
+
+
+def _end_of_last(separator, data):
+    """Return the position after the last separator, or 0 if there is none."""
+    start = data.rfind(separator)
+    return start + len(separator) if start >= 0 else 0
--- a/boragetrail/direct/tests/test_trouble.py
+++ b/boragetrail/direct/tests/test_trouble.py
@@ -6,7 +6,7 @@
 import aiohttp
 import pytest
 
-from boragetrail.direct.eventstream import MAX_EVENT_BYTES
+from boragetrail.direct.eventstream import MAX_EVENT_BYTES, EventSplitter
 from boragetrail.direct.tests.conftest import configuration
 from boragetrail.platform.names import HEADER_NAMES
 from standins.httpserver import whole_answer
@@ -184,6 +184,18 @@
     return respond
 
 
+class TestLineEnds:
+    """Events may end with any of the line ends that the format allows."""
+
+    @pytest.mark.parametrize("end", [b"\n", b"\r\n", b"\r"])
+    def test_events_are_forwarded_as_they_arrive(self, end):
+        events = EventSplitter()
+        data = end.join((b"id: 1", b"data: e", b"", b"id: 2", b"data"))
+        split = data.index(b"id: 2")
+        assert events.feed(data) == data[:split]
+        assert (events.last_id, events.remainder) == ("1", data[split:])
+
+
 class TestStreamsWithoutLength:
     """A stream has neither a length nor chunks and ends with the connection.
 
