End requests in progress whose prompts contain a part that was quarantined

Cause: requests that had been sent before the verdict went on; engines drop a request whose connection closes before they begin to respond to it.

Change: a router resets the attempts whose responses have no event yet. The callers get a 502, as the request may have been executed, and the server is not blamed.

test_requests_in_progress_are_ended failed before.

--- a/boragetrail/direct/attempt.py
+++ b/boragetrail/direct/attempt.py
@@ -26,7 +26,6 @@
 MISDIRECTED_STATUS = 421
 # Maximum number of responses that are read to find the response to a request.
 MAX_STRAY_RESPONSES = 4
-UNLISTED_SERVER_ERROR = "the server is no longer listed and sends nothing"
 
 
 class AttemptState(enum.Enum):
@@ -95,22 +94,26 @@
     :param names: :class:`~boragetrail.direct.interfaces.HeaderNames`
     :param request_id: id that the server repeats in its response
     :param clock: function that returns monotonic seconds
+    :param parts: ids of the prompt parts that other prompts may contain
     :ivar waiting_since_s: monotonic time since which the router waits for
         bytes of the server, or ``None`` while it does not wait, for example
         because the caller reads slowly
     :ivar progressed: whether an event, or all of the body, has arrived
     :ivar connection_lost: whether the connection was lost, or the server
         sent invalid bytes, before the response was complete
+    :ivar was_reset: whether this router ended the attempt
     """
 
-    def __init__(self, server, names, request_id, clock):
+    def __init__(self, server, names, request_id, clock, parts):
         self.server = server
+        self.parts = parts
         self.names = names
         self.request_id = request_id
         self.clock = clock
         self.waiting_since_s = None
         self.progressed = False
         self.connection_lost = False
+        self.was_reset = False
         self.state = AttemptState.NOT_SENT
         self.connection = None
         self.response = None
@@ -214,13 +217,16 @@
             return 0.0
         return self.clock() - self.waiting_since_s
 
-    def reset(self):
-        """Reset the connection to a server that is no longer listed.
+    def reset(self, reason):
+        """Reset the connection to the server.
 
         Readers of the response get a ``ConnectionResetError``.
+
+        :param reason: text that says why
         """
+        self.was_reset = True
         if self.connection is not None:
-            self.connection.reset(ConnectionResetError(UNLISTED_SERVER_ERROR))
+            self.connection.reset(ConnectionResetError(reason))
 
     def abort(self):
         """End the attempt and close its connection to the server."""
--- a/boragetrail/direct/daemon.py
+++ b/boragetrail/direct/daemon.py
@@ -77,7 +77,7 @@
         names = platform.HEADER_NAMES
         bounds = settings.bounds
         self.quarantine = PromptQuarantine(
-            self.clock, self.random, log_quarantine
+            self.clock, self.random, self._quarantine_changed
         )
         self.crash_gossip = CrashGossip(
             self.quarantine, self.peers, self.clock
@@ -265,6 +265,10 @@
             "quarantined_parts": sorted(self.quarantine.holds_by_part),
         }
 
+    def _quarantine_changed(self, held, released):
+        log_quarantine(held, released)
+        self.fleet.abort_attempts(held)
+
     def _digest(self):
         store_unreachable = any(
             feed.failing for feed in self.feeds_by_table.values()
--- a/boragetrail/direct/dispatch.py
+++ b/boragetrail/direct/dispatch.py
@@ -117,7 +117,10 @@
 
     async def _crashes_servers(self, request, progress):
         """Return whether a failed request may crash another server."""
-        if not progress.parts or not progress.attempt.connection_lost:
+        attempt = progress.attempt
+        if not progress.parts or not attempt.connection_lost:
+            return False
+        if attempt.was_reset:
             return False
         check = self.crash_monitor.response_lost(request, progress)
         if not request.route.retryable:
@@ -133,7 +136,9 @@
         record = state.record
         progress.tried_ids.add(record.id)
         progress.attempt_count += 1
-        attempt = Attempt(state, self.names, request.id, self.clock)
+        attempt = Attempt(
+            state, self.names, request.id, self.clock, progress.parts
+        )
         progress.attempt = attempt
         state.attempts.add(attempt)
         plan = self.selector.plan(request, progress, record.id)
@@ -154,7 +159,7 @@
             MAX_REUSE_IDLE_S if retryable else MAX_REUSE_IDLE_NOT_RETRYABLE_S
         )
         if not await attempt.open(max_idle_s):
-            state.record_failure()
+            self._record_failure(attempt)
             return Refusal(Reason.UNREACHABLE, attempt.error)
         if not progress.is_trial:
             # A part may have been quarantined since the server was selected.
@@ -190,7 +195,7 @@
             return Refusal(
                 Reason.OVERLOADED, detail, Executed.NO, RETRY_AFTER_S
             )
-        state.record_failure()
+        self._record_failure(attempt)
         if outcome is ExchangeOutcome.UNREACHABLE:
             progress.attempts_sent -= 1
             return Refusal(Reason.UNREACHABLE, attempt.error)
@@ -205,7 +210,7 @@
             )
         body = await attempt.body()
         if body is None:
-            attempt.server.record_failure()
+            self._record_failure(attempt)
             return Failure(Reason.TRUNCATED, attempt.error)
         fields = self.rewriter.response_fields(response.raw_headers)
         if response.ok:
@@ -247,7 +252,7 @@
         async for data in attempt.chunks():
             complete = splitter.feed(data)
             if splitter.exceeds_limit():
-                attempt.server.record_failure()
+                self._record_failure(attempt)
                 return Failure(Reason.TRUNCATED, EVENT_TOO_LONG)
             if complete:
                 await caller.write(complete)
@@ -261,7 +266,7 @@
         ):
             attempt.fail_truncated(ENDED_WITHIN_EVENT)
         if attempt.state is not AttemptState.COMPLETE:
-            attempt.server.record_failure()
+            self._record_failure(attempt)
             return Failure(Reason.TRUNCATED, attempt.error)
         if splitter.remainder:
             await caller.write(splitter.remainder)
@@ -305,6 +310,12 @@
         detail = f"{detail}, and no server accepted the request"
         return Refusal(Reason.OVERLOADED, detail, Executed.NO, RETRY_AFTER_S)
 
+    @staticmethod
+    def _record_failure(attempt):
+        """Record a failure of the server, unless this router caused it."""
+        if not attempt.was_reset:
+            attempt.server.record_failure()
+
     def _record_server_state(self, state, response):
         load = parse_load(response.headers.get(self.names.load, ""))
         if load is not None:
--- a/boragetrail/direct/fleet.py
+++ b/boragetrail/direct/fleet.py
@@ -12,6 +12,9 @@
 
 __all__ = ["Fleet", "ServerState"]
 
+UNLISTED_SERVER_ERROR = "the server is no longer listed and sends nothing"
+QUARANTINED_PART_ERROR = "a part of the prompt was quarantined"
+
 
 class ServerState:
     """Holds this router's connections, requests and results at one server.
@@ -258,7 +261,23 @@
                         server=state.record.id,
                         silent_s=round(attempt.silent_s(), 2),
                     )
-                    attempt.reset()
+                    attempt.reset(UNLISTED_SERVER_ERROR)
+
+    def abort_attempts(self, parts):
+        """Abort the attempts whose prompts contain one of some parts.
+
+        Attempts whose responses have progressed continue.
+
+        :param parts: ids of prompt parts
+        """
+        parts = frozenset(parts)
+        states = [*self.states_by_id.values(), *self.replaced_states]
+        for state in states:
+            for attempt in list(state.attempts):
+                if not attempt.progressed and not parts.isdisjoint(
+                    attempt.parts
+                ):
+                    attempt.reset(QUARANTINED_PART_ERROR)
 
     def remove_unlisted(self):
         """Remove the states of idle servers that are no longer listed."""
--- a/boragetrail/direct/tests/test_crash.py
+++ b/boragetrail/direct/tests/test_crash.py
@@ -17,6 +17,10 @@
 CONTACT_S = 3.0
 MAX_LATER_REQUESTS = 3
 PREFILL_S = 0.03
+SLOW_PART = "slow"
+SLOW_PREFILL_S = 1.2
+# Enough requests for more than two engines to get one.
+SLOW_REQUESTS = 16
 PAUSE_S = 0.15
 # Time from a crash until the platform removes the server's entry.
 UNLISTED_AFTER_S = 0.5
@@ -56,7 +60,9 @@
         deadly = DEADLY_PART in prompt
         self.deadly_requests += deadly
         request.writer.write(stream_head(request))
-        await asyncio.sleep(PREFILL_S)
+        prefill_s = SLOW_PREFILL_S if SLOW_PART in prompt else PREFILL_S
+        if await _sender_leaves(request, prefill_s):
+            return b""
         if not deadly:
             return chunk(b"id: 1\ndata: e\n\n") + chunk(b"")
         self.crashes += 1
@@ -72,6 +78,16 @@
         self.cluster.unlist_server(server)
 
 
+async def _sender_leaves(request, within_s):
+    """Return whether the sender closes the connection within a time."""
+    try:
+        async with asyncio.timeout(within_s):
+            await request.sender_left()
+    except TimeoutError:
+        return False
+    return True
+
+
 class Callers:
     """Send sound and deadly requests of one customer through all routers.
 
@@ -160,3 +176,47 @@
         await callers.send("/resume/1", DEADLY_PART)
         await asyncio.sleep(PAUSE_S)
         assert engines.crashes == 1
+
+    # Guards against crashes by requests that were sent before the verdict.
+    async def test_requests_in_progress_are_ended(self, cluster, engines):
+        callers = Callers(cluster)
+        slow = [
+            asyncio.ensure_future(
+                callers.send("/stream/1", SLOW_PART, DEADLY_PART)
+            )
+            for _ in range(SLOW_REQUESTS)
+        ]
+        await cluster.until(lambda: engines.deadly_requests == SLOW_REQUESTS)
+        busy = {each.id for each in cluster.servers if each.requests}
+        assert len(busy) > 2
+        for _ in range(2):
+            await callers.send("/stream/1", DEADLY_PART)
+            await asyncio.sleep(PAUSE_S)
+        async with asyncio.timeout(SLOW_PREFILL_S / 2):
+            await asyncio.wait(slow)
+        await asyncio.sleep(SLOW_PREFILL_S)
+        assert engines.crashes == 2
+
+    # Guards against a refusal that callers cannot understand.
+    async def test_refused_callers_are_told_when_to_return(
+        self, cluster, engines
+    ):
+        callers = Callers(cluster)
+        for _ in range(2):
+            await callers.send("/stream/1", DEADLY_PART)
+            await asyncio.sleep(PAUSE_S)
+        status, fields = await callers.send("/stream/1", DEADLY_PART)
+        hold_s = cluster.daemons[0].quarantine.HOLD_S
+        assert status == 503
+        assert hold_s - 1.0 < float(fields["Retry-After"]) < 2 * hold_s
+
+    # Guards against a router that starts without knowing the verdict.
+    async def test_starting_router_knows_the_part(self, cluster, engines):
+        callers = Callers(cluster)
+        for _ in range(2):
+            await callers.send("/stream/1", DEADLY_PART)
+            await asyncio.sleep(PAUSE_S)
+        daemon = await cluster.add_router()
+        callers.daemons = itertools.repeat(daemon)
+        status, _ = await callers.send("/stream/1", DEADLY_PART)
+        assert (status, engines.crashes) == (503, 2)
