Send reports of crashes and trials at once

Seen: one to three further crashes within 0.12 s after the verdict.

Cause: records waited for the next interval of 0.1 s, and the last crash that convicts is seen by one router.

test_report_is_sent_at_once failed before (there was no such call). Each record is still sent twice.

--- a/boragetrail/direct/crashes.py
+++ b/boragetrail/direct/crashes.py
@@ -53,7 +53,7 @@
                 Event.PART_TRIED, request=request.id, part=admission.part
             )
             trial_s = self.quarantine.trial_s_by_part[admission.part]
-            self.gossip.add(Trial(admission.part, trial_s))
+            self.gossip.send_now(Trial(admission.part, trial_s))
         return admission
 
     def response_progressed(self, parts):
@@ -119,7 +119,7 @@
             run_key(record), parts, phase is ResponsePhase.BEGUN
         )
         if report is not None and self.quarantine.add_crash(report):
-            self.gossip.add(report)
+            self.gossip.send_now(report)
 
     def _check(self, server):
         """Return the task that checks a server; one at a time for each.
--- a/boragetrail/direct/crashgossip.py
+++ b/boragetrail/direct/crashgossip.py
@@ -20,6 +20,7 @@
     :param peers: :class:`~boragetrail.direct.peers.PeerTable`
     :param clock: function that returns monotonic seconds
     :ivar queue: (record, number of times that it is still to be sent)
+    :ivar send: function that sends a message to many peers
 
     .. [1] A. Demers et al., "Epidemic Algorithms for Replicated Database
        Maintenance", PODC 1987.
@@ -36,11 +37,18 @@
         self.peers = peers
         self.clock = clock
         self.queue = collections.deque(maxlen=self.MAX_QUEUED)
+        self.send = None
 
     def add(self, record):
-        """Queue a record of this router."""
+        """Queue a record."""
         self.queue.append((record, self.SEND_COUNT))
 
+    def send_now(self, record):
+        """Send a record of this router at once, and later again."""
+        for message in self._messages([record]):
+            self.send(message)
+        self.queue.append((record, self.SEND_COUNT - 1))
+
     def apply(self, message):
         """Apply the records of a peer.
 
--- a/boragetrail/direct/peersocket.py
+++ b/boragetrail/direct/peersocket.py
@@ -47,6 +47,7 @@
         self.take_update = take_update
         self.on_message = on_message
         self.crash_gossip = crash_gossip
+        crash_gossip.send = self._send_to_many
         self.transport = None
         self.sequence = 0
         self.sent_bytes = 0
--- a/boragetrail/direct/tests/test_crashgossip.py
+++ b/boragetrail/direct/tests/test_crashgossip.py
@@ -133,6 +133,21 @@
         assert all(len(values) != len(each.__slots__) for each in earlier)
 
 
+class TestDelay:
+    """Other routers hear of a crash without waiting for an interval."""
+
+    def test_report_is_sent_at_once(self, routers):
+        first, second, _ = routers
+        report = CrashReport(1, ("odd",), True, first.clock())
+        first.gossip.send_now(report)
+        (data, *others) = first.socket.transport.sent
+        second.socket.datagram_received(data, ("10.0.0.1", PORT))
+        assert second.quarantine.active_reports() == [report]
+        assert len(others) == 2
+        assert len(first.gossip.take_messages()) == 1
+        assert not first.gossip.take_messages()
+
+
 class TestExchange:
     """Routers combine what each of them observed."""
 
