Test the trials of routers, and let turns follow each other sooner

With turns of 2 s the last of 330 routers waits 11 minutes for its first trial, if only its callers ask; with 0.25 s it waits 83 s. A trial is told in a few milliseconds. TestRelease failed with 2 s, since no router's turn came within its time.

--- a/boragetrail/direct/tests/test_crash.py
+++ b/boragetrail/direct/tests/test_crash.py
@@ -36,12 +36,14 @@
 
     :ivar crashes: number of crashes so far
     :ivar deadly_requests: number of requests with the part that arrived
+    :ivar deadly_part: id of the part
     """
 
     def __init__(self, cluster):
         self.cluster = cluster
         self.crashes = 0
         self.deadly_requests = 0
+        self.deadly_part = DEADLY_PART
         self.tasks = set()
 
     def open(self):
@@ -57,7 +59,7 @@
 
     async def _respond(self, server, request):
         prompt = request.headers[HEADER_NAMES.prompt_parts.lower()]
-        deadly = DEADLY_PART in prompt
+        deadly = self.deadly_part in prompt
         self.deadly_requests += deadly
         request.writer.write(stream_head(request))
         prefill_s = SLOW_PREFILL_S if SLOW_PART in prompt else PREFILL_S
@@ -220,3 +222,51 @@
         callers.daemons = itertools.repeat(daemon)
         status, _ = await callers.send("/stream/1", DEADLY_PART)
         assert (status, engines.crashes) == (503, 2)
+
+
+class TestRelease:
+    """The part is tried again, and served once engines survive it."""
+
+    HOLD_S = 0.6
+
+    @pytest.fixture
+    async def callers(self, cluster, engines):
+        """Callers after the part was quarantined for a short time."""
+        for daemon in cluster.daemons:
+            daemon.quarantine.HOLD_S = self.HOLD_S
+            daemon.quarantine.RETURN_SPREAD_S = 0.0
+            daemon.peers.STARTUP_S = 0.0
+        callers = Callers(cluster)
+        for _ in range(2):
+            await callers.send("/stream/1", DEADLY_PART)
+            await asyncio.sleep(PAUSE_S)
+        return callers
+
+    async def send_many(self, callers):
+        """Send deadly requests through all routers for a second.
+
+        :returns: their statuses
+        """
+        statuses = []
+        for _ in range(20):
+            status, _ = await callers.send("/stream/1", DEADLY_PART)
+            statuses.append(status)
+            await asyncio.sleep(0.05)
+        return statuses
+
+    # Guards against trials by several routers, and against no trial at all.
+    async def test_one_router_tries_while_the_part_is_deadly(
+        self, callers, engines
+    ):
+        await asyncio.sleep(self.HOLD_S)
+        statuses = await self.send_many(callers)
+        assert engines.crashes in (3, 4)
+        assert statuses.count(503) >= 18
+
+    # Guards against a part that is refused for ever.
+    async def test_all_routers_serve_it_after_a_trial(self, callers, engines):
+        engines.deadly_part = "another"
+        await asyncio.sleep(self.HOLD_S)
+        await self.send_many(callers)
+        assert set(await self.send_many(callers)) == {200}
+        assert engines.crashes == 2
--- a/boragetrail/policy/quarantine.py
+++ b/boragetrail/policy/quarantine.py
@@ -147,7 +147,7 @@
     MAX_HOLD_S = 300.0
     MIN_TRIAL_GAP_S = 10.0
     # Routers take turns with trials. A trial without a result ends.
-    TRIAL_TURN_S = 2.0
+    TRIAL_TURN_S = 0.25
     TRIAL_TIMEOUT_S = 10.0
     # Callers that were refused return spread over this time.
     RETURN_SPREAD_S = 5.0
