Bound the bytes that a server may send without end

Informational responses were taken for the response.

A buffered body may have 4 MiB, all that a router buffers 48 MiB; 256 KiB without a byte of a body end the connection. The server counts as failed, the caller gets one failure.

--- a/boragetrail/direct/attempt.py
+++ b/boragetrail/direct/attempt.py
@@ -10,6 +10,7 @@
 __all__ = [
     "Attempt",
     "AttemptState",
+    "BufferBudget",
     "ExchangeOutcome",
     "ResponsePhase",
     "ServerResponse",
@@ -26,6 +27,12 @@
 MISDIRECTED_STATUS = 421
 # Maximum number of responses that are read to find the response to a request.
 MAX_STRAY_RESPONSES = 4
+INFORMATIONAL_STATUSES = range(100, 200)
+# Limits on bodies that are not streams, which are buffered as a whole: on one
+# body, and on all that a router buffers at a time.
+MAX_BODY_BYTES = 4 * 1024 * 1024
+MAX_BUFFERED_BYTES = 48 * 1024 * 1024
+BODY_TOO_LONG = f"body larger than {MAX_BODY_BYTES} bytes, or no memory left"
 
 
 class AttemptState(enum.Enum):
@@ -61,6 +68,34 @@
     PROGRESSED = "progressed"
 
 
+class BufferBudget:
+    """Limit the memory for the bodies that a router buffers.
+
+    >>> budget = BufferBudget(100)
+    >>> budget.try_take(80), budget.try_take(30)
+    (True, False)
+    >>> budget.give_back(80)
+    >>> budget.try_take(30)
+    True
+    """
+
+    __slots__ = ("left_bytes",)
+
+    def __init__(self, limit_bytes=MAX_BUFFERED_BYTES):
+        self.left_bytes = limit_bytes
+
+    def try_take(self, size):
+        """Take a number of bytes; returns whether as many were left."""
+        if size > self.left_bytes:
+            return False
+        self.left_bytes -= size
+        return True
+
+    def give_back(self, size):
+        """Give back bytes that were taken."""
+        self.left_bytes += size
+
+
 class ServerResponse:
     """Hold the head of a server's response and the reader of its body.
 
@@ -195,13 +230,27 @@
         self.state = AttemptState.COMPLETE
         self._release()
 
-    async def body(self):
-        """Return the complete body, or ``None`` if it was truncated."""
-        chunks = [data async for data in self.chunks()]
-        if self.state is not AttemptState.COMPLETE:
-            return None
-        self.progressed = True
-        return b"".join(chunks)
+    async def body(self, budget):
+        """Return the complete body.
+
+        :param budget: :class:`BufferBudget` of the router
+        :returns: bytes, or ``None`` if the body was truncated or too long
+        """
+        chunks, size = [], 0
+        try:
+            async for data in self.chunks():
+                too_long = size + len(data) > MAX_BODY_BYTES
+                if too_long or not budget.try_take(len(data)):
+                    self._fail(BODY_TOO_LONG)
+                    return None
+                size += len(data)
+                chunks.append(data)
+            if self.state is not AttemptState.COMPLETE:
+                return None
+            self.progressed = True
+            return b"".join(chunks)
+        finally:
+            budget.give_back(size)
 
     def fail_truncated(self, error):
         """Mark a response that ended with its connection as truncated.
@@ -238,16 +287,19 @@
         """Return the response that carries the request's id, or ``None``.
 
         A server may send late copies of earlier responses first. If the
-        first ``MAX_STRAY_RESPONSES`` responses are all copies, the result is
-        ``None``.
+        first ``MAX_STRAY_RESPONSES`` responses are copies or informational,
+        the result is ``None``.
         """
         for _ in range(MAX_STRAY_RESPONSES):
             message, payload = await self.connection.read()
+            if message.code in INFORMATIONAL_STATUSES:
+                continue
             response = ServerResponse(message, payload)
             response_id = response.headers.get(self.names.request_id)
             if response_id is None or response_id == self.request_id:
                 return response
-            await payload.read()
+            if not await _skip(payload):
+                return None
         return None
 
     def _classify_response(self):
@@ -301,3 +353,13 @@
         if self.connection is not None:
             self.server.pool.release(self.connection)
             self.connection = None
+
+
+async def _skip(payload):
+    """Read a body to its end; returns whether it ends within the limit."""
+    size = 0
+    while data := await payload.readany():
+        size += len(data)
+        if size > MAX_BODY_BYTES:
+            return False
+    return True
--- a/boragetrail/direct/connection.py
+++ b/boragetrail/direct/connection.py
@@ -15,6 +15,10 @@
 
 CONNECT_TIMEOUT_S = 0.4
 READ_BUFFER_BYTES = 64 * 1024
+# Limit on the bytes that a server may send without a byte of a body, such as
+# a head, chunk extensions or informational responses.
+MAX_UNPRODUCTIVE_BYTES = 256 * 1024
+UNPRODUCTIVE_ERROR = f"over {MAX_UNPRODUCTIVE_BYTES} bytes without a body"
 
 
 class ServerConnection(ResponseHandler):
@@ -23,6 +27,7 @@
     :ivar idle: whether it waits in a pool for its next request
     :ivar idle_since_s: monotonic time at which it was put into the pool
     :ivar used: whether a request was sent on it
+    :ivar unproductive_bytes: bytes received since the last byte of a body
     """
 
     def __init__(self, loop):
@@ -30,13 +35,21 @@
         self.idle = False
         self.idle_since_s = 0.0
         self.used = False
+        self.unproductive_bytes = 0
 
     def data_received(self, data):
         """Parse bytes of a response; without a request, close."""
         if self.idle:
             self.abort()
             return
+        before = self._body_bytes()
         super().data_received(data)
+        if self._body_bytes() != before:
+            self.unproductive_bytes = 0
+            return
+        self.unproductive_bytes += len(data)
+        if self.unproductive_bytes > MAX_UNPRODUCTIVE_BYTES:
+            self.reset(ConnectionResetError(UNPRODUCTIVE_ERROR))
 
     def connection_lost(self, exc):
         """Mark a response as truncated if the connection was reset."""
@@ -45,6 +58,10 @@
             payload.set_exception(exc)
         super().connection_lost(exc)
 
+    def _body_bytes(self):
+        payload = self._payload
+        return (id(payload), getattr(payload, "total_bytes", 0))
+
     def reset(self, exc):
         """Close the connection as if the server had reset it.
 
@@ -62,6 +79,7 @@
         """
         self.idle = False
         self.used = True
+        self.unproductive_bytes = 0
         self.set_response_params(
             read_until_eof=True,
             auto_decompress=False,
--- a/boragetrail/direct/dispatch.py
+++ b/boragetrail/direct/dispatch.py
@@ -2,7 +2,12 @@
 
 import asyncio
 
-from boragetrail.direct.attempt import Attempt, AttemptState, ExchangeOutcome
+from boragetrail.direct.attempt import (
+    Attempt,
+    AttemptState,
+    BufferBudget,
+    ExchangeOutcome,
+)
 from boragetrail.direct.crashes import shared_parts
 from boragetrail.direct.eventstream import MAX_EVENT_BYTES
 from boragetrail.direct.headers import HeaderRewriter
@@ -52,6 +57,7 @@
         self.bounds = bounds
         self.clock = clock
         self.rewriter = HeaderRewriter(names)
+        self.buffer_budget = BufferBudget()
         self.retry_quotas_by_service = {}
 
     async def run(self, request, caller):
@@ -208,7 +214,7 @@
             return await self._forward_stream(
                 request, caller, progress, attempt
             )
-        body = await attempt.body()
+        body = await attempt.body(self.buffer_budget)
         if body is None:
             self._record_failure(attempt)
             return Failure(Reason.TRUNCATED, attempt.error)
