--- a/boragetrail/direct/crashes.py
+++ b/boragetrail/direct/crashes.py
@@ -6,7 +6,7 @@
 
 from boragetrail.direct.attempt import ResponsePhase
 from boragetrail.events import Event, log_event
-from boragetrail.policy.quarantine import Trial
+from boragetrail.policy.crashrecords import Trial
 
 __all__ = ["CrashMonitor", "log_quarantine", "shared_parts"]
 
--- a/boragetrail/direct/crashgossip.py
+++ b/boragetrail/direct/crashgossip.py
@@ -3,7 +3,7 @@
 import collections
 
 from boragetrail.direct.crashmessages import decode_records, encode_records
-from boragetrail.policy.quarantine import CrashReport, Survival, Trial
+from boragetrail.policy.crashrecords import CrashReport, Survival, Trial
 
 __all__ = ["CrashGossip"]
 
--- a/boragetrail/direct/crashmessages.py
+++ b/boragetrail/direct/crashmessages.py
@@ -6,7 +6,7 @@
 import dataclasses
 
 from boragetrail.direct import checks
-from boragetrail.policy.quarantine import CrashReport, Survival, Trial
+from boragetrail.policy.crashrecords import CrashReport, Survival, Trial
 
 __all__ = ["CrashMessage", "decode_records", "encode_records"]
 
@@ -22,11 +22,11 @@
 
     :param kind: ``"crashes"``
     :param crash_reports: [server key, parts, begun, age in ms] of each
-        :class:`~boragetrail.policy.quarantine.CrashReport`
+        :class:`~boragetrail.policy.crashrecords.CrashReport`
     :param survivals: [part, age in ms] of each
-        :class:`~boragetrail.policy.quarantine.Survival`
+        :class:`~boragetrail.policy.crashrecords.Survival`
     :param trials: [part, age in ms] of each
-        :class:`~boragetrail.policy.quarantine.Trial`
+        :class:`~boragetrail.policy.crashrecords.Trial`
     """
 
     kind: str
--- a/boragetrail/direct/tests/test_crashgossip.py
+++ b/boragetrail/direct/tests/test_crashgossip.py
@@ -21,7 +21,7 @@
 from boragetrail.direct.peersocket import PeerSocket
 from boragetrail.direct.tests.test_peers import digest
 from boragetrail.direct.tests.test_updates import Transport, make_crash_gossip
-from boragetrail.policy.quarantine import CrashReport, Survival, Trial
+from boragetrail.policy.crashrecords import CrashReport, Survival, Trial
 from standins.clock import ManualClock
 
 PORT = 7000
--- /dev/null
+++ b/boragetrail/policy/crashevidence.py
@@ -0,0 +1,117 @@
+"""Evidence that prompt parts crash servers."""
+
+import math
+
+__all__ = ["CrashEvidence"]
+
+
+class CrashEvidence:
+    """Crashes by part, as far as they are not explained by another part.
+
+    >>> from boragetrail.policy.crashrecords import CrashReport
+    >>> evidence = CrashEvidence()
+    >>> for server, beside in ((1, "a"), (2, "b")):
+    ...     report = CrashReport(server, (beside, "odd"), True, 10.0 * server)
+    ...     evidence.add(report, report.parts)
+    >>> evidence.convict(lambda part: False)
+    ['odd']
+
+    :ivar times_by_part: {server: (time, weight)} by part
+    :ivar positions: largest position of each part in a prompt
+    """
+
+    __slots__ = ("times_by_part", "positions", "begun_servers", "explained")
+
+    # Sum of the weights of crashes that convicts a part, and that which
+    # convicts a part that servers recently survived.
+    MIN_CRASHES = 2.0
+    MIN_CRASHES_OF_KNOWN = 3.0
+    BEGUN_WEIGHT = 1.0
+    NO_HEAD_WEIGHT = 0.5
+    # Servers that crash within this time may have a common cause, such as a
+    # loss of power, and count as one.
+    COMMON_CAUSE_S = 0.05
+
+    def __init__(self):
+        self.times_by_part = {}
+        self.positions = {}
+        self.begun_servers = set()
+        self.explained = set()
+
+    def add(self, report, suspects):
+        """Count a report against the suspect ones of its parts."""
+        weight = self.BEGUN_WEIGHT if report.begun else self.NO_HEAD_WEIGHT
+        if report.begun and suspects:
+            self.begun_servers.add(report.server)
+        for part in suspects:
+            times = self.times_by_part.setdefault(part, {})
+            known = times.get(report.server, (math.inf, 0.0))
+            times[report.server] = (
+                min(known[0], report.crashed_s),
+                max(known[1], weight),
+            )
+            # Counted from the end, since the first parts may be left out.
+            position = report.parts.index(part) - len(report.parts)
+            known_position = self.positions.get(part, position)
+            self.positions[part] = max(position, known_position)
+
+    def times(self, part):
+        """Return the sorted times of all crashes of a part."""
+        return sorted(
+            crashed_s for crashed_s, _ in self.times_by_part[part].values()
+        )
+
+    def convict(self, is_known):
+        """Return the parts that explain the crashes.
+
+        The crashes that a convicted part explains count against no other.
+
+        :param is_known: function that returns whether servers recently
+            survived a part
+        :returns: list of parts, the one that explains most crashes first
+        """
+        convicted = []
+        part = self._strongest(is_known)
+        while part is not None:
+            convicted.append(part)
+            self.explained.update(self.times_by_part[part])
+            part = self._strongest(is_known)
+        return convicted
+
+    def _strongest(self, is_known):
+        """Return the part that explains most crashes, or ``None``."""
+        best, best_rating = None, ()
+        for part in self.times_by_part:
+            weight = self._weight(part)
+            known = is_known(part)
+            if weight < (
+                self.MIN_CRASHES_OF_KNOWN if known else self.MIN_CRASHES
+            ):
+                continue
+            # Of parts that always occur together, the later one is the more
+            # specific one.
+            rating = (weight, not known, self.positions[part], part)
+            if rating > best_rating:
+                best, best_rating = part, rating
+        return best
+
+    def _weight(self, part):
+        """Return the weight of the unexplained crashes of a part.
+
+        A request whose response had not begun does not count if another one
+        at the server had.
+        """
+        total, last_s = 0.0, -math.inf
+        crashes = sorted(
+            (crashed_s, weight)
+            for server, (crashed_s, weight) in self.times_by_part[part].items()
+            if server not in self.explained
+            and (
+                weight == self.BEGUN_WEIGHT or server not in self.begun_servers
+            )
+        )
+        for crashed_s, weight in crashes:
+            if crashed_s - last_s > self.COMMON_CAUSE_S:
+                total += weight
+            last_s = crashed_s
+        return total
--- /dev/null
+++ b/boragetrail/policy/crashrecords.py
@@ -0,0 +1,45 @@
+"""Records of crashes of servers that routers exchange."""
+
+import dataclasses
+
+__all__ = ["CrashReport", "Survival", "Trial"]
+
+
+@dataclasses.dataclass(slots=True, frozen=True)
+class CrashReport:
+    """Describe a request whose response was ended by a server's crash.
+
+    :param server: key of one run of the server
+    :param parts: ids of the shared parts of the prompt, in order
+    :param begun: whether the head of the response had arrived
+    :param crashed_s: monotonic time of the crash
+    """
+
+    server: int
+    parts: tuple
+    begun: bool
+    crashed_s: float
+
+
+@dataclasses.dataclass(slots=True, frozen=True)
+class Survival:
+    """Tell that a server survived the begin of a response to a part.
+
+    :param part: id of the part
+    :param survived_s: monotonic time of the first event or body
+    """
+
+    part: str
+    survived_s: float
+
+
+@dataclasses.dataclass(slots=True, frozen=True)
+class Trial:
+    """Tell that a request was admitted to try whether a part still crashes.
+
+    :param part: id of the part
+    :param started_s: monotonic time of the admission
+    """
+
+    part: str
+    started_s: float
--- a/boragetrail/policy/quarantine.py
+++ b/boragetrail/policy/quarantine.py
@@ -19,56 +19,10 @@
 import dataclasses
 import math
 
-__all__ = [
-    "Admission",
-    "CrashReport",
-    "PromptQuarantine",
-    "Survival",
-    "Trial",
-]
+from boragetrail.policy.crashevidence import CrashEvidence
+from boragetrail.policy.crashrecords import CrashReport, Survival, Trial
 
-BEGUN_WEIGHT = 1.0
-NO_HEAD_WEIGHT = 0.5
-
-
-@dataclasses.dataclass(slots=True, frozen=True)
-class CrashReport:
-    """Describe a request whose response was ended by a server's crash.
-
-    :param server: key of one run of the server
-    :param parts: ids of the shared parts of the prompt, in order
-    :param begun: whether the head of the response had arrived
-    :param crashed_s: monotonic time of the crash
-    """
-
-    server: int
-    parts: tuple
-    begun: bool
-    crashed_s: float
-
-
-@dataclasses.dataclass(slots=True, frozen=True)
-class Survival:
-    """Tell that a server survived the begin of a response to a part.
-
-    :param part: id of the part
-    :param survived_s: monotonic time of the first event or body
-    """
-
-    part: str
-    survived_s: float
-
-
-@dataclasses.dataclass(slots=True, frozen=True)
-class Trial:
-    """Tell that a request was admitted to try whether a part still crashes.
-
-    :param part: id of the part
-    :param started_s: monotonic time of the admission
-    """
-
-    part: str
-    started_s: float
+__all__ = ["Admission", "PromptQuarantine"]
 
 
 @dataclasses.dataclass(slots=True, frozen=True)
@@ -129,17 +83,11 @@
     False
     """
 
-    # Sum of the weights of crashes that convicts a part, and that which
-    # convicts a part that servers recently survived.
-    MIN_CRASHES = 2.0
-    MIN_CRASHES_OF_KNOWN = 3.0
+    # A part that servers survived within this time is known.
     KNOWN_S = 60.0
     # A crash does not count against a part that a server survived less than
     # this before, or at any time after.
     SURVIVAL_MARGIN_S = 1.0
-    # Servers that crash within this time may have a common cause, such as a
-    # loss of power, and count as one.
-    COMMON_CAUSE_S = 0.05
     # A part is held for this long after its last crash. The time doubles
     # with each later crash that is no closer to the previous one than
     # MIN_TRIAL_GAP_S.
@@ -198,8 +146,7 @@
 
     def are_known(self, parts):
         """Return whether servers recently survived all of the parts."""
-        oldest_s = self.clock() - self.KNOWN_S
-        return all(self._survived_s(part) >= oldest_s for part in parts)
+        return all(self._is_known(part) for part in parts)
 
     def survived(self, parts):
         """Record that a server survived the begin of a response.
@@ -324,6 +271,9 @@
     def _survived_s(self, part):
         return self.survived_s_by_part.get(part, -math.inf)
 
+    def _is_known(self, part):
+        return self._survived_s(part) >= self.clock() - self.KNOWN_S
+
     def _trial_due_s(self, part, rank):
         """Return from when on this router may try a convicted part."""
         due_s = self.holds_by_part[part].ends_s
@@ -376,16 +326,14 @@
 
     def _update(self):
         """Convict the parts that explain the crashes best."""
-        evidence = _Evidence()
+        evidence = CrashEvidence()
         for report in self.reports_by_key.values():
             evidence.add(report, self._suspects(report))
         self.suspect_parts = frozenset(evidence.times_by_part)
-        holds = {}
-        part = self._convict(evidence)
-        while part is not None:
-            holds[part] = self._hold(evidence.times(part))
-            evidence.explain(part)
-            part = self._convict(evidence)
+        holds = {
+            part: self._hold(evidence.times(part))
+            for part in evidence.convict(self._is_known)
+        }
         known_holds, self.holds_by_part = self.holds_by_part, holds
         held = sorted(holds.keys() - known_holds.keys())
         released = sorted(known_holds.keys() - holds.keys())
@@ -397,24 +345,6 @@
             if part in holds
         }
 
-    def _convict(self, evidence):
-        """Return the part that explains most of the crashes, or ``None``."""
-        known_since_s = self.clock() - self.KNOWN_S
-        best, best_rating = None, ()
-        for part in evidence.times_by_part:
-            weight = evidence.weight(part, self.COMMON_CAUSE_S)
-            known = self._survived_s(part) >= known_since_s
-            if weight < (
-                self.MIN_CRASHES_OF_KNOWN if known else self.MIN_CRASHES
-            ):
-                continue
-            # Of parts that always occur together, the later one is the more
-            # specific one.
-            rating = (weight, not known, evidence.positions[part], part)
-            if rating > best_rating:
-                best, best_rating = part, rating
-        return best
-
     def _hold(self, times_s):
         """Return the :class:`Hold` after crashes, given in order."""
         repeats = sum(
@@ -424,67 +354,3 @@
         )
         hold_s = min(self.MAX_HOLD_S, self.HOLD_S * 2**repeats)
         return Hold(times_s[-1] + hold_s, len(times_s))
-
-
-class _Evidence:
-    """Crashes by part, as far as they are not explained by another part.
-
-    :ivar times_by_part: {server: (time, weight)} by part
-    :ivar positions: largest position of each part in a prompt
-    """
-
-    __slots__ = ("times_by_part", "positions", "begun_servers", "explained")
-
-    def __init__(self):
-        self.times_by_part = {}
-        self.positions = {}
-        self.begun_servers = set()
-        self.explained = set()
-
-    def add(self, report, suspects):
-        """Count a report against the suspect ones of its parts."""
-        weight = BEGUN_WEIGHT if report.begun else NO_HEAD_WEIGHT
-        if report.begun and suspects:
-            self.begun_servers.add(report.server)
-        for part in suspects:
-            times = self.times_by_part.setdefault(part, {})
-            known = times.get(report.server, (math.inf, 0.0))
-            times[report.server] = (
-                min(known[0], report.crashed_s),
-                max(known[1], weight),
-            )
-            # Counted from the end, since the first parts may be left out.
-            position = report.parts.index(part) - len(report.parts)
-            known_position = self.positions.get(part, position)
-            self.positions[part] = max(position, known_position)
-
-    def weight(self, part, common_cause_s):
-        """Return the weight of the unexplained crashes of a part.
-
-        A request whose response had not begun does not count if another one
-        at the server had.
-
-        :param common_cause_s: crashes closer to each other count as one
-        """
-        total, last_s = 0.0, -math.inf
-        crashes = sorted(
-            (crashed_s, weight)
-            for server, (crashed_s, weight) in self.times_by_part[part].items()
-            if server not in self.explained
-            and (weight == BEGUN_WEIGHT or server not in self.begun_servers)
-        )
-        for crashed_s, weight in crashes:
-            if crashed_s - last_s > common_cause_s:
-                total += weight
-            last_s = crashed_s
-        return total
-
-    def times(self, part):
-        """Return the sorted times of all crashes of a part."""
-        return sorted(
-            crashed_s for crashed_s, _ in self.times_by_part[part].values()
-        )
-
-    def explain(self, part):
-        """Leave the crashes of a convicted part out from now on."""
-        self.explained.update(self.times_by_part[part])
--- a/boragetrail/policy/tests/test_quarantine.py
+++ b/boragetrail/policy/tests/test_quarantine.py
@@ -6,15 +6,12 @@
 import hypothesis.strategies as st
 import pytest
 
-from boragetrail.policy.quarantine import (
-    CrashReport,
-    PromptQuarantine,
-    Survival,
-    Trial,
-)
+from boragetrail.policy.crashrecords import CrashReport, Survival, Trial
+from boragetrail.policy.quarantine import PromptQuarantine
 from standins.clock import ManualClock
 
 START_S = 1000.0
+SINCE_CRASH_S = 0.5
 ODD = "odd"
 
 
@@ -50,7 +47,7 @@
         """Let two servers crash under a part."""
         for server in (1, 2):
             self.crash(server, "base", part)
-            self.wait(0.5)
+            self.wait(SINCE_CRASH_S)
             self.quarantine.survived(["base"])
 
     def admit(self, rank=0):
@@ -178,7 +175,7 @@
 
     def test_routers_take_turns(self, fixture):
         fixture.convict()
-        fixture.wait(fixture.quarantine.HOLD_S)
+        fixture.wait(fixture.quarantine.HOLD_S - SINCE_CRASH_S)
         assert not fixture.admit(rank=1).admitted
         assert fixture.admit(rank=0).admitted
         fixture.wait(fixture.quarantine.TRIAL_TURN_S)
