Send nothing new to a server that says in a response that it leaves

The header was ignored.

It is read from every response, a stray one, a refusal, a failure, the head of a stream or the response to a query of the cache, before anything is passed on. It holds for that run of the server, whatever rows, digests or an entry that vanishes and comes back say, and for retries, resumed streams, sources of cache copies and requests that are selected but not sent. Other routers are told at once and take it as a hint: they prefer other servers. If all servers of a service leave, requests are refused at once with `leaving`.

--- a/boragetrail/direct/attempt.py
+++ b/boragetrail/direct/attempt.py
@@ -292,6 +292,8 @@
         """
         for _ in range(MAX_STRAY_RESPONSES):
             message, payload = await self.connection.read()
+            if message.headers.get(self.names.leaving) == "1":
+                self.server.record_leaving()
             if message.code in INFORMATIONAL_STATUSES:
                 continue
             response = ServerResponse(message, payload)
--- a/boragetrail/direct/counts.py
+++ b/boragetrail/direct/counts.py
@@ -9,7 +9,7 @@
 
 import xxhash
 
-__all__ = ["pack_counts", "server_key", "unpack_counts"]
+__all__ = ["pack_counts", "run_key", "server_key", "unpack_counts"]
 
 # Server key and two counts. The second count has 32 bits, since it may be a
 # number of tokens.
@@ -27,6 +27,14 @@
     return xxhash.xxh32_intdigest(server_id.encode())
 
 
+def run_key(record):
+    """Return the 64-bit key that identifies one run of a server.
+
+    :param record: :class:`~boragetrail.direct.model.ServerRecord`
+    """
+    return _run_key(record.id, record.started_ms)
+
+
 def pack_counts(counts):
     """Encode counts as bytes; a count that is too large is clamped.
 
@@ -53,3 +61,8 @@
             f"{len(data)} bytes are not a multiple of {SERVER_COUNTS.size}"
         )
     return list(SERVER_COUNTS.iter_unpack(data))
+
+
+@functools.lru_cache(maxsize=4096)
+def _run_key(server_id, started_ms):
+    return xxhash.xxh64_intdigest(f"{server_id}/{started_ms}".encode())
--- a/boragetrail/direct/crashes.py
+++ b/boragetrail/direct/crashes.py
@@ -5,6 +5,7 @@
 import xxhash
 
 from boragetrail.direct.attempt import ResponsePhase
+from boragetrail.direct.counts import run_key
 from boragetrail.events import Event, log_event
 from boragetrail.policy.crashrecords import Trial
 
@@ -23,7 +24,7 @@
 
     :param directory: :class:`~boragetrail.direct.directory.Directory`
     :param quarantine: :class:`~boragetrail.policy.quarantine.PromptQuarantine`
-    :param gossip: :class:`~boragetrail.direct.crashgossip.CrashGossip`
+    :param gossip: :class:`~boragetrail.direct.recordgossip.RecordGossip`
     :param metrics: :class:`~boragetrail.direct.metrics.DirectMetrics`
     :param tasks: :class:`~boragetrail.utils.BackgroundTasks`
     :ivar checks_by_address: running checks by the server's address
@@ -147,14 +148,6 @@
         log_event(Event.PART_RELEASED, part=part)
 
 
-def run_key(record):
-    """Return the key of one run of a server.
-
-    :param record: :class:`~boragetrail.direct.model.ServerRecord`
-    """
-    return xxhash.xxh64_intdigest(f"{record.id}/{record.started_ms}".encode())
-
-
 def shared_parts(prompt):
     """Return the ids of the parts that other prompts may contain.
 
--- a/boragetrail/direct/daemon.py
+++ b/boragetrail/direct/daemon.py
@@ -9,7 +9,7 @@
 import aiohttp.web
 
 from boragetrail.direct.crashes import CrashMonitor, log_quarantine
-from boragetrail.direct.crashgossip import CrashGossip
+from boragetrail.direct.counts import run_key
 from boragetrail.direct.datagrams import Update
 from boragetrail.direct.directory import Directory
 from boragetrail.direct.discovery import CacheDiscovery
@@ -19,12 +19,14 @@
 from boragetrail.direct.fleet import Fleet
 from boragetrail.direct.frontend import Frontend
 from boragetrail.direct.interfaces import Table
+from boragetrail.direct.leaving import Leaving, LeavingServers
 from boragetrail.direct.liveness import StoreLiveness
 from boragetrail.direct.messagebuilder import MessageBuilder
 from boragetrail.direct.metrics import DirectMetrics
 from boragetrail.direct.peers import PeerTable
 from boragetrail.direct.peersocket import PeerSocket
 from boragetrail.direct.readers import reader_role
+from boragetrail.direct.recordgossip import RecordGossip
 from boragetrail.direct.relay import PeerSource, PeerFetcher, RelayServer
 from boragetrail.direct.selector import ServerSelector
 from boragetrail.events import Event, log_event
@@ -71,16 +73,21 @@
         self.liveness_by_table = {
             table: StoreLiveness(self.clock) for table in Table
         }
+        self.leaving_servers = LeavingServers(self._server_leaves)
         self.fleet = Fleet(
-            self.directory, self.peers, settings.zone, self.clock
+            self.directory,
+            self.peers,
+            settings.zone,
+            self.clock,
+            self.leaving_servers,
         )
         names = platform.HEADER_NAMES
         bounds = settings.bounds
         self.quarantine = PromptQuarantine(
             self.clock, self.random, self._quarantine_changed
         )
-        self.crash_gossip = CrashGossip(
-            self.quarantine, self.peers, self.clock
+        self.record_gossip = RecordGossip(
+            self.quarantine, self.leaving_servers, self.peers, self.clock
         )
         self.selector = ServerSelector(
             self.fleet, names, bounds, self.clock, self.random
@@ -94,7 +101,7 @@
             CrashMonitor(
                 self.directory,
                 self.quarantine,
-                self.crash_gossip,
+                self.record_gossip,
                 self.metrics,
                 self.tasks,
             ),
@@ -124,7 +131,7 @@
             self._digest,
             self.message_builder.take_update,
             self._apply_message,
-            self.crash_gossip,
+            self.record_gossip,
         )
         self.session = None
         self.store = None
@@ -265,6 +272,10 @@
             "quarantined_parts": sorted(self.quarantine.holds_by_part),
         }
 
+    def _server_leaves(self, record):
+        log_event(Event.SERVER_SAYS_LEAVING, server=record.id)
+        self.record_gossip.send_now(Leaving(run_key(record)))
+
     def _quarantine_changed(self, held, released):
         log_quarantine(held, released)
         self.fleet.abort_attempts(held)
--- a/boragetrail/direct/datagrams.py
+++ b/boragetrail/direct/datagrams.py
@@ -9,11 +9,10 @@
 import cbor2
 
 from boragetrail.direct import checks
-from boragetrail.direct.crashmessages import (
-    CrashMessage,
+from boragetrail.direct.recordmessages import (
+    RecordMessage,
     check_kind,
-    check_parts_with_age,
-    check_reports,
+    check_lists,
 )
 from boragetrail.direct.counts import pack_counts, unpack_counts
 from boragetrail.direct.relayedshards import pack_shards, unpack_shards
@@ -148,7 +147,7 @@
 
     :param data: bytes from the network
     :returns: :class:`Digest`, :class:`Update`,
-        :class:`~boragetrail.direct.crashmessages.CrashMessage` or
+        :class:`~boragetrail.direct.recordmessages.RecordMessage` or
         :class:`InvalidDatagram`
     """
     if len(data) > MAX_DATAGRAM_BYTES:
@@ -160,7 +159,7 @@
         return InvalidDatagram(f"not valid CBOR: {exc!r}")
     if not isinstance(values, list):
         return InvalidDatagram("not a list of fields")
-    for message_type in (Digest, Update, CrashMessage):
+    for message_type in (Digest, Update, RecordMessage):
         if len(values) == len(message_type.__slots__):
             return _decode(message_type, values)
     return InvalidDatagram(f"{len(values)} fields match no message type")
@@ -262,7 +261,5 @@
     "leaving": checks.flag,
     "wants_reply": checks.flag,
     "kind": check_kind,
-    "crash_reports": check_reports,
-    "survivals": check_parts_with_age,
-    "trials": check_parts_with_age,
+    "lists_by_type": check_lists,
 }
--- a/boragetrail/direct/discovery.py
+++ b/boragetrail/direct/discovery.py
@@ -143,7 +143,13 @@
         await asyncio.gather(*(self._query_server(each) for each in records))
 
     async def _query_server(self, record):
-        parts = await self.engines.cached_parts(record.address)
-        for part in parts:
+        content = await self.engines.cache_content(record.address)
+        if content.leaving:
+            self.fleet.leaving_servers.add(record)
+        for part in content.parts:
             self.fleet.prefix_index.add_holder(part, record.id)
-        log_event(Event.CACHE_CONTENT_READ, server=record.id, parts=len(parts))
+        log_event(
+            Event.CACHE_CONTENT_READ,
+            server=record.id,
+            parts=len(content.parts),
+        )
--- a/boragetrail/direct/dispatch.py
+++ b/boragetrail/direct/dispatch.py
@@ -167,6 +167,8 @@
         if not await attempt.open(max_idle_s):
             self._record_failure(attempt)
             return Refusal(Reason.UNREACHABLE, attempt.error)
+        if not state.accepts_requests():
+            return Refusal(Reason.LEAVING, f"server {state.record.id}")
         if not progress.is_trial:
             # A part may have been quarantined since the server was selected.
             failure = self._admit(request, progress)
@@ -302,6 +304,8 @@
             detail = "no other server is available for the request"
             return Failure(Reason.BACKEND_FAILED, detail)
         reason = Reason.OVERLOADED if progress.tried_ids else Reason.NO_SERVER
+        if self.fleet.are_leaving(request.service.name):
+            reason = Reason.LEAVING
         detail = f"service {request.service.name!r}"
         return Refusal(reason, detail, Executed.NO, RETRY_AFTER_S)
 
--- a/boragetrail/direct/fleet.py
+++ b/boragetrail/direct/fleet.py
@@ -21,6 +21,7 @@
 
     :param record: :class:`~boragetrail.direct.model.ServerRecord`
     :param clock: function that returns monotonic seconds
+    :param leaving_servers: :class:`~boragetrail.direct.leaving.LeavingServers`
     :ivar attempts: set of :class:`~boragetrail.direct.attempt.Attempt` in
         progress
     :ivar in_flight: requests that this router has in flight there
@@ -40,9 +41,10 @@
     MIN_SUSPECT_S = 0.5
     MAX_SUSPECT_S = 4.0
 
-    def __init__(self, record, clock):
+    def __init__(self, record, clock, leaving_servers):
         self.record = record
         self.clock = clock
+        self.leaving_servers = leaving_servers
         self.pool = ConnectionPool(record.address, clock)
         self.attempts = set()
         self.in_flight = 0
@@ -75,8 +77,17 @@
         self.suspect_until_s = 0.0
 
     def is_suspect(self):
-        """Return whether the server failed recently."""
-        return self.suspect_until_s > self.clock()
+        """Return whether the server failed recently or may be leaving."""
+        is_hinted = self.leaving_servers.is_hinted(self.record)
+        return is_hinted or self.suspect_until_s > self.clock()
+
+    def record_leaving(self):
+        """Record that the server says that it leaves."""
+        self.leaving_servers.add(self.record)
+
+    def accepts_requests(self):
+        """Return whether the server wants new requests of this router."""
+        return self.record not in self.leaving_servers
 
     def record_cold(self, cold_s):
         """Record the remaining cold time that the server reported.
@@ -93,6 +104,7 @@
     :param peers: :class:`~boragetrail.direct.peers.PeerTable`
     :param zone: availability zone of the router
     :param clock: function that returns monotonic seconds
+    :param leaving_servers: :class:`~boragetrail.direct.leaving.LeavingServers`
     :ivar replaced_states: states of earlier runs of servers; those without
         attempts in progress are removed
     :ivar reports: :class:`~boragetrail.direct.reports.ReportTable`
@@ -106,8 +118,9 @@
     # Silence after which an attempt at an unlisted server is aborted.
     MAX_UNLISTED_SILENCE_S = 2.0
 
-    def __init__(self, directory, peers, zone, clock):
+    def __init__(self, directory, peers, zone, clock, leaving_servers):
         self.directory = directory
+        self.leaving_servers = leaving_servers
         self.peers = peers
         self.zone = zone
         self.clock = clock
@@ -142,11 +155,19 @@
         :returns: list of :class:`ServerState`
         """
         zones_out = self.directory.evacuated_zones
-        return [
+        states = [
             self._state(known)
             for known in self.directory.servers_of(service)
             if known.record.ready and known.record.zone not in zones_out
         ]
+        return [state for state in states if state.accepts_requests()]
+
+    def are_leaving(self, service):
+        """Return whether there are servers of a service and all leave."""
+        listed = self.directory.servers_of(service)
+        return bool(listed) and all(
+            known.record in self.leaving_servers for known in listed
+        )
 
     def copy_sources(self, service):
         """Return the servers from which cached prompt parts can be copied.
@@ -160,6 +181,7 @@
             known.record.id: known.record.address
             for known in self.directory.servers_of(service)
             if not self._is_suspect(known.record.id)
+            and known.record not in self.leaving_servers
         }
 
     def is_cold(self, state):
@@ -307,7 +329,7 @@
             self.prefix_index.remove_engine(record.id)
             if state is not None:
                 self.replaced_states.append(state)
-            state = ServerState(record, self.clock)
+            state = ServerState(record, self.clock, self.leaving_servers)
             self.states_by_id[record.id] = state
         state.record = record
         return state
--- a/boragetrail/direct/interfaces.py
+++ b/boragetrail/direct/interfaces.py
@@ -10,6 +10,7 @@
 import enum
 
 __all__ = [
+    "CacheContent",
     "ChangeSet",
     "EngineClient",
     "HeaderNames",
@@ -102,15 +103,28 @@
         """Return the registered hosts; an empty list if the read fails."""
 
 
+@dataclasses.dataclass(slots=True)
+class CacheContent:
+    """Hold the response of an engine to a query of its cache.
+
+    :param parts: ids of the prompt parts that it caches
+    :param leaving: whether the engine says that it leaves
+    """
+
+    parts: list
+    leaving: bool
+
+
 class EngineClient(abc.ABC):
     """Query the cache contents of model engines."""
 
     @abc.abstractmethod
-    async def cached_parts(self, address):
-        """Return the ids of the prompt parts that an engine caches.
+    async def cache_content(self, address):
+        """Return what an engine says of its cache.
 
         :param address: (host, port)
-        :returns: list, empty if the engine cannot be queried
+        :returns: :class:`CacheContent`, without parts if the engine cannot be
+            queried
         """
 
 
@@ -156,6 +170,7 @@
     :param not_executed: set by a server that did not execute a request
     :param load: numbers of running requests, waiting requests and slots of
         the server
+    :param leaving: ``1`` in all responses of a server that shuts down
     :param cold_ms: remaining time in milliseconds for which the server is
         cold
     :param prompt_parts: parts of the prompt, ``ID:TOKENS`` each
@@ -177,6 +192,7 @@
     seal: str
     not_executed: str
     load: str
+    leaving: str
     cold_ms: str
     prompt_parts: str
     tokens: str
--- a/boragetrail/direct/peersocket.py
+++ b/boragetrail/direct/peersocket.py
@@ -6,7 +6,7 @@
 
 import asyncio
 
-from boragetrail.direct.crashmessages import CrashMessage
+from boragetrail.direct.recordmessages import RecordMessage
 from boragetrail.direct.datagrams import (
     InvalidDatagram,
     Update,
@@ -29,7 +29,8 @@
         :class:`~boragetrail.direct.datagrams.Update` or ``None``
     :param on_message: function that is called with each update, and with
         each digest that is newer than the last datagram of its sender
-    :param crash_gossip: :class:`~boragetrail.direct.crashgossip.CrashGossip`
+    :param record_gossip:
+        :class:`~boragetrail.direct.recordgossip.RecordGossip`
     :ivar datagrams_refused: number of datagrams that could not be decoded
     """
 
@@ -37,17 +38,17 @@
     DIGEST_FANOUT = 4
     UPDATE_INTERVAL_S = 0.1
     PEERS_PER_DIGEST = 6
-    CRASH_SNAPSHOT_FANOUT = 1
+    SNAPSHOT_FANOUT = 1
 
     def __init__(
-        self, table, make_digest, take_update, on_message, crash_gossip
+        self, table, make_digest, take_update, on_message, record_gossip
     ):
         self.table = table
         self.make_digest = make_digest
         self.take_update = take_update
         self.on_message = on_message
-        self.crash_gossip = crash_gossip
-        crash_gossip.send = self._send_to_many
+        self.record_gossip = record_gossip
+        record_gossip.send = self._send_to_many
         self.transport = None
         self.sequence = 0
         self.sent_bytes = 0
@@ -80,8 +81,8 @@
             )
         elif isinstance(message, Update):
             self._update_received(message, addr[0])
-        elif isinstance(message, CrashMessage):
-            self.crash_gossip.apply(message)
+        elif isinstance(message, RecordMessage):
+            self.record_gossip.apply(message)
         else:
             self._digest_received(message, addr[0])
 
@@ -107,7 +108,7 @@
             )
         if digest.wants_reply:
             self._send_digest(peer.address, False)
-            self._send_crash_snapshot([peer])
+            self._send_snapshot([peer])
         self.on_message(digest)
 
     def request_digest(self, address):
@@ -124,16 +125,14 @@
             await asyncio.sleep(self.DIGEST_INTERVAL_S * jitter)
             for peer in self.table.sample(self.DIGEST_FANOUT):
                 self._send_digest(peer.address, False)
-            self._send_crash_snapshot(
-                self.table.sample(self.CRASH_SNAPSHOT_FANOUT)
-            )
+            self._send_snapshot(self.table.sample(self.SNAPSHOT_FANOUT))
             self.table.remove_silent()
 
     async def run_updates(self):
         """Send an update soon after each change until cancelled."""
         while True:
             await asyncio.sleep(self.UPDATE_INTERVAL_S)
-            for message in self.crash_gossip.take_messages():
+            for message in self.record_gossip.take_messages():
                 self._send_to_many(message)
             update = self.take_update()
             if update is not None:
@@ -151,8 +150,8 @@
         for peer in self.table.sample(self.table.update_fanout()):
             self._send_data(data, peer.address)
 
-    def _send_crash_snapshot(self, peers):
-        for message in self.crash_gossip.snapshot():
+    def _send_snapshot(self, peers):
+        for message in self.record_gossip.snapshot():
             data = encode_datagram(message)
             for peer in peers:
                 self._send_data(data, peer.address)
--- a/boragetrail/direct/crashgossip.py
+++ b/boragetrail/direct/recordgossip.py
@@ -1,15 +1,16 @@
-"""Exchange of the records of crashes with other routers."""
+"""Exchange of records of single observations with other routers."""
 
 import collections
 
-from boragetrail.direct.crashmessages import decode_records, encode_records
+from boragetrail.direct.leaving import Leaving
+from boragetrail.direct.recordmessages import decode_records, encode_records
 from boragetrail.policy.crashrecords import CrashReport, Survival, Trial
 
-__all__ = ["CrashGossip"]
+__all__ = ["RecordGossip"]
 
 
-class CrashGossip:
-    """Queue records of crashes for peers and apply those of peers.
+class RecordGossip:
+    """Queue records for peers and apply those of peers.
 
     Each record is sent soon after it becomes known. In a large fleet peers
     forward records that are new to them [1]_. Besides, each router regularly
@@ -17,6 +18,7 @@
     has just started.
 
     :param quarantine: :class:`~boragetrail.policy.quarantine.PromptQuarantine`
+    :param leaving_servers: :class:`~boragetrail.direct.leaving.LeavingServers`
     :param peers: :class:`~boragetrail.direct.peers.PeerTable`
     :param clock: function that returns monotonic seconds
     :ivar queue: (record, number of times that it is still to be sent)
@@ -32,8 +34,9 @@
     MAX_PER_DATAGRAM = 12
     MAX_QUEUED = 256
 
-    def __init__(self, quarantine, peers, clock):
+    def __init__(self, quarantine, leaving_servers, peers, clock):
         self.quarantine = quarantine
+        self.leaving_servers = leaving_servers
         self.peers = peers
         self.clock = clock
         self.queue = collections.deque(maxlen=self.MAX_QUEUED)
@@ -53,12 +56,13 @@
         """Apply the records of a peer.
 
         :param message:
-            :class:`~boragetrail.direct.crashmessages.CrashMessage`
+            :class:`~boragetrail.direct.recordmessages.RecordMessage`
         """
         add_by_type = {
             CrashReport: self.quarantine.add_crash,
             Survival: self.quarantine.add_survival,
             Trial: self.quarantine.add_trial,
+            Leaving: self.leaving_servers.add_hint,
         }
         for record in decode_records(message, self.clock()):
             is_new = add_by_type[type(record)](record)
--- /dev/null
+++ b/boragetrail/direct/recordmessages.py
@@ -0,0 +1,150 @@
+"""Codec of the records that routers exchange soon after an observation.
+
+A message contains lists of records by the name of their type. Names that a
+router does not know are ignored, so that versions with further types can run
+beside it. Times are encoded as ages, since the clocks of routers differ.
+"""
+
+import dataclasses
+
+from boragetrail.direct import checks
+from boragetrail.direct.leaving import Leaving
+from boragetrail.policy.crashrecords import CrashReport, Survival, Trial
+
+__all__ = ["RecordMessage", "decode_records", "encode_records"]
+
+MAX_RECORDS = 32
+MAX_PARTS = 16
+MAX_TYPES = 16
+MAX_AGE_MS = 3_600_000
+MAX_KEY = 2**64 - 1
+
+
+@dataclasses.dataclass(slots=True)
+class RecordMessage:
+    """Holds records, as :func:`encode_records` returns them.
+
+    :param kind: ``"records"``
+    :param lists_by_type: lists of encoded records by the name of their type:
+        ``"crash"`` for :class:`~boragetrail.policy.crashrecords.CrashReport`,
+        ``"survival"``, ``"trial"`` and
+        ``"leaving"`` for :class:`~boragetrail.direct.leaving.Leaving`
+    """
+
+    kind: str
+    lists_by_type: dict
+
+
+def encode_records(records, now_s):
+    """Return a :class:`RecordMessage`.
+
+    :param records: list of records
+    :param now_s: current monotonic time
+    """
+    lists = {}
+    for record in records:
+        name = _NAMES_BY_TYPE[type(record)]
+        encoded = _ENCODERS_BY_NAME[name](record, now_s)
+        lists.setdefault(name, []).append(encoded)
+    return RecordMessage("records", lists)
+
+
+def decode_records(message, now_s):
+    """Return the records that a :class:`RecordMessage` contains.
+
+    Survivals come first, so that a report about a part that is known to be
+    innocent convicts nothing in between.
+    """
+    return [
+        decode(each, now_s)
+        for name, decode in _DECODERS_BY_NAME.items()
+        for each in message.lists_by_type.get(name, ())
+    ]
+
+
+def check_kind(value):
+    """Return the kind of a :class:`RecordMessage`."""
+    if value != "records":
+        raise ValueError("not a message with records")
+    return value
+
+
+def check_lists(value):
+    """Return the lists of a :class:`RecordMessage` without unknown types."""
+    if not isinstance(value, dict) or len(value) > MAX_TYPES:
+        raise ValueError(f"not lists of at most {MAX_TYPES} types")
+    return {
+        name: [check(each) for each in checks.bounded_list(each, MAX_RECORDS)]
+        for name, each in value.items()
+        if (check := _CHECKS_BY_NAME.get(name)) is not None
+    }
+
+
+def _check_crash(value):
+    return checks.fixed_list(value, _key, _parts, checks.flag, _age)
+
+
+def _check_part_with_age(value):
+    return checks.fixed_list(value, checks.text, _age)
+
+
+def _key(value):
+    return checks.integer(value, MAX_KEY)
+
+
+def _parts(value):
+    parts = checks.bounded_list(value, MAX_PARTS)
+    return [checks.text(each) for each in parts]
+
+
+def _age(value):
+    return checks.integer(value, MAX_AGE_MS)
+
+
+def _encode_crash(report, now_s):
+    age_ms = _age_ms(report.crashed_s, now_s)
+    return [report.server, list(report.parts), report.begun, age_ms]
+
+
+def _decode_crash(value, now_s):
+    server, parts, begun, age_ms = value
+    crashed_s = now_s - age_ms / 1000.0
+    return CrashReport(server, tuple(parts), begun, crashed_s)
+
+
+def _age_ms(time_s, now_s):
+    return max(0, min(MAX_AGE_MS, int((now_s - time_s) * 1000)))
+
+
+_NAMES_BY_TYPE = {
+    Survival: "survival",
+    CrashReport: "crash",
+    Trial: "trial",
+    Leaving: "leaving",
+}
+_ENCODERS_BY_NAME = {
+    "survival": lambda record, now_s: [
+        record.part,
+        _age_ms(record.survived_s, now_s),
+    ],
+    "crash": _encode_crash,
+    "trial": lambda record, now_s: [
+        record.part,
+        _age_ms(record.started_s, now_s),
+    ],
+    "leaving": lambda record, now_s: record.server,
+}
+_DECODERS_BY_NAME = {
+    "survival": lambda value, now_s: Survival(
+        value[0], now_s - value[1] / 1000.0
+    ),
+    "crash": _decode_crash,
+    "trial": lambda value, now_s: Trial(value[0], now_s - value[1] / 1000.0),
+    "leaving": lambda value, now_s: Leaving(value),
+}
+_CHECKS_BY_NAME = {
+    "survival": _check_part_with_age,
+    "crash": _check_crash,
+    "trial": _check_part_with_age,
+    "leaving": _key,
+}
--- a/boragetrail/direct/tests/test_datagrams.py
+++ b/boragetrail/direct/tests/test_datagrams.py
@@ -20,7 +20,7 @@
 from boragetrail.direct.tests.test_updates import (
     HOST,
     Transport,
-    make_crash_gossip,
+    make_record_gossip,
     update,
 )
 from boragetrail.direct.tests.test_peers import digest
@@ -61,13 +61,16 @@
         self.peers = PeerTable(self.clock, random.Random(1))
         self.peers.own_address = ("10.0.0.9", 7000)
         directory = Directory(None, self.clock)
-        self.fleet = Fleet(directory, self.peers, "z", self.clock)
+        gossip = make_record_gossip(self.peers)
+        self.fleet = Fleet(
+            directory, self.peers, "z", self.clock, gossip.leaving_servers
+        )
         self.socket = PeerSocket(
             self.peers,
             lambda: digest(),
             lambda: None,
             self.fleet.apply_load_reports,
-            make_crash_gossip(self.peers),
+            gossip,
         )
         self.socket.transport = Transport()
 
--- a/boragetrail/direct/tests/test_crashgossip.py
+++ b/boragetrail/direct/tests/test_recordgossip.py
@@ -5,8 +5,9 @@
 import cbor2
 import pytest
 
-from boragetrail.direct.crashmessages import (
-    CrashMessage,
+from boragetrail.direct.leaving import Leaving
+from boragetrail.direct.recordmessages import (
+    RecordMessage,
     decode_records,
     encode_records,
 )
@@ -20,7 +21,7 @@
 from boragetrail.direct.peers import PeerTable
 from boragetrail.direct.peersocket import PeerSocket
 from boragetrail.direct.tests.test_peers import digest
-from boragetrail.direct.tests.test_updates import Transport, make_crash_gossip
+from boragetrail.direct.tests.test_updates import Transport, make_record_gossip
 from boragetrail.policy.crashrecords import CrashReport, Survival, Trial
 from standins.clock import ManualClock
 
@@ -30,6 +31,7 @@
     Survival("base", NOW_S - 0.25),
     CrashReport(7, ("base", "odd"), True, NOW_S - 0.5),
     Trial("odd", NOW_S - 2.0),
+    Leaving(9),
 ]
 
 
@@ -41,7 +43,7 @@
         self.peers = PeerTable(clock, random.Random(1))
         for number in range(peer_count):
             self.peers.add((f"10.0.0.{number + 1}", PORT))
-        self.gossip = make_crash_gossip(self.peers)
+        self.gossip = make_record_gossip(self.peers)
         self.quarantine = self.gossip.quarantine
         self.socket = PeerSocket(
             self.peers,
@@ -91,31 +93,40 @@
         assert decode_records(decoded, NOW_S) == RECORDS
 
     def test_number_of_fields_is_that_of_no_other_message(self):
-        kinds = (Digest, Update, CrashMessage)
+        kinds = (Digest, Update, RecordMessage)
         assert len({len(each.__slots__) for each in kinds}) == len(kinds)
 
     @pytest.mark.parametrize(
         ("name", "value"),
         [
-            ("kind", "other"),
-            ("crash_reports", [[1, ["odd"], True]]),
-            ("crash_reports", [[1, ["odd"], 1, 5]]),
-            ("crash_reports", [[-1, ["odd"], True, 5]]),
-            ("crash_reports", [[1, ["odd"] * 17, True, 5]]),
-            ("crash_reports", [[1, ["x" * 201], True, 5]]),
-            ("crash_reports", [[1, ["odd"], True, 5]] * 33),
-            ("survivals", [["odd", -1]]),
-            ("survivals", [["odd", 1.5]]),
-            ("trials", [[5, 5]]),
-            ("trials", {}),
+            ("crash", [[1, ["odd"], True]]),
+            ("crash", [[1, ["odd"], 1, 5]]),
+            ("crash", [[-1, ["odd"], True, 5]]),
+            ("crash", [[1, ["odd"] * 17, True, 5]]),
+            ("crash", [[1, ["x" * 201], True, 5]]),
+            ("crash", [[1, ["odd"], True, 5]] * 33),
+            ("survival", [["odd", -1]]),
+            ("survival", [["odd", 1.5]]),
+            ("trial", [[5, 5]]),
+            ("trial", {}),
+            ("leaving", ["server"]),
         ],
     )
-    def test_invalid_field(self, name, value):
-        message = encode_records(RECORDS, NOW_S)
-        setattr(message, name, value)
+    def test_invalid_list(self, name, value):
+        message = RecordMessage("records", {name: value})
         result = decode_datagram(encode_datagram(message))
         assert isinstance(result, InvalidDatagram)
-        assert result.detail.startswith(name)
+        assert result.detail.startswith("lists_by_type")
+
+    def test_other_kind(self):
+        result = decode_datagram(encode_datagram(RecordMessage("other", {})))
+        assert isinstance(result, InvalidDatagram)
+
+    def test_unknown_type_is_ignored(self):
+        message = encode_records(RECORDS, NOW_S)
+        message.lists_by_type["later version"] = [[1, 2, 3]]
+        decoded = decode_datagram(encode_datagram(message))
+        assert decode_records(decoded, NOW_S) == RECORDS
 
     def test_random_byte_errors(self):
         generator = random.Random(3)
--- a/boragetrail/direct/tests/test_updates.py
+++ b/boragetrail/direct/tests/test_updates.py
@@ -3,7 +3,6 @@
 import random
 
 from boragetrail.direct.counts import server_key
-from boragetrail.direct.crashgossip import CrashGossip
 from boragetrail.direct.datagrams import (
     Update,
     decode_datagram,
@@ -11,10 +10,12 @@
 )
 from boragetrail.direct.directory import Directory
 from boragetrail.direct.interfaces import ChangeSet, Row, Table
+from boragetrail.direct.leaving import LeavingServers
 from boragetrail.direct.messagebuilder import MessageBuilder
 from boragetrail.direct.peers import PeerTable
 from boragetrail.direct.peersocket import PeerSocket
 from boragetrail.direct.placements import PlacementQueue
+from boragetrail.direct.recordgossip import RecordGossip
 from boragetrail.direct.relayedshards import RelayedShard
 from boragetrail.direct.reports import ReportTable
 from boragetrail.direct.tests.test_peers import digest, work
@@ -29,12 +30,13 @@
 MAX_PAYLOAD_BYTES = 1472
 
 
-def make_crash_gossip(peers):
+def make_record_gossip(peers):
     """Return the exchange of crash records with peers."""
     quarantine = PromptQuarantine(
         peers.clock, peers.random, lambda held, released: None
     )
-    return CrashGossip(quarantine, peers, peers.clock)
+    leaving_servers = LeavingServers(lambda record: None)
+    return RecordGossip(quarantine, leaving_servers, peers, peers.clock)
 
 
 def update(**fields):
@@ -110,7 +112,7 @@
             lambda: digest(),
             lambda: None,
             received.append,
-            make_crash_gossip(self.table),
+            make_record_gossip(self.table),
         )
         socket.transport = Transport()
         sent = update(placements=[["deck", "s"]])
--- a/boragetrail/emulator/fleet.py
+++ b/boragetrail/emulator/fleet.py
@@ -5,6 +5,7 @@
 from boragetrail.direct.datagrams import Update
 from boragetrail.direct.directory import Directory, ListedServer
 from boragetrail.direct.fleet import Fleet
+from boragetrail.direct.leaving import LeavingServers
 from boragetrail.direct.model import ServerRecord, Service
 from boragetrail.direct.messagebuilder import MessageBuilder
 from boragetrail.direct.peers import PeerTable
@@ -64,7 +65,13 @@
         self.peers = PeerTable(clock, self.random)
         self.peers.own_address = (self.host, PORT)
         self.directory = Directory(None, clock)
-        self.fleet = Fleet(self.directory, self.peers, zone, clock)
+        self.fleet = Fleet(
+            self.directory,
+            self.peers,
+            zone,
+            clock,
+            LeavingServers(lambda record: None),
+        )
         self.selector = ServerSelector(
             self.fleet, None, BOUNDS, clock, self.random
         )
--- a/boragetrail/platform/engines.py
+++ b/boragetrail/platform/engines.py
@@ -5,8 +5,9 @@
 
 import aiohttp
 
-from boragetrail.direct.interfaces import EngineClient
+from boragetrail.direct.interfaces import CacheContent, EngineClient
 from boragetrail.events import Event, log_event
+from boragetrail.platform.names import HEADER_NAMES
 from boragetrail.utils import join_address
 
 __all__ = ["PlatformEngineClient"]
@@ -23,16 +24,19 @@
     def __init__(self, session):
         self.session = session
 
-    async def cached_parts(self, address):
-        """Return the ids of cached prompt parts; see the base class."""
+    async def cache_content(self, address):
+        """Return what an engine says of its cache; see the base class."""
+        leaving = False
         url = f"http://{join_address(*address)}/-/kv-list"
         timeout = aiohttp.ClientTimeout(total=QUERY_TIMEOUT_S)
         try:
             async with self.session.get(url, timeout=timeout) as response:
+                leaving = response.headers.get(HEADER_NAMES.leaving) == "1"
                 data = json.loads(await response.read())
             # An entry is a list: an empty field, the part's id, its number of
             # tokens, and the model.
-            return [entry[1] for entry in data["held"]]
+            parts = [entry[1] for entry in data["held"]]
+            return CacheContent(parts, leaving)
         except (
             aiohttp.ClientError,
             asyncio.TimeoutError,
@@ -44,4 +48,4 @@
             log_event(
                 Event.CACHE_CONTENT_UNAVAILABLE, source=url, error=repr(exc)
             )
-            return []
+            return CacheContent([], leaving)
--- a/boragetrail/platform/names.py
+++ b/boragetrail/platform/names.py
@@ -23,6 +23,7 @@
     seal="X-Boragetrail-Response-Seal",
     not_executed="X-Boragetrail-Not-Executed",
     load="X-Boragetrail-Server-Load",
+    leaving="Server-Leaving",
     cold_ms="X-Boragetrail-Cold-Ms",
     prompt_parts="X-Boragetrail-Prefix-Hash",
     tokens="X-Boragetrail-Token-Count",
