Send nothing to a server in a pause that it has asked for

The field was ignored, and the next request could go there at once.

Other servers take the work, also if the server had been selected and nothing was sent yet. If all servers of a service have asked for a pause, requests are refused at once with `paused` and the first end of a pause as Retry-After, spread over half a second.

--- a/boragetrail/direct/attempt.py
+++ b/boragetrail/direct/attempt.py
@@ -25,6 +25,7 @@
 # and the caller must not get a status that says otherwise.
 NOT_EXECUTED_STATUSES = frozenset((408, 421, 429, 503))
 MISDIRECTED_STATUS = 421
+UNAVAILABLE_STATUS = 503
 # Maximum number of responses that are read to find the response to a request.
 MAX_STRAY_RESPONSES = 4
 INFORMATIONAL_STATUSES = range(100, 200)
@@ -297,6 +298,8 @@
             if message.code in INFORMATIONAL_STATUSES:
                 continue
             response = ServerResponse(message, payload)
+            if response.status == UNAVAILABLE_STATUS:
+                self._record_pause(response.headers)
             response_id = response.headers.get(self.names.request_id)
             if response_id is None or response_id == self.request_id:
                 return response
@@ -304,6 +307,11 @@
                 return None
         return None
 
+    def _record_pause(self, headers):
+        pause = headers.get("Retry-After")
+        if pause is not None:
+            self.server.record_pause(pause)
+
     def _classify_response(self):
         self.waiting_since_s = None
         response = self.response
--- a/boragetrail/direct/daemon.py
+++ b/boragetrail/direct/daemon.py
@@ -98,6 +98,7 @@
             names,
             bounds,
             self.clock,
+            self.random,
             CrashMonitor(
                 self.directory,
                 self.quarantine,
--- a/boragetrail/direct/dispatch.py
+++ b/boragetrail/direct/dispatch.py
@@ -22,6 +22,9 @@
 __all__ = ["Dispatcher"]
 
 RETRY_AFTER_S = 0.3
+# Callers that are refused during a pause of all servers return spread over
+# this time after it.
+RETURN_SPREAD_S = 0.5
 # Limit on all attempts of a request. A route's max_attempts limits just the
 # attempts that may have been executed.
 MAX_TOTAL_ATTEMPTS = 8
@@ -46,16 +49,20 @@
     :param names: :class:`~boragetrail.direct.interfaces.HeaderNames`
     :param bounds: :class:`~boragetrail.settings.direct.Bounds`
     :param clock: function that returns monotonic seconds
+    :param random: random generator
     :param crash_monitor: :class:`~boragetrail.direct.crashes.CrashMonitor`
     """
 
-    def __init__(self, fleet, selector, names, bounds, clock, crash_monitor):
+    def __init__(
+        self, fleet, selector, names, bounds, clock, random, crash_monitor
+    ):
         self.fleet = fleet
         self.selector = selector
         self.crash_monitor = crash_monitor
         self.names = names
         self.bounds = bounds
         self.clock = clock
+        self.random = random
         self.rewriter = HeaderRewriter(names)
         self.buffer_budget = BufferBudget()
         self.retry_quotas_by_service = {}
@@ -168,7 +175,9 @@
             self._record_failure(attempt)
             return Refusal(Reason.UNREACHABLE, attempt.error)
         if not state.accepts_requests():
-            return Refusal(Reason.LEAVING, f"server {state.record.id}")
+            # The server may have said so since it was selected.
+            reason = Reason.PAUSED if state.pause_left_s() else Reason.LEAVING
+            return Refusal(reason, f"server {state.record.id}")
         if not progress.is_trial:
             # A part may have been quarantined since the server was selected.
             failure = self._admit(request, progress)
@@ -303,10 +312,15 @@
         if progress.possible_executions:
             detail = "no other server is available for the request"
             return Failure(Reason.BACKEND_FAILED, detail)
+        service = request.service.name
+        detail = f"service {service!r}"
+        pause_s = self.fleet.pause_s(service)
+        if pause_s:
+            pause_s += self.random.uniform(0, RETURN_SPREAD_S)
+            return Refusal(Reason.PAUSED, detail, Executed.NO, pause_s)
         reason = Reason.OVERLOADED if progress.tried_ids else Reason.NO_SERVER
-        if self.fleet.are_leaving(request.service.name):
+        if self.fleet.are_leaving(service):
             reason = Reason.LEAVING
-        detail = f"service {request.service.name!r}"
         return Refusal(reason, detail, Executed.NO, RETRY_AFTER_S)
 
     def _deadline_failure(self, request, progress):
--- a/boragetrail/direct/fleet.py
+++ b/boragetrail/direct/fleet.py
@@ -2,6 +2,7 @@
 
 from boragetrail.direct.connection import ConnectionPool
 from boragetrail.direct.counts import server_key
+from boragetrail.direct.pauses import parse_pause
 from boragetrail.direct.placements import PlacementQueue
 from boragetrail.direct.reports import ReportTable
 from boragetrail.events import Event, log_event
@@ -13,6 +14,7 @@
 __all__ = ["Fleet", "ServerState"]
 
 UNLISTED_SERVER_ERROR = "the server is no longer listed and sends nothing"
+MAX_LOGGED_LENGTH = 80
 QUARANTINED_PART_ERROR = "a part of the prompt was quarantined"
 
 
@@ -32,6 +34,9 @@
     :ivar consecutive_failures: number of failures since the last response
     :ivar suspect_until_s: monotonic time until which all other servers are
         preferred to this one
+    :ivar paused_until_s: monotonic time until which the server wants no
+        requests of this router
+    :ivar invalid_pauses: number of invalid pauses that it asked for
     :ivar cold_until_s: monotonic time until which the server is cold by its
         own responses
     :ivar cold_quota: :class:`~boragetrail.policy.quota.RateQuota` of the
@@ -52,6 +57,8 @@
         self.outcomes = OutcomeWindow(clock)
         self.consecutive_failures = 0
         self.suspect_until_s = 0.0
+        self.paused_until_s = 0.0
+        self.invalid_pauses = 0
         self.cold_until_s = 0.0
         self.cold_quota = RateQuota(clock)
 
@@ -85,9 +92,36 @@
         """Record that the server says that it leaves."""
         self.leaving_servers.add(self.record)
 
+    def record_pause(self, text):
+        """Record that the server asked for a pause.
+
+        An invalid value is logged once for each run of a server.
+
+        :param text: value of its ``Retry-After`` field
+        """
+        pause_s, is_valid = parse_pause(text)
+        until_s = self.clock() + pause_s
+        self.paused_until_s = max(self.paused_until_s, until_s)
+        if is_valid:
+            return
+        self.invalid_pauses += 1
+        if self.invalid_pauses == 1:
+            log_event(
+                Event.PAUSE_INVALID,
+                server=self.record.id,
+                value=text[:MAX_LOGGED_LENGTH],
+                pause_s=pause_s,
+            )
+
+    def pause_left_s(self):
+        """Return the seconds that are left of a pause, or 0."""
+        return max(0.0, self.paused_until_s - self.clock())
+
     def accepts_requests(self):
         """Return whether the server wants new requests of this router."""
-        return self.record not in self.leaving_servers
+        if self.record in self.leaving_servers:
+            return False
+        return self.paused_until_s <= self.clock()
 
     def record_cold(self, cold_s):
         """Record the remaining cold time that the server reported.
@@ -162,6 +196,24 @@
         ]
         return [state for state in states if state.accepts_requests()]
 
+    def pause_s(self, service):
+        """Return for how long all servers of a service want no requests.
+
+        Servers that leave or are not ready are not counted.
+
+        :param service: name of the service
+        :returns: seconds until the first pause ends, or 0 if a server wants
+            requests or there is none
+        """
+        pauses_s = [
+            self._state(known).pause_left_s()
+            for known in self.directory.servers_of(service)
+            if known.record.ready
+            and known.record.zone not in self.directory.evacuated_zones
+            and known.record not in self.leaving_servers
+        ]
+        return min(pauses_s, default=0.0)
+
     def are_leaving(self, service):
         """Return whether there are servers of a service and all leave."""
         listed = self.directory.servers_of(service)
@@ -307,7 +359,9 @@
         unlisted = [
             key
             for key, state in self.states_by_id.items()
-            if key not in listed and not state.in_flight
+            if key not in listed
+            and not state.in_flight
+            and not state.pause_left_s()
         ]
         for key in unlisted:
             self.states_by_id.pop(key).pool.close()
--- a/boragetrail/reasons.py
+++ b/boragetrail/reasons.py
@@ -100,6 +100,12 @@
         Executed.NO,
         "A part of the prompt has crashed servers.",
     )
+    PAUSED = (
+        "paused",
+        503,
+        Executed.NO,
+        "All backend servers have asked for a pause.",
+    )
     DEADLINE = (
         "deadline",
         504,
