Let the soak crash servers by a part, leave and ask for pauses

Three faults beside the others, drawn in pairs as before: a part of prompts crashes servers, a server says that it leaves while the store calls it ready, a server refuses requests and asks for pauses of 0.2 to 5 s. Counted are requests with the part later than 3 s after the fifth crash, requests to a server half a second after its router passed on that it leaves, and those inside a pause from half a second on; a router that started or was paused then is excused, as the users' pages say.

Chats with parts of prompts are a fifth kind of request, and are checked like the other streams that must not run twice.

In the first run, 5 requests came in the pause of a server that had crashed and started again since; a pause is now compared with the run that asked for it, as a new run knows nothing of before.

--- a/standins/httpserver.py
+++ b/standins/httpserver.py
@@ -61,6 +61,7 @@
     :ivar behaviours: queue of handlers, one for each of the next requests
     :ivar default: handler when the queue is empty; sends a complete
         response unless a test replaces it
+    :ivar born_ms: start of its run as its entry tells it, or 0
     :ivar writers: writers of the open connections
     """
 
@@ -69,6 +70,7 @@
         self.behaviours = collections.deque()
         self.default = _default_response
         self.connections = 0
+        self.born_ms = 0
         self.writers = set()
         self.server = None
         self.address = ""
@@ -99,6 +101,7 @@
             "slots": 8,
             "state": "ready",
             "coldLeftMs": 0,
+            **({"born": self.born_ms} if self.born_ms else {}),
             **fields,
         }
 
--- a/tools/directchecks.py
+++ b/tools/directchecks.py
@@ -1,6 +1,7 @@
 """Check the results of a soak against the guarantees of routers."""
 
 from tools.directfaults import ABORTING_FAULTS, CLOSING_FAULTS
+from tools.serverchecks import check_servers
 from tools.sums import arrivals_while_withdrawn
 from tools.sums import max_in_window, max_retry_excess
 
@@ -35,6 +36,7 @@
     yield from _check_stops(soak)
     yield from _check_aborted_calls(soak)
     yield from _check_fleet_limits(soak)
+    yield from check_servers(soak)
 
 
 def describe(call, text):
@@ -46,7 +48,7 @@
     """Compare the executions with the statuses that callers received."""
     for call in soak.calls:
         executions = len(soak.executions_by_id.get(call.id, ()))
-        if call.kind not in ("order", "stream"):
+        if call.kind not in ("order", "stream", "chat"):
             continue
         if executions > 1:
             yield describe(call, f"executed {executions} times")
--- a/tools/directfaults.py
+++ b/tools/directfaults.py
@@ -9,6 +9,7 @@
 import signal
 import time
 
+from tools.serverfaults import SERVER_FAULTS
 from tools.sums import Span
 
 __all__ = ["ABORTING_FAULTS", "CLOSING_FAULTS", "FAULTS", "PlannedStop"]
@@ -26,6 +27,7 @@
         "links_cut",
         "links_go_silent",
         "links_cut_one_way",
+        "part_is_deadly",
     )
 )
 # Faults during which routers cannot read changes from the store.
@@ -103,9 +105,11 @@
     if number is None:
         return None
     _, process = soak.routers[number]
+    soak.record_disturbance(number)
     process.send_signal(signal.SIGSTOP)
     await asyncio.sleep(PAUSE_S)
     process.send_signal(signal.SIGCONT)
+    soak.record_disturbance(number)
     return None
 
 
@@ -277,6 +281,7 @@
     links_cut_one_way,
     links_are_slow,
     server_takes_no_connections,
+    *SERVER_FAULTS,
     _server_fault("servers_refuse", "refuse"),
     _server_fault("servers_fail", "fail"),
     _server_fault("servers_cut", "cut"),
--- a/tools/directsoak.py
+++ b/tools/directsoak.py
@@ -19,13 +19,15 @@
 
 from boragetrail.direct.tests.conftest import KEY, Cluster, configuration
 from boragetrail.direct.tests.conftest import free_port, router_settings
-from boragetrail.direct.tests.conftest import service
+from boragetrail.direct.tests.conftest import route, service
 from boragetrail.platform.names import HEADER_NAMES
 from standins.httpserver import whole_answer
 from standins.proxy import FaultProxy
 from tools.directchecks import BOUNDS, COLD_PER_S, NOT_EXECUTED_STATUSES
 from tools.directchecks import describe, find_violations
 from tools.directfaults import FAULTS
+from tools.serverchecks import is_leaving
+from tools.serverfaults import ServerBehaviour
 from tools.sums import Arrival
 
 __all__ = ["DirectSoak"]
@@ -34,12 +36,14 @@
 SERVERS = 4
 WORKERS = 12
 EVENT_COUNT = 12
+CHAT_ROUTE = route("chat", "streaming", sticky=True)
 EVENT_PAUSE_S = 0.02
 DEADLINE_MS = "3000"
 FAULT_S = 2.0
 RECOVERY_S = 1.0
 START_TIMEOUT_S = 20.0
-CALL_KINDS = ("order", "status", "stream", "resume")
+CALL_KINDS = ("order", "status", "stream", "resume", "chat")
+STREAM_KINDS = frozenset(("stream", "resume", "chat"))
 # Ratio of the requests that come from the second customer.
 SECOND_KEY_RATIO = 0.2
 
@@ -49,6 +53,9 @@
 
     :ivar status: HTTP status, or 0 if there was none
     :ivar error: text of the exception if the response was aborted
+    :ivar prompt: parts of its prompt, or empty
+    :ivar leaving: whether the response said that its server leaves
+    :ivar server: id of the server that it named
     """
 
     __slots__ = (
@@ -59,6 +66,9 @@
         "ended_s",
         "status",
         "error",
+        "prompt",
+        "leaving",
+        "server",
     )
 
     def __init__(self, request_id, kind, router):
@@ -69,6 +79,9 @@
         self.ended_s = 0.0
         self.status = 0
         self.error = ""
+        self.prompt = ""
+        self.leaving = False
+        self.server = ""
 
 
 class DirectSoak:
@@ -79,6 +92,8 @@
     :ivar violations: violated guarantees as texts
     :ivar withdrawn_spans: each :class:`~tools.sums.Span` in which a key is
         not valid
+    :ivar servers: :class:`~tools.serverfaults.ServerBehaviour`
+    :ivar disturbances: (router, monotonic time) of each start and pause
     :ivar cold_spans: each :class:`~tools.sums.Span` in which a server is
         cold
     """
@@ -103,6 +118,8 @@
         self.fault_spans = []
         self.planned_stops = []
         self.server_fault = ""
+        self.servers = ServerBehaviour(self)
+        self.disturbances = []
         self.violations = []
         self.call_count = 0
 
@@ -139,6 +156,7 @@
             self.cluster.store.version + 10,
             tenants=tenants,
             services=[service("apps", coldPerS=COLD_PER_S)],
+            routes=[*configuration()["routes"], CHAT_ROUTE],
         )
         self.cluster.store.put("op", "config", value)
 
@@ -177,11 +195,16 @@
                 stderr=log,
             )
         self.routers[number] = (listen, process)
+        self.record_disturbance(number)
         async with asyncio.timeout(START_TIMEOUT_S):
             while not await self.is_ready(number):
                 await asyncio.sleep(0.05)
         self.open_to_callers.add(number)
 
+    def record_disturbance(self, number):
+        """Record that a router starts, or is paused or resumed."""
+        self.disturbances.append((number, time.monotonic()))
+
     async def is_ready(self, number):
         """Return whether a router reports that it is ready."""
         url = f"http://{self.routers[number][0]['health']}/"
@@ -198,7 +221,15 @@
         """Execute a request at a server, with the current server fault."""
         key = self.keys_by_id.get(request.id, "")
         now = time.monotonic()
-        self.arrivals.append(Arrival(now, request.id, server.id, key))
+        self.arrivals.append(
+            Arrival(now, request.id, server.id, key, server.born_ms)
+        )
+        pause_s = self.servers.pause(server, request)
+        if pause_s:
+            fields = [f"{HEADER_NAMES.not_executed}: 1"]
+            fields.append(f"Retry-After: {pause_s}")
+            status = "503 Service Unavailable"
+            return whole_answer(request, b"", status, fields)
         server_fault = self.server_fault if self.random.random() < 0.4 else ""
         if server_fault == "refuse":
             fields = [f"{HEADER_NAMES.not_executed}: 1"]
@@ -216,11 +247,14 @@
             response = whole_answer(request, b"of another")
             return response.replace(request.id.encode(), b"another-id")
         kind = request.line.split("/")[1]
-        if kind in ("stream", "resume"):
-            return await self.stream(request, server_fault)
-        return whole_answer(request, request.id.encode())
-
-    async def stream(self, request, server_fault):
+        fields = [f"{HEADER_NAMES.server_id}: {server.id}"]
+        if server.id in self.servers.leaving_ids:
+            fields.append(f"{HEADER_NAMES.leaving}: 1")
+        if kind in STREAM_KINDS:
+            return await self.stream(server, request, server_fault, fields)
+        return whole_answer(request, request.id.encode(), fields=fields)
+
+    async def stream(self, server, request, server_fault, fields):
         """Stream numbered events; ``midway`` aborts after half of them."""
         last = request.headers.get("last-event-id")
         lines = (
@@ -229,8 +263,11 @@
             f"{HEADER_NAMES.seal}: seal",
             "Content-Type: text/event-stream",
             "Transfer-Encoding: chunked",
+            *fields,
         )
         request.writer.write("\r\n".join(lines).encode() + b"\r\n\r\n")
+        if await self.servers.crashes_server(server, request):
+            return None
         for number in range(int(last) + 1 if last else 0, EVENT_COUNT):
             if server_fault == "midway" and number == EVENT_COUNT // 2:
                 return None
@@ -252,6 +289,9 @@
         headers[HEADER_NAMES.deadline_ms] = DEADLINE_MS
         if self.random.random() < SECOND_KEY_RATIO:
             headers[HEADER_NAMES.key] = self.SECOND_KEY
+        if kind == "chat":
+            call.prompt = self.servers.prompt(self.call_count)
+            headers[HEADER_NAMES.prompt_parts] = call.prompt
         self.keys_by_id[call.id] = headers[HEADER_NAMES.key]
         url = f"http://{self.routers[number][0]['callers']}/{kind}/1"
         timeout = aiohttp.ClientTimeout(total=6.0, sock_connect=1.0)
@@ -260,6 +300,8 @@
                 url, headers=headers, timeout=timeout
             ) as response:
                 call.status = response.status
+                call.leaving = is_leaving(response.headers)
+                call.server = response.headers.get(HEADER_NAMES.server_id, "")
                 self.check_response(call, response, await response.read())
         except aiohttp.ClientConnectorError:
             pass
@@ -281,7 +323,7 @@
         if HEADER_NAMES.seal not in response.headers:
             self.record_call_violation(call, "success without a seal")
         expected = call.id
-        if call.kind in ("stream", "resume"):
+        if call.kind in STREAM_KINDS:
             events = range(EVENT_COUNT)
             expected = "".join(f"id: {n}\ndata: {call.id}\n\n" for n in events)
         if body.decode() != expected:
--- a/tools/sums.py
+++ b/tools/sums.py
@@ -20,12 +20,14 @@
     :param request_id: id of the caller's request
     :param server: id of the server
     :param key: key of the caller
+    :param born_ms: start of the server's run
     """
 
     at_s: float
     request_id: str
     server: str
     key: str = ""
+    born_ms: int = 0
 
 
 @dataclasses.dataclass(slots=True)
