Tell refused callers when to come back, and of lost attempts

Seen by the soak with the quarantine switched off: a 503 `unreachable` without Retry-After, after eight servers had refused connections. Refusals of an attempt were returned as they were, and a refusal of the last attempt would have said "not executed" of a request that an earlier one may have executed.

The failure of the last attempt is now turned into that of the request in one place. test_refusal_after_many_unreachable_servers failed before; test_refusal_after_a_lost_response passed and stays.

--- a/boragetrail/direct/dispatch.py
+++ b/boragetrail/direct/dispatch.py
@@ -80,6 +80,7 @@
         try:
             async with asyncio.timeout_at(request.deadline_s):
                 failure = await self._serve(request, caller, progress)
+            failure = self._overall_failure(failure, progress)
         except TimeoutError:
             failure = self._deadline_failure(request, progress)
         finally:
@@ -90,6 +91,24 @@
                 caller.set_response(*progress.server_error)
         return failure
 
+    @staticmethod
+    def _overall_failure(failure, progress):
+        """Return what a failure of the last attempt says of all attempts.
+
+        A refusal is only true of a request that no attempt may have executed.
+        Its caller is always told when to come back.
+
+        :param failure: :class:`~boragetrail.errors.Failure` or ``None``
+        """
+        if not isinstance(failure, Refusal):
+            return failure
+        if progress.possible_executions:
+            return Failure(Reason.BACKEND_FAILED, failure.detail)
+        retry_after_s = failure.retry_after_s or RETRY_AFTER_S
+        return Refusal(
+            failure.reason, failure.detail, failure.ran, retry_after_s
+        )
+
     async def _serve(self, request, caller, progress):
         while True:
             failure = self._admit(request, progress)
@@ -117,17 +136,13 @@
         progress.is_trial = admission.is_trial
         if admission.admitted:
             return None
-        return self._quarantine_failure(
-            progress, admission.part, admission.retry_after_s
+        return Refusal(
+            Reason.QUARANTINED,
+            f"part {admission.part}",
+            Executed.NO,
+            admission.retry_after_s,
         )
 
-    @staticmethod
-    def _quarantine_failure(progress, part, retry_after_s):
-        detail = f"part {part}"
-        if progress.possible_executions:
-            return Failure(Reason.BACKEND_FAILED, f"quarantined {detail}")
-        return Refusal(Reason.QUARANTINED, detail, Executed.NO, retry_after_s)
-
     async def _crashes_servers(self, request, progress):
         """Return whether a failed request may crash another server."""
         attempt = progress.attempt
--- a/boragetrail/direct/tests/test_rules.py
+++ b/boragetrail/direct/tests/test_rules.py
@@ -257,6 +257,39 @@
         assert abandoned_s[0] - received_s[1] <= MAX_OVERLAP_S
 
 
+class TestStatusOfLastFailure:
+    """A failure says whether any attempt may have been executed."""
+
+    async def test_refusal_after_a_lost_response(self, cluster):
+        daemon = await cluster.add_router()
+
+        async def lose(request):
+            for server in cluster.servers:
+                server.default = refuse
+
+        for server in cluster.servers:
+            server.default = lose
+        status, _, _ = await cluster.call(daemon, "/status/1")
+        assert len(received_requests(cluster)) == 2
+        assert status == 502
+
+    async def test_refusal_after_many_unreachable_servers(self, cluster):
+        for _ in range(8):
+            await cluster.add_server()
+        daemon = await cluster.add_router()
+        for server in cluster.servers:
+            server.crash()
+        response = await cluster.call(daemon, "/status/1")
+        assert response[0] == 503
+        assert float(response[1]["Retry-After"]) > 0
+
+
+async def refuse(request):
+    """Refuse a request."""
+    fields = [f"{HEADER_NAMES.not_executed}: 1"]
+    return whole_answer(request, b"", "503 Service Unavailable", fields)
+
+
 class TestSystemFields:
     """Header fields that only the router or a server may set."""
 
