--- a/boragetrail/direct/peersocket.py
+++ b/boragetrail/direct/peersocket.py
@@ -48,7 +48,7 @@
         self.take_update = take_update
         self.on_message = on_message
         self.record_gossip = record_gossip
-        record_gossip.send = self._send_to_many
+        record_gossip.send = self._send_to_all
         self.transport = None
         self.sequence = 0
         self.sent_bytes = 0
@@ -150,6 +150,11 @@
         for peer in self.table.sample(self.table.update_fanout()):
             self._send_data(data, peer.address)
 
+    def _send_to_all(self, message):
+        data = encode_datagram(message)
+        for address in self.table.peers_by_address:
+            self._send_data(data, address)
+
     def _send_snapshot(self, peers):
         for message in self.record_gossip.snapshot():
             data = encode_datagram(message)
--- a/boragetrail/direct/recordgossip.py
+++ b/boragetrail/direct/recordgossip.py
@@ -12,17 +12,18 @@
 class RecordGossip:
     """Queue records for peers and apply those of peers.
 
-    Each record is sent soon after it becomes known. In a large fleet peers
-    forward records that are new to them [1]_. Besides, each router regularly
-    sends all records that still matter to a few peers, and to each peer that
-    has just started.
+    A record that other routers need at once is sent to all peers, then once
+    more like other records: to all peers in a small fleet, to some in a large
+    one, which forward records that are new to them [1]_. Besides, each router
+    regularly sends all records that still matter to a few peers, and to each
+    peer that has just started.
 
     :param quarantine: :class:`~boragetrail.policy.quarantine.PromptQuarantine`
     :param leaving_servers: :class:`~boragetrail.direct.leaving.LeavingServers`
     :param peers: :class:`~boragetrail.direct.peers.PeerTable`
     :param clock: function that returns monotonic seconds
     :ivar queue: (record, number of times that it is still to be sent)
-    :ivar send: function that sends a message to many peers
+    :ivar send: function that sends a message to all peers
 
     .. [1] A. Demers et al., "Epidemic Algorithms for Replicated Database
        Maintenance", PODC 1987.
@@ -47,7 +48,7 @@
         self.queue.append((record, self.SEND_COUNT))
 
     def send_now(self, record):
-        """Send a record of this router at once, and later again."""
+        """Send a record of this router to all peers, and later again."""
         for message in self._messages([record]):
             self.send(message)
         self.queue.append((record, self.SEND_COUNT - 1))
--- a/boragetrail/direct/tests/test_recordgossip.py
+++ b/boragetrail/direct/tests/test_recordgossip.py
@@ -158,6 +158,11 @@
         assert len(first.gossip.take_messages()) == 1
         assert not first.gossip.take_messages()
 
+    def test_report_is_sent_to_all_peers_of_a_large_fleet(self):
+        router = Router(ManualClock(NOW_S), peer_count=60)
+        router.gossip.send_now(RECORDS[1])
+        assert len(router.socket.transport.sent) == 60
+
 
 class TestExchange:
     """Routers combine what each of them observed."""
