Run each seed of the fuzzer in a process of its own

Hypothesis refuses a test method that runs twice in one process, so a second seed always failed (10 of 13 tests, on their first example). The header fields of servers and the records of routers are fuzzed as well.

--- a/boragetrail/direct/tests/test_fuzz.py
+++ b/boragetrail/direct/tests/test_fuzz.py
@@ -11,11 +11,18 @@
 from hypothesis import given
 from hypothesis import strategies as st
 
-from boragetrail.direct.datagrams import InvalidDatagram, decode_datagram
+from boragetrail.direct.crashes import MAX_PART_LENGTH, shared_parts
+from boragetrail.direct.datagrams import (
+    InvalidDatagram,
+    decode_datagram,
+    encode_datagram,
+)
 from boragetrail.direct.eventstream import MAX_EVENT_BYTES, EventSplitter
 from boragetrail.direct.headers import forwarded_fields, parse_prompt_parts
 from boragetrail.direct.discovery import decode_parts
 from boragetrail.direct.interfaces import ChangeSet, Row, SourceFailure
+from boragetrail.direct.pauses import MAX_PAUSE_S, parse_pause
+from boragetrail.direct.recordmessages import RecordMessage, decode_records
 from boragetrail.direct.relay import decode_changes
 from boragetrail.direct.tests.conftest import KEY, configuration
 from boragetrail.platform.decode import PlatformRowDecoder
@@ -158,6 +165,32 @@
         assert not names & {b"x-own", b"x-other", b"connection"}
 
 
+class TestFieldsOfServers:
+    """Header fields in which a server says what it wants."""
+
+    @given(st.text())
+    def test_pauses(self, text):
+        pause_s, _ = parse_pause(text)
+        assert 0.0 <= pause_s <= MAX_PAUSE_S
+
+    @given(st.text() | st.from_regex(r"\A[0-9a-f]{1,16}:[0-9]{1,6}\Z"))
+    def test_shared_parts(self, text):
+        parts = shared_parts(parse_prompt_parts(text))
+        assert all(0 < len(part) <= MAX_PART_LENGTH for part in parts)
+
+    @given(
+        st.dictionaries(
+            st.sampled_from(("crash", "survival", "trial", "leaving", "x")),
+            VALUES,
+        )
+    )
+    def test_records(self, lists):
+        message = RecordMessage("records", lists)
+        decoded = decode_datagram(encode_datagram(message))
+        if not isinstance(decoded, InvalidDatagram):
+            decode_records(decoded, 0.0)
+
+
 class TestEvents:
     """Event streams that arrive in arbitrary pieces."""
 
--- a/tools/fuzz.py
+++ b/tools/fuzz.py
@@ -1,9 +1,9 @@
 """Run the property tests with new examples for some minutes."""
 
+import subprocess
 import sys
 import time
 
-import pytest
 import typer
 
 __all__ = ["fuzz"]
@@ -28,12 +28,21 @@
     while not status and (clock() < end_s or not runs):
         options = ["-p", "no:cacheprovider", "--hypothesis-profile=fuzz"]
         options.append(f"--hypothesis-seed={first + runs}")
-        status = int(pytest.main([*options, PROPERTIES]))
+        status = _run_pytest([*options, PROPERTIES])
         runs += 1
     print(f"seeds {first} to {first + runs - 1}: exit status {status}")
     return status
 
 
+def _run_pytest(arguments):
+    """Run pytest in a process of its own and return its exit status.
+
+    Hypothesis accepts a test method in one run of pytest per process.
+    """
+    command = [sys.executable, "-m", "pytest", *arguments]
+    return subprocess.run(command, check=False).returncode
+
+
 def main(minutes: float = 5.0, seed: int | None = None):
     """Run the property tests for some minutes."""
     sys.exit(fuzz(minutes, seed))
