--- a/boragetrail/direct/attempt.py
+++ b/boragetrail/direct/attempt.py
@@ -126,7 +126,7 @@
     is reported as not executed if it was never sent or if the server refused
     it. In all other cases it was or may have been executed.
 
-    :param server: :class:`~boragetrail.direct.fleet.ServerState`
+    :param server: :class:`~boragetrail.direct.serverstate.ServerState`
     :param names: :class:`~boragetrail.direct.interfaces.HeaderNames`
     :param request_id: id that the server repeats in its response
     :param clock: function that returns monotonic seconds
--- a/boragetrail/direct/crashes.py
+++ b/boragetrail/direct/crashes.py
@@ -125,7 +125,7 @@
     def _check(self, server):
         """Return the task that checks a server; one at a time for each.
 
-        :param server: :class:`~boragetrail.direct.fleet.ServerState`
+        :param server: :class:`~boragetrail.direct.serverstate.ServerState`
         """
         address = server.record.address
         check = self.checks_by_address.get(address)
--- a/boragetrail/direct/dispatch.py
+++ b/boragetrail/direct/dispatch.py
@@ -14,8 +14,8 @@
 from boragetrail.direct.model import RequestKind
 from boragetrail.direct.progress import PendingWork, RequestProgress
 from boragetrail.direct.reports import parse_load
+from boragetrail.direct.requestlog import RequestLog
 from boragetrail.errors import Failure, Refusal
-from boragetrail.events import Event, log_event
 from boragetrail.policy.quota import RetryQuota
 from boragetrail.reasons import Executed, Reason
 
@@ -66,6 +66,7 @@
         self.rewriter = HeaderRewriter(names)
         self.buffer_budget = BufferBudget()
         self.retry_quotas_by_service = {}
+        self.request_log = RequestLog(fleet.peers, clock)
 
     async def run(self, request, caller):
         """Serve a request.
@@ -124,7 +125,7 @@
                 return failure
             if not self._may_retry(request, progress, failure):
                 return failure
-            self._log_retry(request, progress, failure, state)
+            self.request_log.retried(request, progress, failure, state)
 
     def _admit(self, request, progress):
         """Return the failure of a request with a quarantined part.
@@ -170,7 +171,7 @@
         progress.attempt = attempt
         state.attempts.add(attempt)
         plan = self.selector.plan(request, progress, record.id)
-        self._log_sent(request, progress, state, plan)
+        self.request_log.sent(request, progress, state, plan)
         progress.pending_work = PendingWork(state, plan.prefill_tokens)
         try:
             return await self._exchange(request, caller, progress, plan)
@@ -292,7 +293,7 @@
                 stream_started = True
                 attempt.progressed = True
                 self.crash_monitor.response_progressed(progress.parts)
-                self._log_stream_started(request, attempt)
+                self.request_log.stream_started(request, attempt)
         if not response.is_framed and not (
             stream_started and splitter.at_event_end()
         ):
@@ -375,47 +376,3 @@
             )
             self.retry_quotas_by_service[service.name] = quota
         return quota
-
-    def _log_sent(self, request, progress, state, plan):
-        """Log the selected server and the inputs of the selection."""
-        peers = self.fleet.peers
-        request.selection = {
-            "server": state.record.id,
-            "tries": progress.attempt_count,
-        }
-        inputs = {
-            "in_flight": state.in_flight,
-            "others": peers.load(state.record.id).requests,
-            "news_age_s": peers.newest_digest_age_s(),
-            "doubtful": state.is_suspect(),
-            "left_s": round(request.deadline_s - self.clock(), 3),
-        }
-        if progress.prompt:
-            inputs["unread_tokens"] = plan.prefill_tokens
-            inputs["copied_from"] = plan.copy_from
-        log_event(
-            Event.REQUEST_SENT,
-            request=request.id,
-            service=request.service.name,
-            **request.selection,
-            **inputs,
-        )
-
-    def _log_stream_started(self, request, attempt):
-        log_event(
-            Event.STREAM_STARTED,
-            request=request.id,
-            server=attempt.server.record.id,
-            after_s=round(self.clock() - request.received_s, 3),
-        )
-
-    def _log_retry(self, request, progress, failure, state):
-        log_event(
-            Event.REQUEST_RETRIED,
-            request=request.id,
-            server=state.record.id,
-            code=failure.reason.code,
-            detail=failure.detail,
-            ran=failure.ran.value,
-            tries=progress.attempt_count,
-        )
--- a/boragetrail/direct/fleet.py
+++ b/boragetrail/direct/fleet.py
@@ -1,136 +1,20 @@
 """State of the servers, from this router's requests and from its peers."""
 
-from boragetrail.direct.connection import ConnectionPool
 from boragetrail.direct.counts import server_key
-from boragetrail.direct.pauses import parse_pause
 from boragetrail.direct.placements import PlacementQueue
 from boragetrail.direct.reports import ReportTable
+from boragetrail.direct.serverstate import ServerState
 from boragetrail.events import Event, log_event
 from boragetrail.policy.leastloaded import ServerView
-from boragetrail.policy.outcomes import OutcomeWindow, failure_rate
+from boragetrail.policy.outcomes import failure_rate
 from boragetrail.policy.prefix import EngineView, PrefixCacheIndex
-from boragetrail.policy.quota import RateQuota
 
-__all__ = ["Fleet", "ServerState"]
+__all__ = ["Fleet"]
 
 UNLISTED_SERVER_ERROR = "the server is no longer listed and sends nothing"
-MAX_LOGGED_LENGTH = 80
 QUARANTINED_PART_ERROR = "a part of the prompt was quarantined"
 
 
-class ServerState:
-    """Holds this router's connections, requests and results at one server.
-
-    :param record: :class:`~boragetrail.direct.model.ServerRecord`
-    :param clock: function that returns monotonic seconds
-    :param leaving_servers: :class:`~boragetrail.direct.leaving.LeavingServers`
-    :ivar attempts: set of :class:`~boragetrail.direct.attempt.Attempt` in
-        progress
-    :ivar in_flight: requests that this router has in flight there
-    :ivar pending_tokens: prompt tokens of the requests in flight that the
-        server has not yet processed
-    :ivar outcomes: :class:`~boragetrail.policy.outcomes.OutcomeWindow` of
-        the recent requests
-    :ivar consecutive_failures: number of failures since the last response
-    :ivar suspect_until_s: monotonic time until which all other servers are
-        preferred to this one
-    :ivar paused_until_s: monotonic time until which the server wants no
-        requests of this router
-    :ivar invalid_pauses: number of invalid pauses that it asked for
-    :ivar cold_until_s: monotonic time until which the server is cold by its
-        own responses
-    :ivar cold_quota: :class:`~boragetrail.policy.quota.RateQuota` of the
-        requests that it gets while it is cold
-    """
-
-    MIN_SUSPECT_S = 0.5
-    MAX_SUSPECT_S = 4.0
-
-    def __init__(self, record, clock, leaving_servers):
-        self.record = record
-        self.clock = clock
-        self.leaving_servers = leaving_servers
-        self.pool = ConnectionPool(record.address, clock)
-        self.attempts = set()
-        self.in_flight = 0
-        self.pending_tokens = 0
-        self.outcomes = OutcomeWindow(clock)
-        self.consecutive_failures = 0
-        self.suspect_until_s = 0.0
-        self.paused_until_s = 0.0
-        self.invalid_pauses = 0
-        self.cold_until_s = 0.0
-        self.cold_quota = RateQuota(clock)
-
-    def record_failure(self):
-        """Record that the server was unreachable or did not finish a response.
-
-        The server is suspect for a time that doubles with each consecutive
-        failure.
-        """
-        self.outcomes.add(True)
-        self.consecutive_failures += 1
-        suspect_s = self.MIN_SUSPECT_S * 2 ** (self.consecutive_failures - 1)
-        suspect_s = min(self.MAX_SUSPECT_S, suspect_s)
-        self.suspect_until_s = self.clock() + suspect_s
-
-    def record_response(self, failed=False):
-        """Record a complete response.
-
-        :param failed: whether the response reports an error of the server
-        """
-        self.outcomes.add(failed)
-        self.consecutive_failures = 0
-        self.suspect_until_s = 0.0
-
-    def is_suspect(self):
-        """Return whether the server failed recently or may be leaving."""
-        is_hinted = self.leaving_servers.is_hinted(self.record)
-        return is_hinted or self.suspect_until_s > self.clock()
-
-    def record_leaving(self):
-        """Record that the server says that it leaves."""
-        self.leaving_servers.add(self.record)
-
-    def record_pause(self, text):
-        """Record that the server asked for a pause.
-
-        An invalid value is logged once for each run of a server.
-
-        :param text: value of its ``Retry-After`` field
-        """
-        pause_s, is_valid = parse_pause(text)
-        until_s = self.clock() + pause_s
-        self.paused_until_s = max(self.paused_until_s, until_s)
-        if is_valid:
-            return
-        self.invalid_pauses += 1
-        if self.invalid_pauses == 1:
-            log_event(
-                Event.PAUSE_INVALID,
-                server=self.record.id,
-                value=text[:MAX_LOGGED_LENGTH],
-                pause_s=pause_s,
-            )
-
-    def pause_left_s(self):
-        """Return the seconds that are left of a pause, or 0."""
-        return max(0.0, self.paused_until_s - self.clock())
-
-    def accepts_requests(self):
-        """Return whether the server wants new requests of this router."""
-        if self.record in self.leaving_servers:
-            return False
-        return self.paused_until_s <= self.clock()
-
-    def record_cold(self, cold_s):
-        """Record the remaining cold time that the server reported.
-
-        :param cold_s: remaining time in seconds
-        """
-        self.cold_until_s = self.clock() + cold_s
-
-
 class Fleet:
     """Holds the states of the servers that a directory lists.
 
--- a/boragetrail/direct/progress.py
+++ b/boragetrail/direct/progress.py
@@ -58,7 +58,7 @@
 class PendingWork:
     """Hold what one attempt adds to the load of its server until it ends.
 
-    :param state: :class:`~boragetrail.direct.fleet.ServerState`
+    :param state: :class:`~boragetrail.direct.serverstate.ServerState`
     :param tokens: prompt tokens that the server must process
     """
 
--- /dev/null
+++ b/boragetrail/direct/requestlog.py
@@ -0,0 +1,65 @@
+"""Log lines of the attempts of requests."""
+
+from boragetrail.events import Event, log_event
+
+__all__ = ["RequestLog"]
+
+
+class RequestLog:
+    """Log what happens to a request between its arrival and its end.
+
+    :param peers: :class:`~boragetrail.direct.peers.PeerTable`
+    :param clock: function that returns monotonic seconds
+    """
+
+    __slots__ = ("peers", "clock")
+
+    def __init__(self, peers, clock):
+        self.peers = peers
+        self.clock = clock
+
+    def sent(self, request, progress, state, plan):
+        """Log the selected server and the inputs of the selection."""
+        peers = self.peers
+        request.selection = {
+            "server": state.record.id,
+            "tries": progress.attempt_count,
+        }
+        inputs = {
+            "in_flight": state.in_flight,
+            "others": peers.load(state.record.id).requests,
+            "news_age_s": peers.newest_digest_age_s(),
+            "doubtful": state.is_suspect(),
+            "left_s": round(request.deadline_s - self.clock(), 3),
+        }
+        if progress.prompt:
+            inputs["unread_tokens"] = plan.prefill_tokens
+            inputs["copied_from"] = plan.copy_from
+        log_event(
+            Event.REQUEST_SENT,
+            request=request.id,
+            service=request.service.name,
+            **request.selection,
+            **inputs,
+        )
+
+    def stream_started(self, request, attempt):
+        """Log that the first part of a stream was forwarded."""
+        log_event(
+            Event.STREAM_STARTED,
+            request=request.id,
+            server=attempt.server.record.id,
+            after_s=round(self.clock() - request.received_s, 3),
+        )
+
+    def retried(self, request, progress, failure, state):
+        """Log an attempt that failed and is followed by another."""
+        log_event(
+            Event.REQUEST_RETRIED,
+            request=request.id,
+            server=state.record.id,
+            code=failure.reason.code,
+            detail=failure.detail,
+            ran=failure.ran.value,
+            tries=progress.attempt_count,
+        )
