--- a/boragetrail/direct/tests/test_rules.py
+++ b/boragetrail/direct/tests/test_rules.py
@@ -463,7 +463,7 @@
         def record_event(event, **fields):
             lines.append((event, fields))
 
-        for module in ("dispatch", "frontend"):
+        for module in ("requestlog", "frontend"):
             name = f"boragetrail.direct.{module}.log_event"
             monkeypatch.setattr(name, record_event)
         daemon = await cluster.add_router()
