Say plainly what a quarantine holds

A class with two fields, of which one was read by nobody, is now a time; the module's text says how a part is cleared. Behaviour is unchanged.

--- a/boragetrail/direct/daemon.py
+++ b/boragetrail/direct/daemon.py
@@ -270,7 +270,7 @@
             "routers": self.peers.size(),
             "datagrams_refused": self.socket.datagrams_refused,
             "store_calls": self.store.calls,
-            "quarantined_parts": sorted(self.quarantine.holds_by_part),
+            "quarantined_parts": sorted(self.quarantine.held_until_s_by_part),
         }
 
     def _server_leaves(self, record):
--- a/boragetrail/direct/dispatch.py
+++ b/boragetrail/direct/dispatch.py
@@ -121,7 +121,7 @@
             failure = await self._try_server(request, caller, progress, state)
             if failure is None:
                 return None
-            if await self._crashes_servers(request, progress):
+            if await self._may_crash_server(request, progress):
                 return failure
             if not self._may_retry(request, progress, failure):
                 return failure
@@ -144,7 +144,7 @@
             admission.retry_after_s,
         )
 
-    async def _crashes_servers(self, request, progress):
+    async def _may_crash_server(self, request, progress):
         """Return whether a failed request may crash another server."""
         attempt = progress.attempt
         if not progress.parts or not attempt.connection_lost:
--- a/boragetrail/direct/tests/test_recordgossip.py
+++ b/boragetrail/direct/tests/test_recordgossip.py
@@ -74,7 +74,7 @@
 
     def convicted(self):
         """Return the convicted parts in order."""
-        return sorted(self.quarantine.holds_by_part)
+        return sorted(self.quarantine.held_until_s_by_part)
 
 
 @pytest.fixture
--- a/boragetrail/policy/quarantine.py
+++ b/boragetrail/policy/quarantine.py
@@ -6,10 +6,10 @@
 responses, by any router, and keeps the part from the servers.
 
 A report of a crash lists the parts of a request whose response the crash
-ended. A part is suspect while no response to it has begun since. One part of
-each such request is innocent with high probability: it is common, and other
-responses to it begin all the time. What remains is convicted as soon as it
-explains several crashes.
+ended. A part is suspect unless a server has survived the begin of a response
+to it, about at that time or later. Common parts, such as system prompts, are
+cleared in this way within moments. A part that stays suspect is convicted as
+soon as it explains several crashes.
 
 .. [1] B. Beyer, C. Jones, J. Petoff, N. Murphy, "Site Reliability
    Engineering", O'Reilly, 2016, chapter 22.
@@ -41,16 +41,6 @@
     retry_after_s: float = 0.0
 
 
-class Hold:
-    """Hold until when a convicted part is kept from all servers."""
-
-    __slots__ = ("ends_s", "crashes")
-
-    def __init__(self, ends_s, crashes):
-        self.ends_s = ends_s
-        self.crashes = crashes
-
-
 class PromptQuarantine:
     """Convict the prompt parts that crash servers, and try them later.
 
@@ -64,7 +54,8 @@
     :ivar reports_by_key: :class:`CrashReport` by server and parts
     :ivar survived_s_by_part: time of the last known survival of each part
     :ivar trial_s_by_part: time of the last known trial of each part
-    :ivar holds_by_part: :class:`Hold` of each convicted part
+    :ivar held_until_s_by_part: time until which each convicted part is kept
+        from all servers; then it may be tried
     :ivar suspect_parts: parts that some report counts against
 
     >>> import random
@@ -77,7 +68,7 @@
     ...     new = quarantine.add_crash(report)
     ...     now_s[0] += 0.5
     ...     survived = quarantine.survived(["base"])
-    >>> list(quarantine.holds_by_part)
+    >>> list(quarantine.held_until_s_by_part)
     ['odd']
     >>> quarantine.admit(["base", "odd"], lambda part: 0).admitted
     False
@@ -114,7 +105,7 @@
         self.reports_by_key = collections.OrderedDict()
         self.survived_s_by_part = collections.OrderedDict()
         self.trial_s_by_part = {}
-        self.holds_by_part = {}
+        self.held_until_s_by_part = {}
         self.suspect_parts = frozenset()
         self.told_at_s_by_survival = {}
         self.untold_parts = set()
@@ -127,7 +118,7 @@
             router with rank 0 tries the part first
         :returns: :class:`Admission`
         """
-        held = [part for part in parts if part in self.holds_by_part]
+        held = [part for part in parts if part in self.held_until_s_by_part]
         if not held:
             return Admission(True)
         now_s = self.clock()
@@ -142,7 +133,7 @@
 
     def holds(self, parts):
         """Return whether one of the parts is quarantined."""
-        return any(part in self.holds_by_part for part in parts)
+        return any(part in self.held_until_s_by_part for part in parts)
 
     def are_known(self, parts):
         """Return whether servers recently survived all of the parts."""
@@ -203,7 +194,7 @@
         # The clocks of two routers agree up to the delay of a datagram.
         if trial.started_s < known_s + self.SURVIVAL_MARGIN_S:
             return False
-        if trial.part not in self.holds_by_part:
+        if trial.part not in self.held_until_s_by_part:
             return False
         self.trial_s_by_part[trial.part] = trial.started_s
         return True
@@ -276,7 +267,7 @@
 
     def _trial_due_s(self, part, rank):
         """Return from when on this router may try a convicted part."""
-        due_s = self.holds_by_part[part].ends_s
+        due_s = self.held_until_s_by_part[part]
         due_s += rank(part) * self.TRIAL_TURN_S
         trial_s = self.trial_s_by_part.get(part, -math.inf)
         return max(due_s, trial_s + self.TRIAL_TIMEOUT_S)
@@ -331,10 +322,13 @@
             evidence.add(report, self._suspects(report))
         self.suspect_parts = frozenset(evidence.times_by_part)
         holds = {
-            part: self._hold(evidence.times(part))
+            part: self._held_until_s(evidence.times(part))
             for part in evidence.convict(self._is_known)
         }
-        known_holds, self.holds_by_part = self.holds_by_part, holds
+        known_holds, self.held_until_s_by_part = (
+            self.held_until_s_by_part,
+            holds,
+        )
         held = sorted(holds.keys() - known_holds.keys())
         released = sorted(known_holds.keys() - holds.keys())
         if held or released:
@@ -345,12 +339,12 @@
             if part in holds
         }
 
-    def _hold(self, times_s):
-        """Return the :class:`Hold` after crashes, given in order."""
+    def _held_until_s(self, times_s):
+        """Return until when a part is held after crashes, given in order."""
         repeats = sum(
             1
             for earlier_s, later_s in zip(times_s, times_s[1:])
             if later_s - earlier_s >= self.MIN_TRIAL_GAP_S
         )
         hold_s = min(self.MAX_HOLD_S, self.HOLD_S * 2**repeats)
-        return Hold(times_s[-1] + hold_s, len(times_s))
+        return times_s[-1] + hold_s
--- a/boragetrail/policy/tests/test_quarantine.py
+++ b/boragetrail/policy/tests/test_quarantine.py
@@ -41,7 +41,7 @@
 
     def convicted(self):
         """Return the convicted parts in order."""
-        return sorted(self.quarantine.holds_by_part)
+        return sorted(self.quarantine.held_until_s_by_part)
 
     def convict(self, part=ODD):
         """Let two servers crash under a part."""
