Do not take the exit of a server that said it leaves for a crash

Found by reading the diff: the check whether a server was shutting down knew its row only. A server that says so in a response while the store calls it ready, and exits with responses that have just begun, was reported as crashed under their parts; two such exits with a rare part in common would have put the part into quarantine for 30 s.

test_exit_is_not_taken_for_a_crash failed before (two reports).

--- a/boragetrail/direct/crashes.py
+++ b/boragetrail/direct/crashes.py
@@ -91,7 +91,7 @@
     async def _check_lost(self, request, attempt, parts):
         server = attempt.server
         phase = attempt.phase
-        was_in_use = self._is_in_use(server.record)
+        was_in_use = self._is_in_use(server)
         crashed = await asyncio.shield(self._check(server))
         log_event(
             Event.RESPONSE_LOST,
@@ -107,11 +107,15 @@
             self._report(server.record, parts, phase)
         return crashed
 
-    def _is_in_use(self, record):
+    def _is_in_use(self, server):
         """Return whether a server is listed and not shutting down.
 
         A server that shuts down may end its last responses and exit.
         """
+        record = server.record
+        leaving = server.leaving_servers
+        if record in leaving or leaving.is_hinted(record):
+            return False
         listed = self.directory.servers_by_id.get(record.id)
         return listed is not None and listed.record.ready
 
--- a/boragetrail/direct/tests/test_leaving.py
+++ b/boragetrail/direct/tests/test_leaving.py
@@ -159,6 +159,18 @@
         content = await engines.cache_content((host, int(port)))
         assert content.leaving
 
+    async def test_exit_is_not_taken_for_a_crash(self, cluster):
+        daemon = await cluster.add_router()
+        routes = [route("stream", "streaming", sticky=True)]
+        cluster.store.put("op", "config", configuration(2, routes=routes))
+        await cluster.until(lambda: daemon.directory.configuration.version > 1)
+        for server in cluster.servers:
+            server.default = exit_after_head(server)
+        await send(cluster, daemon, "/stream/1", 2)
+        await cluster.until(lambda: not daemon.fleet.usable_servers("apps"))
+        await asyncio.sleep(0.1)
+        assert not daemon.quarantine.reports_by_key
+
     async def test_other_routers_prefer_other_servers(self, cluster):
         first_router = await cluster.add_router()
         other = await cluster.add_router()
@@ -169,6 +181,20 @@
         assert not first.requests
 
 
+def exit_after_head(server):
+    """Return a handler that says so in a head and lets the server exit."""
+
+    async def respond(request):
+        head = stream_head(request)[:-2] + f"{LEAVING}\r\n\r\n".encode()
+        request.writer.write(head)
+        await request.writer.drain()
+        await asyncio.sleep(0.02)
+        server.crash()
+        return b""
+
+    return respond
+
+
 async def whole_answer_handler(request):
     """Return a complete response."""
     return whole_answer(request)
--- a/boragetrail/policy/quarantine.py
+++ b/boragetrail/policy/quarantine.py
@@ -275,7 +275,7 @@
     def _is_full(self, report):
         """Return whether there is no room for a report.
 
-        A report that counts against no part gives way.
+        The oldest report without a convicted part gives way.
         """
         of_server = sum(
             1 for server, _ in self.reports_by_key if server == report.server
