Split four modules that had more than one job

Change: the progress of a request and when it may be retried move to router/progress.py, one attempt to agent/attempt.py, prompts and the prefix cache of the test engine to standins/prefixcache.py, calls and responses of the soak to tools/soakcalls.py and tools/soakserver.py. Pure moves; imports follow, no module re-exports what left it.

--- a/boragetrail/agent/attempts.py
+++ b/boragetrail/agent/attempts.py
@@ -4,6 +4,7 @@
 import functools
 import time
 
+from boragetrail.agent.attempt import Attempt
 from boragetrail.agent.backend import StepTimeMeter
 from boragetrail.agent.stream import AnswerStream
 from boragetrail.errors import BackendFailure, Refusal
@@ -11,7 +12,7 @@
 from boragetrail.policy import StallGate
 from boragetrail.reasons import Executed, Reason
 
-__all__ = ["Attempt", "AttemptController"]
+__all__ = ["AttemptController"]
 
 # Seconds after which an idempotent attempt is cancelled if no router reads
 # the answer.
@@ -24,48 +25,6 @@
 STALL_CHECK_INTERVAL_S = 0.02
 
 
-class Attempt:
-    """Hold one attempt of a request that the agent has admitted.
-
-    :ivar dispatch: :class:`~boragetrail.wire.messages.Dispatch`
-    :ivar entry: entry of the ledger
-    :ivar stream: :class:`~boragetrail.agent.stream.AnswerStream`
-    :ivar queue_entry: entry of the admission queue
-    :ivar reader_count: number of connections that read the answer
-    :ivar started_s: monotonic time at which the request was sent to the
-        backend server, or ``None`` while the request waits
-    :ivar refusal: refusal of the attempt after admission, or ``None``
-    """
-
-    __slots__ = (
-        "dispatch",
-        "entry",
-        "stream",
-        "queue_entry",
-        "task",
-        "reader_count",
-        "started_s",
-        "refusal",
-        "deadline_s",
-    )
-
-    def __init__(self, dispatch, entry, stream, deadline_s):
-        self.dispatch = dispatch
-        self.entry = entry
-        self.stream = stream
-        self.queue_entry = None
-        self.task = None
-        self.reader_count = 0
-        self.started_s = None
-        self.refusal = None
-        self.deadline_s = deadline_s
-
-    @property
-    def is_order(self):
-        """Return whether the attempt is an order that runs at most once."""
-        return bool(self.dispatch.order_id)
-
-
 class AttemptController:
     """Admit, run and track the attempts of one backend server.
 
--- a/boragetrail/agent/connection.py
+++ b/boragetrail/agent/connection.py
@@ -6,7 +6,7 @@
 
 import websockets
 
-from boragetrail.agent.attempts import Attempt
+from boragetrail.agent.attempt import Attempt
 from boragetrail.agent.stream import WINDOW_BYTES
 from boragetrail.errors import Failure
 from boragetrail.orders import OrderState
--- a/boragetrail/agent/outcomes.py
+++ b/boragetrail/agent/outcomes.py
@@ -21,7 +21,7 @@
 def outcome_value(attempt):
     """Return the row value that describes the outcome of a claimed order.
 
-    :param attempt: ended :class:`~boragetrail.agent.attempts.Attempt`
+    :param attempt: ended :class:`~boragetrail.agent.attempt.Attempt`
     """
     stream = attempt.stream
     body = None
--- a/boragetrail/router/dispatch.py
+++ b/boragetrail/router/dispatch.py
@@ -9,14 +9,10 @@
 from boragetrail.policy import Candidate, MeanMultipleCap, PlacementRequest
 from boragetrail.reasons import Executed, Reason
 from boragetrail.router.exchange import Exchange
+from boragetrail.router.progress import RequestProgress, can_retry_elsewhere
 from boragetrail.wire.messages import Data, Dispatch, End, Start
 
-__all__ = [
-    "Dispatcher",
-    "RequestProgress",
-    "can_retry_elsewhere",
-    "request_digest",
-]
+__all__ = ["Dispatcher", "request_digest"]
 
 MAX_LOAD_ENTRIES_PER_DISPATCH = 6
 # Limit on a server's load, as a multiple of the mean load of the service.
@@ -27,25 +23,6 @@
 MAX_EXTRA_ATTEMPTS = 4
 EXTRA_ATTEMPT_PAUSE_S = 0.025
 
-# Reasons after which another server may accept the request.
-RETRYABLE_REASONS = frozenset(
-    (
-        Reason.OVER_CAP,
-        Reason.COLD,
-        Reason.ZONE_OUT,
-        Reason.LEAVING,
-        Reason.DRAINED,
-        Reason.CONFIG_STALE,
-        Reason.NO_CONFIG,
-        Reason.WRONG_INCARNATION,
-        Reason.UNREACHABLE,
-        Reason.OVERLOADED,
-        Reason.LEDGER_FULL,
-        Reason.PROTOCOL,
-        Reason.TOMBSTONED,
-    )
-)
-
 
 class Dispatcher:
     """Run requests on the servers of their services.
@@ -333,66 +310,6 @@
         return max(1, int(1000 * remaining_s))
 
 
-class RequestProgress:
-    """Hold the retry state of one request over all of its attempts.
-
-    :ivar tried_servers: names of the servers that failed or refused
-    :ivar extra_attempts: number of attempts after every server was tried
-        once
-    :ivar started: whether the caller has received status and header fields
-    :ivar events: number of complete server-sent events forwarded to the
-        caller
-    :ivar events_before_attempt: value of ``events`` when the current attempt
-        began, because an agent counts events from 0 in each attempt
-    :ivar at_event_end: whether the forwarded bytes end with a complete event
-    :ivar last_failure: failure of the latest attempt
-    """
-
-    __slots__ = (
-        "tried_servers",
-        "extra_attempts",
-        "started",
-        "events",
-        "at_event_end",
-        "last_failure",
-        "events_before_attempt",
-    )
-
-    def __init__(self):
-        self.tried_servers = set()
-        self.extra_attempts = 0
-        self.started = False
-        self.events = 0
-        self.events_before_attempt = 0
-        self.at_event_end = True
-        self.last_failure = None
-
-    def record_data(self, exchange):
-        """Update the number of events that the request has forwarded.
-
-        :param exchange: :class:`~boragetrail.router.exchange.Exchange` of
-            the current attempt
-        """
-        self.at_event_end = exchange.at_event_end
-        self.events = self.events_before_attempt + exchange.events
-
-    def record_failure(self, choice, failure):
-        """Record a failed attempt."""
-        self.tried_servers.add(choice.candidate.name)
-        self.last_failure = failure
-        self.events_before_attempt = self.events
-
-    def is_resumable(self, context):
-        """Return whether another server can continue a started answer."""
-        is_model = context.service_config.get("kind") == "model"
-        return is_model and self.at_event_end and self.events > 0
-
-
-def can_retry_elsewhere(failure):
-    """Return whether an order may be dispatched to another server."""
-    return failure.ran == Executed.NO and failure.reason in RETRYABLE_REASONS
-
-
 def request_digest(context):
     """Return a digest of a request's customer, method, path and body.
 
--- a/boragetrail/router/orders.py
+++ b/boragetrail/router/orders.py
@@ -9,11 +9,8 @@
 from boragetrail.orders import OrderState, issue_ticket, parse_ticket
 from boragetrail.policy import Candidate, Choice
 from boragetrail.reasons import Executed, Reason
-from boragetrail.router.dispatch import (
-    RequestProgress,
-    can_retry_elsewhere,
-    request_digest,
-)
+from boragetrail.router.dispatch import request_digest
+from boragetrail.router.progress import RequestProgress, can_retry_elsewhere
 from boragetrail.utils import new_incarnation
 from boragetrail.wire.messages import (
     Attach,
--- a/features/conftest.py
+++ b/features/conftest.py
@@ -7,7 +7,7 @@
 
 import pytest
 
-from standins.engine import response_words
+from standins.prefixcache import response_words
 from tools.client import Caller
 from tools.deployments import asante_boateng
 from tools.fleet import Fleet
--- a/tools/directsoak.py
+++ b/tools/directsoak.py
@@ -21,69 +21,29 @@
 from boragetrail.direct.tests.conftest import free_port, router_settings
 from boragetrail.direct.tests.conftest import route, service
 from boragetrail.platform.names import HEADER_NAMES
-from standins.httpserver import whole_answer
 from standins.proxy import FaultProxy
 from tools.directchecks import BOUNDS, COLD_PER_S, NOT_EXECUTED_STATUSES
 from tools.directchecks import describe, find_violations
 from tools.directfaults import FAULTS
 from tools.serverchecks import is_leaving
 from tools.serverfaults import ServerBehaviour
-from tools.sums import Arrival
+from tools.soakcalls import CALL_KINDS, Call, expected_body
+from tools.soakserver import serve
 
 __all__ = ["DirectSoak"]
 
 ROUTERS = 3
 SERVERS = 4
 WORKERS = 12
-EVENT_COUNT = 12
 CHAT_ROUTE = route("chat", "streaming", sticky=True)
-EVENT_PAUSE_S = 0.02
 DEADLINE_MS = "3000"
 FAULT_S = 2.0
 RECOVERY_S = 1.0
 START_TIMEOUT_S = 20.0
-CALL_KINDS = ("order", "status", "stream", "resume", "chat")
-STREAM_KINDS = frozenset(("stream", "resume", "chat"))
 # Ratio of the requests that come from the second customer.
 SECOND_KEY_RATIO = 0.2
 
 
-class Call:
-    """Hold what a caller received for one request.
-
-    :ivar status: HTTP status, or 0 if there was none
-    :ivar error: text of the exception if the response was aborted
-    :ivar prompt: parts of its prompt, or empty
-    :ivar leaving: whether the response said that its server leaves
-    :ivar server: id of the server that it named
-    """
-
-    __slots__ = (
-        "id",
-        "kind",
-        "router",
-        "began_s",
-        "ended_s",
-        "status",
-        "error",
-        "prompt",
-        "leaving",
-        "server",
-    )
-
-    def __init__(self, request_id, kind, router):
-        self.id = request_id
-        self.kind = kind
-        self.router = router
-        self.began_s = time.monotonic()
-        self.ended_s = 0.0
-        self.status = 0
-        self.error = ""
-        self.prompt = ""
-        self.leaving = False
-        self.server = ""
-
-
 class DirectSoak:
     """Hold the processes, the calls and the faults of one run.
 
@@ -128,7 +88,7 @@
         await self.cluster.open(SERVERS)
         self.write_configuration()
         for server in self.cluster.servers:
-            server.default = functools.partial(self.serve, server)
+            server.default = functools.partial(serve, self, server)
             await self.insert_proxy(server)
         gossip_port = free_port()
         for number in range(ROUTERS):
@@ -217,66 +177,6 @@
         except (aiohttp.ClientError, asyncio.TimeoutError):
             return False
 
-    async def serve(self, server, request):
-        """Execute a request at a server, with the current server fault."""
-        key = self.keys_by_id.get(request.id, "")
-        now = time.monotonic()
-        self.arrivals.append(
-            Arrival(now, request.id, server.id, key, server.born_ms)
-        )
-        pause_s = self.servers.pause(server, request)
-        if pause_s:
-            fields = [f"{HEADER_NAMES.not_executed}: 1"]
-            fields.append(f"Retry-After: {pause_s}")
-            status = "503 Service Unavailable"
-            return whole_answer(request, b"", status, fields)
-        server_fault = self.server_fault if self.random.random() < 0.4 else ""
-        if server_fault == "refuse":
-            fields = [f"{HEADER_NAMES.not_executed}: 1"]
-            status = "503 Service Unavailable"
-            return whole_answer(request, b"", status, fields)
-        executions = self.executions_by_id.setdefault(request.id, [])
-        executions.append(time.monotonic())
-        if server_fault == "fail":
-            return whole_answer(request, b"", "500 Internal Server Error")
-        if server_fault == "cut":
-            return None
-        if server_fault == "slow":
-            await asyncio.sleep(0.5)
-        if server_fault == "other":
-            response = whole_answer(request, b"of another")
-            return response.replace(request.id.encode(), b"another-id")
-        kind = request.line.split("/")[1]
-        fields = [f"{HEADER_NAMES.server_id}: {server.id}"]
-        if server.id in self.servers.leaving_ids:
-            fields.append(f"{HEADER_NAMES.leaving}: 1")
-        if kind in STREAM_KINDS:
-            return await self.stream(server, request, server_fault, fields)
-        return whole_answer(request, request.id.encode(), fields=fields)
-
-    async def stream(self, server, request, server_fault, fields):
-        """Stream numbered events; ``midway`` aborts after half of them."""
-        last = request.headers.get("last-event-id")
-        lines = (
-            "HTTP/1.1 200 OK",
-            f"{HEADER_NAMES.request_id}: {request.id}",
-            f"{HEADER_NAMES.seal}: seal",
-            "Content-Type: text/event-stream",
-            "Transfer-Encoding: chunked",
-            *fields,
-        )
-        request.writer.write("\r\n".join(lines).encode() + b"\r\n\r\n")
-        if await self.servers.crashes_server(server, request):
-            return None
-        for number in range(int(last) + 1 if last else 0, EVENT_COUNT):
-            if server_fault == "midway" and number == EVENT_COUNT // 2:
-                return None
-            event = f"id: {number}\ndata: {request.id}\n\n".encode()
-            request.writer.write(b"%x\r\n%s\r\n" % (len(event), event))
-            await request.writer.drain()
-            await asyncio.sleep(EVENT_PAUSE_S)
-        return b"0\r\n\r\n"
-
     async def send_request(self):
         """Send one request and check its response."""
         number = self.random.choice(sorted(self.open_to_callers))
@@ -322,11 +222,7 @@
             return
         if HEADER_NAMES.seal not in response.headers:
             self.record_call_violation(call, "success without a seal")
-        expected = call.id
-        if call.kind in STREAM_KINDS:
-            events = range(EVENT_COUNT)
-            expected = "".join(f"id: {n}\ndata: {call.id}\n\n" for n in events)
-        if body.decode() != expected:
+        if body.decode() != expected_body(call):
             self.record_call_violation(call, f"unexpected body: {body!r}")
 
     def record_call_violation(self, call, text):
--- a/tools/soak.py
+++ b/tools/soak.py
@@ -10,7 +10,7 @@
 
 import typer
 
-from standins.engine import response_words
+from standins.prefixcache import response_words
 from tools.client import Caller
 from tools.deployments import kowhai
 from tools.faults import FAULTS
