Give what servers say of themselves one home

Leaving and pauses were two mechanisms with two tables, one by run and one that went with this router's state of a server, which therefore had to be kept while a pause lasted. The count of invalid pauses is checked as the number of runs that asked for one, since it is counted by run.

--- a/boragetrail/direct/crashes.py
+++ b/boragetrail/direct/crashes.py
@@ -113,7 +113,7 @@
         A server that shuts down may end its last responses and exit.
         """
         record = server.record
-        leaving = server.leaving_servers
+        leaving = server.knowledge.leaving
         if record in leaving or leaving.is_hinted(record):
             return False
         listed = self.directory.servers_by_id.get(record.id)
--- a/boragetrail/direct/daemon.py
+++ b/boragetrail/direct/daemon.py
@@ -19,7 +19,7 @@
 from boragetrail.direct.fleet import Fleet
 from boragetrail.direct.frontend import Frontend
 from boragetrail.direct.interfaces import Table
-from boragetrail.direct.leaving import Leaving, LeavingServers
+from boragetrail.direct.knowledge import Leaving, ServerKnowledge
 from boragetrail.direct.liveness import StoreLiveness
 from boragetrail.direct.messagebuilder import MessageBuilder
 from boragetrail.direct.metrics import DirectMetrics
@@ -73,13 +73,13 @@
         self.liveness_by_table = {
             table: StoreLiveness(self.clock) for table in Table
         }
-        self.leaving_servers = LeavingServers(self._server_leaves)
+        self.knowledge = ServerKnowledge(self.clock, self._server_leaves)
         self.fleet = Fleet(
             self.directory,
             self.peers,
             settings.zone,
             self.clock,
-            self.leaving_servers,
+            self.knowledge,
         )
         names = platform.HEADER_NAMES
         bounds = settings.bounds
@@ -87,7 +87,7 @@
             self.clock, self.random, self._quarantine_changed
         )
         self.record_gossip = RecordGossip(
-            self.quarantine, self.leaving_servers, self.peers, self.clock
+            self.quarantine, self.knowledge, self.peers, self.clock
         )
         self.selector = ServerSelector(
             self.fleet, names, bounds, self.clock, self.random
--- a/boragetrail/direct/discovery.py
+++ b/boragetrail/direct/discovery.py
@@ -145,7 +145,7 @@
     async def _query_server(self, record):
         content = await self.engines.cache_content(record.address)
         if content.leaving:
-            self.fleet.leaving_servers.add(record)
+            self.fleet.knowledge.leaving.add(record)
         for part in content.parts:
             self.fleet.prefix_index.add_holder(part, record.id)
         log_event(
--- a/boragetrail/direct/fleet.py
+++ b/boragetrail/direct/fleet.py
@@ -22,7 +22,8 @@
     :param peers: :class:`~boragetrail.direct.peers.PeerTable`
     :param zone: availability zone of the router
     :param clock: function that returns monotonic seconds
-    :param leaving_servers: :class:`~boragetrail.direct.leaving.LeavingServers`
+    :param knowledge:
+        :class:`~boragetrail.direct.knowledge.ServerKnowledge`
     :ivar replaced_states: states of earlier runs of servers; those without
         attempts in progress are removed
     :ivar reports: :class:`~boragetrail.direct.reports.ReportTable`
@@ -36,9 +37,9 @@
     # Silence after which an attempt at an unlisted server is aborted.
     MAX_UNLISTED_SILENCE_S = 2.0
 
-    def __init__(self, directory, peers, zone, clock, leaving_servers):
+    def __init__(self, directory, peers, zone, clock, knowledge):
         self.directory = directory
-        self.leaving_servers = leaving_servers
+        self.knowledge = knowledge
         self.peers = peers
         self.zone = zone
         self.clock = clock
@@ -94,7 +95,7 @@
             for known in self.directory.servers_of(service)
             if known.record.ready
             and known.record.zone not in self.directory.evacuated_zones
-            and known.record not in self.leaving_servers
+            and known.record not in self.knowledge.leaving
         ]
         return min(pauses_s, default=0.0)
 
@@ -102,7 +103,7 @@
         """Return whether there are servers of a service and all leave."""
         listed = self.directory.servers_of(service)
         return bool(listed) and all(
-            known.record in self.leaving_servers for known in listed
+            known.record in self.knowledge.leaving for known in listed
         )
 
     def copy_sources(self, service):
@@ -117,7 +118,7 @@
             known.record.id: known.record.address
             for known in self.directory.servers_of(service)
             if not self._is_suspect(known.record.id)
-            and known.record not in self.leaving_servers
+            and known.record not in self.knowledge.leaving
         }
 
     def is_cold(self, state):
@@ -243,9 +244,7 @@
         unlisted = [
             key
             for key, state in self.states_by_id.items()
-            if key not in listed
-            and not state.in_flight
-            and not state.pause_left_s()
+            if key not in listed and not state.in_flight
         ]
         for key in unlisted:
             self.states_by_id.pop(key).pool.close()
@@ -267,7 +266,7 @@
             self.prefix_index.remove_engine(record.id)
             if state is not None:
                 self.replaced_states.append(state)
-            state = ServerState(record, self.clock, self.leaving_servers)
+            state = ServerState(record, self.clock, self.knowledge)
             self.states_by_id[record.id] = state
         state.record = record
         return state
--- /dev/null
+++ b/boragetrail/direct/knowledge/__init__.py
@@ -0,0 +1,6 @@
+"""What routers know of backend servers, from their own words or others'."""
+
+from boragetrail.direct.knowledge.leaving import Leaving
+from boragetrail.direct.knowledge.servers import ServerKnowledge
+
+__all__ = ["Leaving", "ServerKnowledge"]
--- a/boragetrail/direct/recordgossip.py
+++ b/boragetrail/direct/recordgossip.py
@@ -2,7 +2,7 @@
 
 import collections
 
-from boragetrail.direct.leaving import Leaving
+from boragetrail.direct.knowledge.leaving import Leaving
 from boragetrail.direct.recordmessages import decode_records, encode_records
 from boragetrail.policy.crashrecords import CrashReport, Survival, Trial
 
@@ -19,7 +19,8 @@
     peer that has just started.
 
     :param quarantine: :class:`~boragetrail.policy.quarantine.PromptQuarantine`
-    :param leaving_servers: :class:`~boragetrail.direct.leaving.LeavingServers`
+    :param knowledge:
+        :class:`~boragetrail.direct.knowledge.ServerKnowledge`
     :param peers: :class:`~boragetrail.direct.peers.PeerTable`
     :param clock: function that returns monotonic seconds
     :ivar queue: (record, number of times that it is still to be sent)
@@ -35,9 +36,9 @@
     MAX_PER_DATAGRAM = 12
     MAX_QUEUED = 256
 
-    def __init__(self, quarantine, leaving_servers, peers, clock):
+    def __init__(self, quarantine, knowledge, peers, clock):
         self.quarantine = quarantine
-        self.leaving_servers = leaving_servers
+        self.knowledge = knowledge
         self.peers = peers
         self.clock = clock
         self.queue = collections.deque(maxlen=self.MAX_QUEUED)
@@ -63,7 +64,7 @@
             CrashReport: self.quarantine.add_crash,
             Survival: self.quarantine.add_survival,
             Trial: self.quarantine.add_trial,
-            Leaving: self.leaving_servers.add_hint,
+            Leaving: self.knowledge.leaving.add_hint,
         }
         for record in decode_records(message, self.clock()):
             is_new = add_by_type[type(record)](record)
--- a/boragetrail/direct/recordmessages.py
+++ b/boragetrail/direct/recordmessages.py
@@ -8,7 +8,7 @@
 import dataclasses
 
 from boragetrail.direct import checks
-from boragetrail.direct.leaving import Leaving
+from boragetrail.direct.knowledge.leaving import Leaving
 from boragetrail.policy.crashrecords import CrashReport, Survival, Trial
 
 __all__ = ["RecordMessage", "decode_records", "encode_records"]
@@ -28,7 +28,8 @@
     :param lists_by_type: lists of encoded records by the name of their type:
         ``"crash"`` for :class:`~boragetrail.policy.crashrecords.CrashReport`,
         ``"survival"``, ``"trial"`` and
-        ``"leaving"`` for :class:`~boragetrail.direct.leaving.Leaving`
+        ``"leaving"`` for
+        :class:`~boragetrail.direct.knowledge.leaving.Leaving`
     """
 
     kind: str
--- a/boragetrail/direct/serverstate.py
+++ b/boragetrail/direct/serverstate.py
@@ -1,22 +1,19 @@
 """State of one run of a server, from this router's requests to it."""
 
 from boragetrail.direct.connection import ConnectionPool
-from boragetrail.direct.pauses import parse_pause
-from boragetrail.events import Event, log_event
 from boragetrail.policy.outcomes import OutcomeWindow
 from boragetrail.policy.quota import RateQuota
 
 __all__ = ["ServerState"]
 
-MAX_LOGGED_LENGTH = 80
-
 
 class ServerState:
     """Holds this router's connections, requests and results at one server.
 
     :param record: :class:`~boragetrail.direct.model.ServerRecord`
     :param clock: function that returns monotonic seconds
-    :param leaving_servers: :class:`~boragetrail.direct.leaving.LeavingServers`
+    :param knowledge:
+        :class:`~boragetrail.direct.knowledge.ServerKnowledge`
     :ivar attempts: set of :class:`~boragetrail.direct.attempt.Attempt` in
         progress
     :ivar in_flight: requests that this router has in flight there
@@ -27,9 +24,6 @@
     :ivar consecutive_failures: number of failures since the last response
     :ivar suspect_until_s: monotonic time until which all other servers are
         preferred to this one
-    :ivar paused_until_s: monotonic time until which the server wants no
-        requests of this router
-    :ivar invalid_pauses: number of invalid pauses that it asked for
     :ivar cold_until_s: monotonic time until which the server is cold by its
         own responses
     :ivar cold_quota: :class:`~boragetrail.policy.quota.RateQuota` of the
@@ -39,10 +33,10 @@
     MIN_SUSPECT_S = 0.5
     MAX_SUSPECT_S = 4.0
 
-    def __init__(self, record, clock, leaving_servers):
+    def __init__(self, record, clock, knowledge):
         self.record = record
         self.clock = clock
-        self.leaving_servers = leaving_servers
+        self.knowledge = knowledge
         self.pool = ConnectionPool(record.address, clock)
         self.attempts = set()
         self.in_flight = 0
@@ -50,8 +44,6 @@
         self.outcomes = OutcomeWindow(clock)
         self.consecutive_failures = 0
         self.suspect_until_s = 0.0
-        self.paused_until_s = 0.0
-        self.invalid_pauses = 0
         self.cold_until_s = 0.0
         self.cold_quota = RateQuota(clock)
 
@@ -78,43 +70,27 @@
 
     def is_suspect(self):
         """Return whether the server failed recently or may be leaving."""
-        is_hinted = self.leaving_servers.is_hinted(self.record)
+        is_hinted = self.knowledge.leaving.is_hinted(self.record)
         return is_hinted or self.suspect_until_s > self.clock()
 
     def record_leaving(self):
         """Record that the server says that it leaves."""
-        self.leaving_servers.add(self.record)
+        self.knowledge.leaving.add(self.record)
 
     def record_pause(self, text):
         """Record that the server asked for a pause.
 
-        An invalid value is logged once for each run of a server.
-
         :param text: value of its ``Retry-After`` field
         """
-        pause_s, is_valid = parse_pause(text)
-        until_s = self.clock() + pause_s
-        self.paused_until_s = max(self.paused_until_s, until_s)
-        if is_valid:
-            return
-        self.invalid_pauses += 1
-        if self.invalid_pauses == 1:
-            log_event(
-                Event.PAUSE_INVALID,
-                server=self.record.id,
-                value=text[:MAX_LOGGED_LENGTH],
-                pause_s=pause_s,
-            )
+        self.knowledge.pauses.add(self.record, text)
 
     def pause_left_s(self):
         """Return the seconds that are left of a pause, or 0."""
-        return max(0.0, self.paused_until_s - self.clock())
+        return self.knowledge.pauses.left_s(self.record)
 
     def accepts_requests(self):
         """Return whether the server wants new requests of this router."""
-        if self.record in self.leaving_servers:
-            return False
-        return self.paused_until_s <= self.clock()
+        return self.knowledge.accepts_requests(self.record)
 
     def record_cold(self, cold_s):
         """Record the remaining cold time that the server reported.
--- a/boragetrail/direct/tests/test_datagrams.py
+++ b/boragetrail/direct/tests/test_datagrams.py
@@ -63,7 +63,7 @@
         directory = Directory(None, self.clock)
         gossip = make_record_gossip(self.peers)
         self.fleet = Fleet(
-            directory, self.peers, "z", self.clock, gossip.leaving_servers
+            directory, self.peers, "z", self.clock, gossip.knowledge
         )
         self.socket = PeerSocket(
             self.peers,
--- a/boragetrail/direct/tests/test_fuzz.py
+++ b/boragetrail/direct/tests/test_fuzz.py
@@ -21,7 +21,7 @@
 from boragetrail.direct.headers import forwarded_fields, parse_prompt_parts
 from boragetrail.direct.discovery import decode_parts
 from boragetrail.direct.interfaces import ChangeSet, Row, SourceFailure
-from boragetrail.direct.pauses import MAX_PAUSE_S, parse_pause
+from boragetrail.direct.knowledge.pauses import MAX_PAUSE_S, parse_pause
 from boragetrail.direct.recordmessages import RecordMessage, decode_records
 from boragetrail.direct.relay import decode_changes
 from boragetrail.direct.tests.conftest import KEY, configuration
--- a/boragetrail/direct/tests/test_leaving.py
+++ b/boragetrail/direct/tests/test_leaving.py
@@ -176,7 +176,7 @@
         other = await cluster.add_router()
         await cluster.until(lambda: other.peers.live_peers())
         first, _ = await hear(cluster, first_router)
-        await cluster.until(lambda: other.leaving_servers.hinted_runs)
+        await cluster.until(lambda: other.knowledge.leaving.hinted_runs)
         await send(cluster, other, "/status/1", 10)
         assert not first.requests
 
--- a/boragetrail/direct/tests/test_pauses.py
+++ b/boragetrail/direct/tests/test_pauses.py
@@ -4,7 +4,7 @@
 
 import pytest
 
-from boragetrail.direct.pauses import (
+from boragetrail.direct.knowledge.pauses import (
     DEFAULT_PAUSE_S,
     MAX_PAUSE_S,
     parse_pause,
@@ -102,7 +102,7 @@
             await send(cluster, daemon, "/status/1")
         state = daemon.fleet.states_by_id[first.id]
         assert 0.0 < state.pause_left_s() <= DEFAULT_PAUSE_S
-        assert state.invalid_pauses == 1
+        assert len(daemon.knowledge.pauses.invalid_runs) == 1
 
     async def test_entry_that_vanishes_and_comes_back(self, cluster):
         daemon = await cluster.add_router()
--- a/boragetrail/direct/tests/test_recordgossip.py
+++ b/boragetrail/direct/tests/test_recordgossip.py
@@ -5,7 +5,7 @@
 import cbor2
 import pytest
 
-from boragetrail.direct.leaving import Leaving
+from boragetrail.direct.knowledge.leaving import Leaving
 from boragetrail.direct.recordmessages import (
     RecordMessage,
     decode_records,
--- a/boragetrail/direct/tests/test_updates.py
+++ b/boragetrail/direct/tests/test_updates.py
@@ -10,7 +10,7 @@
 )
 from boragetrail.direct.directory import Directory
 from boragetrail.direct.interfaces import ChangeSet, Row, Table
-from boragetrail.direct.leaving import LeavingServers
+from boragetrail.direct.knowledge import ServerKnowledge
 from boragetrail.direct.messagebuilder import MessageBuilder
 from boragetrail.direct.peers import PeerTable
 from boragetrail.direct.peersocket import PeerSocket
@@ -35,8 +35,8 @@
     quarantine = PromptQuarantine(
         peers.clock, peers.random, lambda held, released: None
     )
-    leaving_servers = LeavingServers(lambda record: None)
-    return RecordGossip(quarantine, leaving_servers, peers, peers.clock)
+    knowledge = ServerKnowledge(peers.clock)
+    return RecordGossip(quarantine, knowledge, peers, peers.clock)
 
 
 def update(**fields):
--- a/boragetrail/emulator/fleet.py
+++ b/boragetrail/emulator/fleet.py
@@ -5,7 +5,7 @@
 from boragetrail.direct.datagrams import Update
 from boragetrail.direct.directory import Directory, ListedServer
 from boragetrail.direct.fleet import Fleet
-from boragetrail.direct.leaving import LeavingServers
+from boragetrail.direct.knowledge import ServerKnowledge
 from boragetrail.direct.model import ServerRecord, Service
 from boragetrail.direct.messagebuilder import MessageBuilder
 from boragetrail.direct.peers import PeerTable
@@ -70,7 +70,7 @@
             self.peers,
             zone,
             clock,
-            LeavingServers(lambda record: None),
+            ServerKnowledge(clock),
         )
         self.selector = ServerSelector(
             self.fleet, None, BOUNDS, clock, self.random
