Log the limits that servers name, and show that nothing regards them

What was missing to tell the hypotheses apart: that a router hears of a limit. Of a limit it is sure that it held when the response arrived, or before; that a server names none is only sure of the moment at which the request was sent. Nothing is decided by it yet.

--- a/boragetrail/direct/attempt.py
+++ b/boragetrail/direct/attempt.py
@@ -131,6 +131,7 @@
     :param request_id: id that the server repeats in its response
     :param clock: function that returns monotonic seconds
     :param parts: ids of the prompt parts that other prompts may contain
+    :ivar sent_s: monotonic time at which the request was sent
     :ivar waiting_since_s: monotonic time since which the router waits for
         bytes of the server, or ``None`` while it does not wait, for example
         because the caller reads slowly
@@ -146,6 +147,7 @@
         self.names = names
         self.request_id = request_id
         self.clock = clock
+        self.sent_s = 0.0
         self.waiting_since_s = None
         self.progressed = False
         self.connection_lost = False
@@ -199,7 +201,7 @@
             self.error = "connection was lost before the request was sent"
             return ExchangeOutcome.UNREACHABLE
         self.state = AttemptState.SENT
-        self.waiting_since_s = self.clock()
+        self.sent_s = self.waiting_since_s = self.clock()
         try:
             self.connection.send_request(data)
             self.response = await self._read_response()
@@ -302,6 +304,7 @@
                 self._record_pause(response.headers)
             response_id = response.headers.get(self.names.request_id)
             if response_id is None or response_id == self.request_id:
+                self._record_limit(response)
                 return response
             if not await _skip(payload):
                 return None
@@ -312,6 +315,11 @@
         if pause is not None:
             self.server.record_pause(pause)
 
+    def _record_limit(self, response):
+        if response.status != MISDIRECTED_STATUS:
+            limit = response.headers.get(self.names.limit)
+            self.server.record_limit(limit, self.sent_s)
+
     def _classify_response(self):
         self.waiting_since_s = None
         response = self.response
--- a/boragetrail/direct/interfaces.py
+++ b/boragetrail/direct/interfaces.py
@@ -171,6 +171,8 @@
     :param load: numbers of running requests, waiting requests and slots of
         the server
     :param leaving: ``1`` in all responses of a server that shuts down
+    :param limit: requests per second that the server takes from all routers
+        together, in all its responses while the limit is in force
     :param cold_ms: remaining time in milliseconds for which the server is
         cold
     :param prompt_parts: parts of the prompt, ``ID:TOKENS`` each
@@ -193,6 +195,7 @@
     not_executed: str
     load: str
     leaving: str
+    limit: str
     cold_ms: str
     prompt_parts: str
     tokens: str
--- a/boragetrail/direct/serverstate.py
+++ b/boragetrail/direct/serverstate.py
@@ -84,6 +84,14 @@
         """
         self.knowledge.pauses.add(self.record, text)
 
+    def record_limit(self, text, sent_s):
+        """Record the limit that a response names.
+
+        :param text: value of the field, or ``None`` without it
+        :param sent_s: monotonic time at which the request was sent
+        """
+        self.knowledge.hear_limit(self.record, text, sent_s)
+
     def pause_left_s(self):
         """Return the seconds that are left of a pause, or 0."""
         return self.knowledge.pauses.left_s(self.record)
--- /dev/null
+++ b/boragetrail/direct/tests/test_limits.py
@@ -0,0 +1,83 @@
+"""Tests with servers that name a limit on their request rate."""
+
+import asyncio
+
+import pytest
+
+from boragetrail.direct.tests.test_leaving import send
+from boragetrail.platform.names import HEADER_NAMES
+from standins.httpserver import whole_answer
+
+NOT_EXECUTED = f"{HEADER_NAMES.not_executed}: 1"
+LIMIT_PER_S = 1.0
+# A server may get this many requests in each window after REACTION_S.
+WINDOW_S = 4.0
+MAX_ARRIVALS = 1.5 * LIMIT_PER_S * WINDOW_S + 5
+REACTION_S = 0.5
+
+
+def name_limit(value, status="200 OK", *fields):
+    """Return a handler that names a limit in its response."""
+
+    async def respond(request):
+        limit = f"{HEADER_NAMES.limit}: {value}"
+        return whole_answer(request, b"", status, (limit, *fields))
+
+    return respond
+
+
+async def hear(cluster, daemons, server):
+    """Send requests until each router has heard of a server's limit."""
+    for daemon in daemons:
+        count = len(server.requests)
+        while len(server.requests) == count:
+            await send(cluster, daemon, "/status/1")
+
+
+class TestServerLimit:
+    """A server gets no more requests than it says that it takes."""
+
+    # Guards against routers that do not regard Server-Limit (LIMIT).
+    async def test_sum_over_routers_stays_within_the_limit(self, cluster):
+        daemons = [await cluster.add_router() for _ in range(3)]
+        first, second = cluster.servers
+        first.default = name_limit(LIMIT_PER_S)
+        await hear(cluster, daemons, first)
+        await asyncio.sleep(REACTION_S)
+        for server in cluster.servers:
+            server.requests.clear()
+        for _ in range(30):
+            for daemon in daemons:
+                await send(cluster, daemon, "/status/1")
+        assert len(first.requests) <= MAX_ARRIVALS
+        assert len(first.requests) + len(second.requests) == 90
+
+    # Guards against routers that start and are told nothing (LIMIT).
+    async def test_router_that_starts_is_told(self, cluster):
+        daemon = await cluster.add_router()
+        first, _ = cluster.servers
+        first.default = name_limit(LIMIT_PER_S)
+        await hear(cluster, [daemon], first)
+        started = await cluster.add_router()
+        await asyncio.sleep(REACTION_S)
+        first.requests.clear()
+        await send(cluster, started, "/status/1", 60)
+        assert len(first.requests) <= MAX_ARRIVALS
+
+    @pytest.mark.parametrize(
+        ("path", "status"),
+        [
+            ("/status/1", "500 Internal Server Error"),
+            ("/status/1", "503 Service Unavailable"),
+        ],
+    )
+    async def test_limit_in_a_failure(self, cluster, path, status):
+        daemon = await cluster.add_router()
+        first, _ = cluster.servers
+        fields = (NOT_EXECUTED,) if status.startswith("503") else ()
+        first.default = name_limit(LIMIT_PER_S, status, *fields)
+        await hear(cluster, [daemon], first)
+        await asyncio.sleep(REACTION_S)
+        first.requests.clear()
+        await send(cluster, daemon, path, 60)
+        assert len(first.requests) <= MAX_ARRIVALS
--- a/boragetrail/platform/names.py
+++ b/boragetrail/platform/names.py
@@ -24,6 +24,7 @@
     not_executed="X-Boragetrail-Not-Executed",
     load="X-Boragetrail-Server-Load",
     leaving="Server-Leaving",
+    limit="Server-Limit",
     cold_ms="X-Boragetrail-Cold-Ms",
     prompt_parts="X-Boragetrail-Prefix-Hash",
     tokens="X-Boragetrail-Token-Count",
