Send servers no more than the limit that they name, all routers together

What a server says of itself had no common way to those that decide, so each new word needs a mechanism of its own and a new one has none. Ruled out: that each router applied all of it; that only restarted routers were at fault.

Change: the newest limit of each run of a server is held in direct/knowledge/ with its time, whoever heard it. Each router keeps its part of the limit: the requests of a window of 1.1, 2.2 or 4.4 s are divided among the routers, by rank where there are fewer than routers. What was sent before the limit was known counts. A server's silence is not the end of its limit: after 10 s without a word one router after another sends a request. Callers get 503 "limited" with the time until the quota allows a request if no server has quota left. A request that was selected before the limit was known is checked again before it is sent.

--- a/boragetrail/direct/daemon.py
+++ b/boragetrail/direct/daemon.py
@@ -9,7 +9,6 @@
 import aiohttp.web
 
 from boragetrail.direct.crashes import CrashMonitor, log_quarantine
-from boragetrail.direct.counts import run_key
 from boragetrail.direct.datagrams import Update
 from boragetrail.direct.directory import Directory
 from boragetrail.direct.discovery import CacheDiscovery
@@ -19,7 +18,7 @@
 from boragetrail.direct.fleet import Fleet
 from boragetrail.direct.frontend import Frontend
 from boragetrail.direct.interfaces import Table
-from boragetrail.direct.knowledge import Leaving, ServerKnowledge
+from boragetrail.direct.knowledge import ServerKnowledge
 from boragetrail.direct.liveness import StoreLiveness
 from boragetrail.direct.messagebuilder import MessageBuilder
 from boragetrail.direct.metrics import DirectMetrics
@@ -73,7 +72,7 @@
         self.liveness_by_table = {
             table: StoreLiveness(self.clock) for table in Table
         }
-        self.knowledge = ServerKnowledge(self.clock, self._server_leaves)
+        self.knowledge = ServerKnowledge(self.peers)
         self.fleet = Fleet(
             self.directory,
             self.peers,
@@ -273,10 +272,6 @@
             "quarantined_parts": sorted(self.quarantine.held_until_s_by_part),
         }
 
-    def _server_leaves(self, record):
-        log_event(Event.SERVER_SAYS_LEAVING, server=record.id)
-        self.record_gossip.send_now(Leaving(run_key(record)))
-
     def _quarantine_changed(self, held, released):
         log_quarantine(held, released)
         self.fleet.abort_attempts(held)
--- a/boragetrail/direct/dispatch.py
+++ b/boragetrail/direct/dispatch.py
@@ -194,6 +194,9 @@
             # The server may have said so since it was selected.
             reason = Reason.PAUSED if state.pause_left_s() else Reason.LEAVING
             return Refusal(reason, f"server {state.record.id}")
+        limiter = self.fleet.knowledge.limiter
+        if not limiter.confirm(state.record, progress.selected_s):
+            return Refusal(Reason.LIMITED, f"server {state.record.id}")
         if not progress.is_trial:
             # A part may have been quarantined since the server was selected.
             failure = self._admit(request, progress)
@@ -330,10 +333,12 @@
             return Failure(Reason.BACKEND_FAILED, detail)
         service = request.service.name
         detail = f"service {service!r}"
-        pause_s = self.fleet.pause_s(service)
-        if pause_s:
-            pause_s += self.random.uniform(0, RETURN_SPREAD_S)
-            return Refusal(Reason.PAUSED, detail, Executed.NO, pause_s)
+        wait_s = self.fleet.wait_s(service)
+        if wait_s:
+            wait_s += self.random.uniform(0, RETURN_SPREAD_S)
+            paused = self.fleet.are_paused(service)
+            reason = Reason.PAUSED if paused else Reason.LIMITED
+            return Refusal(reason, detail, Executed.NO, wait_s)
         reason = Reason.OVERLOADED if progress.tried_ids else Reason.NO_SERVER
         if self.fleet.are_leaving(service):
             reason = Reason.LEAVING
--- a/boragetrail/direct/fleet.py
+++ b/boragetrail/direct/fleet.py
@@ -81,23 +81,35 @@
         ]
         return [state for state in states if state.accepts_requests()]
 
-    def pause_s(self, service):
-        """Return for how long all servers of a service want no requests.
-
-        Servers that leave or are not ready are not counted.
+    def wait_s(self, service):
+        """Return for how long no server of a service takes a request.
 
         :param service: name of the service
-        :returns: seconds until the first pause ends, or 0 if a server wants
-            requests or there is none
+        :returns: seconds until the first pause ends or the first limit allows
+            a request, or 0 if a server takes one or there is none
         """
-        pauses_s = [
-            self._state(known).pause_left_s()
+        limiter = self.knowledge.limiter
+        waits_s = [
+            max(state.pause_left_s(), limiter.wait_s(state.record))
+            for state in self._staying_servers(service)
+        ]
+        return min(waits_s, default=0.0)
+
+    def are_paused(self, service):
+        """Return whether all servers of a service have asked for a pause."""
+        return all(
+            state.pause_left_s() for state in self._staying_servers(service)
+        )
+
+    def _staying_servers(self, service):
+        """Return the states of ready servers that do not leave."""
+        return [
+            self._state(known)
             for known in self.directory.servers_of(service)
             if known.record.ready
             and known.record.zone not in self.directory.evacuated_zones
             and known.record not in self.knowledge.leaving
         ]
-        return min(pauses_s, default=0.0)
 
     def are_leaving(self, service):
         """Return whether there are servers of a service and all leave."""
--- a/boragetrail/direct/knowledge/leaving.py
+++ b/boragetrail/direct/knowledge/leaving.py
@@ -40,7 +40,7 @@
 
     MAX_RUNS = 4096
 
-    def __init__(self, on_add=lambda record: None):
+    def __init__(self, on_add):
         self.on_add = on_add
         self.own_runs = collections.OrderedDict()
         self.hinted_runs = collections.OrderedDict()
--- a/boragetrail/direct/knowledge/servers.py
+++ b/boragetrail/direct/knowledge/servers.py
@@ -1,7 +1,10 @@
 """Knowledge of the runs of servers, whoever heard it."""
 
+import dataclasses
+
 from boragetrail.direct.counts import run_key
-from boragetrail.direct.knowledge.leaving import LeavingServers
+from boragetrail.direct.knowledge.leaving import Leaving, LeavingServers
+from boragetrail.direct.knowledge.limiter import RequestLimiter
 from boragetrail.direct.knowledge.pauses import PauseTable
 from boragetrail.events import Event, log_event
 from boragetrail.policy.serverlimits import (
@@ -22,21 +25,30 @@
     nothing yet. What is known of a run does not depend on its entry in the
     platform's store, which may vanish and come back.
 
-    :param clock: function that returns monotonic seconds
-    :param on_leaving: function that is called with the
-        :class:`~boragetrail.direct.model.ServerRecord` of each server that
-        says to this router for the first time that it leaves
+    What one router hears, all routers need. News are passed to :attr:`tell`,
+    those of other routers come to :meth:`apply`, and a router that starts
+    gets a :meth:`snapshot`.
+
+    :param peers: :class:`~boragetrail.direct.peers.PeerTable`
     :ivar leaving:
         :class:`~boragetrail.direct.knowledge.leaving.LeavingServers`
     :ivar pauses: :class:`~boragetrail.direct.knowledge.pauses.PauseTable`
     :ivar limits: :class:`~boragetrail.policy.serverlimits.LimitTable`
+    :ivar limiter:
+        :class:`~boragetrail.direct.knowledge.limiter.RequestLimiter`
+    :ivar tell: function that sends a record to all other routers at once
     """
 
-    def __init__(self, clock, on_leaving=lambda record: None):
-        self.clock = clock
-        self.leaving = LeavingServers(on_leaving)
-        self.pauses = PauseTable(clock)
-        self.limits = LimitTable()
+    # Longest time for which a datagram of another router is on its way.
+    MAX_DELAY_S = 0.5
+
+    def __init__(self, peers):
+        self.clock = peers.clock
+        self.tell = lambda record: None
+        self.leaving = LeavingServers(self._server_leaves)
+        self.pauses = PauseTable(peers.clock)
+        self.limits = LimitTable(peers.clock)
+        self.limiter = RequestLimiter(self.limits, peers)
 
     def accepts_requests(self, record):
         """Return whether a server wants new requests of this router.
@@ -75,3 +87,27 @@
                 server=record.id,
                 rate_per_s=report.rate_per_s,
             )
+            self.tell(report)
+
+    def apply(self, record):
+        """Add a record that another router heard.
+
+        :param record: :class:`~boragetrail.direct.knowledge.leaving.Leaving`
+            or :class:`~boragetrail.policy.serverlimits.LimitReport`
+        :returns: whether it is new
+        """
+        if isinstance(record, Leaving):
+            return self.leaving.add_hint(record)
+        if record.rate_per_s is None:
+            # Its age does not include the time on the way.
+            heard_s = record.heard_s - self.MAX_DELAY_S
+            record = dataclasses.replace(record, heard_s=heard_s)
+        return self.limits.add(record)
+
+    def snapshot(self):
+        """Return the records that a router that starts needs, as a list."""
+        return self.limits.recent()
+
+    def _server_leaves(self, record):
+        log_event(Event.SERVER_SAYS_LEAVING, server=record.id)
+        self.tell(Leaving(run_key(record)))
--- a/boragetrail/direct/recordgossip.py
+++ b/boragetrail/direct/recordgossip.py
@@ -5,6 +5,7 @@
 from boragetrail.direct.knowledge.leaving import Leaving
 from boragetrail.direct.recordmessages import decode_records, encode_records
 from boragetrail.policy.crashrecords import CrashReport, Survival, Trial
+from boragetrail.policy.serverlimits import LimitReport
 
 __all__ = ["RecordGossip"]
 
@@ -43,6 +44,7 @@
         self.clock = clock
         self.queue = collections.deque(maxlen=self.MAX_QUEUED)
         self.send = None
+        knowledge.tell = self.send_now
 
     def add(self, record):
         """Queue a record."""
@@ -64,7 +66,8 @@
             CrashReport: self.quarantine.add_crash,
             Survival: self.quarantine.add_survival,
             Trial: self.quarantine.add_trial,
-            Leaving: self.knowledge.leaving.add_hint,
+            Leaving: self.knowledge.apply,
+            LimitReport: self.knowledge.apply,
         }
         for record in decode_records(message, self.clock()):
             is_new = add_by_type[type(record)](record)
@@ -87,7 +90,9 @@
         quarantine = self.quarantine
         quarantine.remove_expired()
         return self._messages(
-            quarantine.active_reports() + quarantine.active_trials()
+            quarantine.active_reports()
+            + quarantine.active_trials()
+            + self.knowledge.snapshot()
         )
 
     def _messages(self, records):
--- a/boragetrail/direct/recordmessages.py
+++ b/boragetrail/direct/recordmessages.py
@@ -10,6 +10,7 @@
 from boragetrail.direct import checks
 from boragetrail.direct.knowledge.leaving import Leaving
 from boragetrail.policy.crashrecords import CrashReport, Survival, Trial
+from boragetrail.policy.serverlimits import MAX_RATE_PER_S, LimitReport
 
 __all__ = ["RecordMessage", "decode_records", "encode_records"]
 
@@ -18,6 +19,9 @@
 MAX_TYPES = 16
 MAX_AGE_MS = 3_600_000
 MAX_KEY = 2**64 - 1
+# Encoded limit of a server that names none.
+NO_LIMIT = 0
+MAX_RATE_PER_1000_S = int(1000 * MAX_RATE_PER_S)
 
 
 @dataclasses.dataclass(slots=True)
@@ -29,7 +33,9 @@
         ``"crash"`` for :class:`~boragetrail.policy.crashrecords.CrashReport`,
         ``"survival"``, ``"trial"`` and
         ``"leaving"`` for
-        :class:`~boragetrail.direct.knowledge.leaving.Leaving`
+        :class:`~boragetrail.direct.knowledge.leaving.Leaving`,
+        ``"limit"`` for
+        :class:`~boragetrail.policy.serverlimits.LimitReport`
     """
 
     kind: str
@@ -89,6 +95,14 @@
     return checks.fixed_list(value, checks.text, _age)
 
 
+def _check_limit(value):
+    return checks.fixed_list(value, _key, _rate, _age)
+
+
+def _rate(value):
+    return checks.integer(value, MAX_RATE_PER_1000_S)
+
+
 def _key(value):
     return checks.integer(value, MAX_KEY)
 
@@ -113,6 +127,19 @@
     return CrashReport(server, tuple(parts), begun, crashed_s)
 
 
+def _encode_limit(report, now_s):
+    rate = NO_LIMIT
+    if report.rate_per_s is not None:
+        rate = max(1, int(1000 * report.rate_per_s))
+    return [report.server, rate, _age_ms(report.heard_s, now_s)]
+
+
+def _decode_limit(value, now_s):
+    server, rate, age_ms = value
+    rate_per_s = rate / 1000.0 if rate != NO_LIMIT else None
+    return LimitReport(server, rate_per_s, now_s - age_ms / 1000.0)
+
+
 def _age_ms(time_s, now_s):
     return max(0, min(MAX_AGE_MS, int((now_s - time_s) * 1000)))
 
@@ -122,6 +149,7 @@
     CrashReport: "crash",
     Trial: "trial",
     Leaving: "leaving",
+    LimitReport: "limit",
 }
 _ENCODERS_BY_NAME = {
     "survival": lambda record, now_s: [
@@ -134,6 +162,7 @@
         _age_ms(record.started_s, now_s),
     ],
     "leaving": lambda record, now_s: record.server,
+    "limit": _encode_limit,
 }
 _DECODERS_BY_NAME = {
     "survival": lambda value, now_s: Survival(
@@ -142,10 +171,12 @@
     "crash": _decode_crash,
     "trial": lambda value, now_s: Trial(value[0], now_s - value[1] / 1000.0),
     "leaving": lambda value, now_s: Leaving(value),
+    "limit": _decode_limit,
 }
 _CHECKS_BY_NAME = {
     "survival": _check_part_with_age,
     "crash": _check_crash,
     "trial": _check_part_with_age,
     "leaving": _key,
+    "limit": _check_limit,
 }
--- a/boragetrail/direct/selector.py
+++ b/boragetrail/direct/selector.py
@@ -43,12 +43,24 @@
         self.least_loaded = LeastLoadedOrder(random)
 
     def choose(self, request, progress):
-        """Return the state of the server to try next, or ``None``."""
+        """Return the state of the server to try next, or ``None``.
+
+        The request is counted against the limit that the server names.
+        """
+        limiter = self.fleet.knowledge.limiter
         usable = [
             state
             for state in self.fleet.usable_servers(request.service.name)
             if state.record.id not in progress.tried_ids
+            and limiter.allows(state.record)
         ]
+        chosen = self._choose(request, progress, usable)
+        if chosen is not None:
+            progress.selected_s = self.clock()
+            limiter.try_acquire(chosen.record)
+        return chosen
+
+    def _choose(self, request, progress, usable):
         has_cold_limit = request.service.cold_rate_per_s > 0
         cold = [
             state
--- a/boragetrail/emulator/fleet.py
+++ b/boragetrail/emulator/fleet.py
@@ -70,7 +70,7 @@
             self.peers,
             zone,
             clock,
-            ServerKnowledge(clock),
+            ServerKnowledge(self.peers),
         )
         self.selector = ServerSelector(
             self.fleet, None, BOUNDS, clock, self.random
--- a/boragetrail/policy/serverlimits.py
+++ b/boragetrail/policy/serverlimits.py
@@ -1,10 +1,20 @@
-"""Limits on the request rate that backend servers name themselves."""
+"""Limits on the request rate that backend servers name themselves.
+
+A limit applies to all routers together, and none of them sees all requests.
+Each router keeps a part of it, without asking the others.
+"""
 
 import collections
 import dataclasses
 import math
 
-__all__ = ["LimitReport", "LimitTable", "parse_limit"]
+__all__ = [
+    "MAX_RATE_PER_S",
+    "LimitQuota",
+    "LimitReport",
+    "LimitTable",
+    "parse_limit",
+]
 
 # A limit of zero or below this rate still lets a request through now and
 # then, since the server can only end its limit in a response.
@@ -56,7 +66,11 @@
     is only sure of the time at which the request was sent, or later. By these
     times the newest statement holds, whichever router heard it.
 
-    >>> table = LimitTable()
+    :param clock: function that returns monotonic seconds
+    :ivar reports_by_server: newest :class:`LimitReport` by key of the run
+    :ivar changed_s_by_server: monotonic time of the last change by key
+
+    >>> table = LimitTable(lambda: 11.0)
     >>> table.add(LimitReport(7, 2.5, 10.0)), table.rate_per_s(7)
     (True, 2.5)
     >>> table.add(LimitReport(7, None, 9.9)), table.rate_per_s(7)
@@ -66,9 +80,14 @@
     """
 
     MAX_RUNS = 4096
+    # Age up to which limits, and ends of limits, are told to other routers.
+    MAX_LIMIT_AGE_S = 60.0
+    MAX_END_AGE_S = 10.0
 
-    def __init__(self):
+    def __init__(self, clock):
+        self.clock = clock
         self.reports_by_server = collections.OrderedDict()
+        self.changed_s_by_server = {}
 
     def add(self, report):
         """Add a statement.
@@ -76,21 +95,148 @@
         :param report: :class:`LimitReport`
         :returns: whether the limit of the server changed
         """
-        known = self.reports_by_server.get(report.server)
+        server = report.server
+        known = self.reports_by_server.get(server)
         if known is None and report.rate_per_s is None:
             return False
         if known is not None and report.heard_s <= known.heard_s:
             return False
-        self.reports_by_server[report.server] = report
-        self.reports_by_server.move_to_end(report.server)
+        self.reports_by_server[server] = report
+        self.reports_by_server.move_to_end(server)
         if len(self.reports_by_server) > self.MAX_RUNS:
-            self.reports_by_server.popitem(last=False)
-        return known is None or known.rate_per_s != report.rate_per_s
+            removed, _ = self.reports_by_server.popitem(last=False)
+            self.changed_s_by_server.pop(removed)
+        if known is not None and known.rate_per_s == report.rate_per_s:
+            return False
+        self.changed_s_by_server[server] = self.clock()
+        return True
 
-    def rate_per_s(self, server):
-        """Return the limit of a run of a server, or ``None``.
+    def report(self, server):
+        """Return the :class:`LimitReport` of a limit in force, or ``None``.
 
-        :param server: key of the run
+        :param server: key of one run of the server
         """
         report = self.reports_by_server.get(server)
+        if report is None or report.rate_per_s is None:
+            return None
+        return report
+
+    def rate_per_s(self, server):
+        """Return the limit of a run of a server, or ``None``."""
+        report = self.report(server)
         return report.rate_per_s if report is not None else None
+
+    def recent(self):
+        """Return the reports that other routers may not know, as a list."""
+        now_s = self.clock()
+        return [
+            report
+            for server, report in self.reports_by_server.items()
+            if now_s - report.heard_s < self.MAX_LIMIT_AGE_S
+            and (
+                report.rate_per_s is not None
+                or now_s - self.changed_s_by_server[server]
+                < self.MAX_END_AGE_S
+            )
+        ]
+
+
+class LimitQuota:
+    """A router's part of the limit of one run of a server.
+
+    The requests of a window are divided among the routers; those with the
+    lowest ranks get what is left over. The window is the shortest in which
+    each router has a request, up to ``MAX_WINDOW_S``, so that requests arrive
+    evenly. What a router sent before it knew the limit counts as well.
+
+    The server's silence says nothing about its limit. If no router has heard
+    from it for long, one after another sends a request, by rank.
+
+    :param clock: function that returns monotonic seconds
+
+    >>> quota = LimitQuota(lambda: 0.0)
+    >>> report = LimitReport(7, 5.0, 0.0)
+    >>> [quota.try_acquire(report, 4, 0) for _ in range(3)]
+    [True, True, False]
+    """
+
+    # Windows that are tried, in seconds of the limit.
+    WINDOWS_S = (1.0, 2.0, 4.0)
+    # Each window lasts longer than the limit's, since requests that are sent
+    # in two windows can arrive in one.
+    STRETCH = 1.1
+    # Silence of the server after which the router of the first rank sends a
+    # request; that of the next rank waits as long again.
+    SILENCE_S = 10.0
+
+    __slots__ = ("clock", "sent_s")
+
+    def __init__(self, clock):
+        self.clock = clock
+        self.sent_s = collections.deque()
+
+    def try_acquire(self, report, routers, rank):
+        """Count one more request if the quota allows it.
+
+        :param report: :class:`LimitReport` in force, or ``None``
+        :param routers: number of routers that may send
+        :param rank: this router's rank among them; 0 is the first
+        :returns: whether the request may be sent
+        """
+        if report is not None and self.wait_s(report, routers, rank):
+            return False
+        self._trim(self._longest_window_s(report))
+        self.sent_s.append(self.clock())
+        return True
+
+    def give_back(self, sent_s):
+        """Remove a request that was counted but not sent.
+
+        :param sent_s: monotonic time at which it was counted
+        """
+        if sent_s in self.sent_s:
+            self.sent_s.remove(sent_s)
+
+    def wait_s(self, report, routers, rank):
+        """Return the seconds until the quota allows a request, or 0.
+
+        :param report: :class:`LimitReport` in force
+        :param routers: number of routers that may send
+        :param rank: this router's rank among them
+        """
+        total, window_s = self._window(report.rate_per_s, routers)
+        share = total // routers + (rank < total % routers)
+        now_s = self.clock()
+        last_s = self.sent_s[-1] if self.sent_s else -math.inf
+        since_s = max(report.heard_s, last_s)
+        wait_s = since_s + (rank + 1) * self._silence_s(report) - now_s
+        if share:
+            recent = [each for each in self.sent_s if now_s - each < window_s]
+            if len(recent) < share:
+                return 0.0
+            wait_s = min(wait_s, recent[-share] + window_s - now_s)
+        return max(0.0, wait_s)
+
+    def _window(self, rate_per_s, routers):
+        """Return (requests of all routers in a window, its length)."""
+        for window_s in self.WINDOWS_S:
+            total = math.floor(rate_per_s * window_s)
+            if total >= routers:
+                break
+        if not total:
+            return 1, self.STRETCH / rate_per_s
+        return total, self.STRETCH * window_s
+
+    def _silence_s(self, report):
+        return max(self.SILENCE_S, self.STRETCH / report.rate_per_s)
+
+    def _longest_window_s(self, report):
+        longest_s = self.STRETCH * self.WINDOWS_S[-1]
+        if report is None:
+            return longest_s
+        return max(longest_s, self.STRETCH / report.rate_per_s)
+
+    def _trim(self, window_s):
+        oldest_s = self.clock() - window_s
+        while self.sent_s and self.sent_s[0] <= oldest_s:
+            self.sent_s.popleft()
--- a/boragetrail/reasons.py
+++ b/boragetrail/reasons.py
@@ -106,6 +106,12 @@
         Executed.NO,
         "All backend servers have asked for a pause.",
     )
+    LIMITED = (
+        "limited",
+        503,
+        Executed.NO,
+        "All backend servers limit the rate of their requests.",
+    )
     DEADLINE = (
         "deadline",
         504,
