Count a request to a limited server once

What callers saw: late answers while servers named limits, since most of the limit was left unused.

Cause: the time by which a request is taken back before it is counted anew was read from the clock a second time, so it was never found. Each request counted twice, and with a part of one or two in a window it was not sent at all but went on to another server. Ruled out before: ages that grow more slowly than time on the way between routers (2 to 5 ms an exchange), copies of KV cache that are not named, the load bound.

The time at which a request was counted is now what the quota returns. The two tests of TestUseOfTheLimit failed before (19 requests where 32 or more are due; the limit still in force).

--- a/boragetrail/direct/dispatch.py
+++ b/boragetrail/direct/dispatch.py
@@ -195,7 +195,7 @@
             reason = Reason.PAUSED if state.pause_left_s() else Reason.LEAVING
             return Refusal(reason, f"server {state.record.id}")
         limiter = self.fleet.knowledge.limiter
-        if not limiter.confirm(state.record, progress.selected_s):
+        if not limiter.confirm(state.record, progress.counted_s):
             return Refusal(Reason.LIMITED, f"server {state.record.id}")
         if not progress.is_trial:
             # A part may have been quarantined since the server was selected.
--- a/boragetrail/direct/knowledge/limiter.py
+++ b/boragetrail/direct/knowledge/limiter.py
@@ -40,7 +40,8 @@
     def try_acquire(self, record):
         """Count a request to a server if its limit allows it.
 
-        :returns: whether the request may be sent
+        :returns: monotonic time at which it was counted, or ``None`` if it
+            must not be sent
         """
         run = run_key(record)
         report = self.table.report(run)
@@ -57,7 +58,7 @@
         :returns: whether the request may still be sent
         """
         self._quota(run_key(record)).give_back(acquired_s)
-        return self.try_acquire(record)
+        return self.try_acquire(record) is not None
 
     def _quota(self, run):
         quota = self.quotas_by_run.get(run)
--- a/boragetrail/direct/progress.py
+++ b/boragetrail/direct/progress.py
@@ -11,7 +11,8 @@
     :ivar prompt: parts of the prompt as (id, tokens); empty if none
     :ivar parts: ids of the parts that other prompts may contain
     :ivar is_trial: whether the next attempt tries a quarantined part
-    :ivar selected_s: monotonic time at which the last server was selected
+    :ivar counted_s: monotonic time at which the last attempt was counted
+        against the limit of its server
     :ivar tried_ids: ids of the servers that were tried
     :ivar attempt_count: number of attempts, also of those whose connection
         failed before the request was sent
@@ -32,7 +33,7 @@
         "prompt",
         "parts",
         "is_trial",
-        "selected_s",
+        "counted_s",
         "tried_ids",
         "attempt_count",
         "attempts_sent",
@@ -47,7 +48,7 @@
         self.prompt = prompt
         self.parts = parts
         self.is_trial = False
-        self.selected_s = 0.0
+        self.counted_s = None
         self.tried_ids = set()
         self.attempt_count = 0
         self.attempts_sent = 0
--- a/boragetrail/direct/selector.py
+++ b/boragetrail/direct/selector.py
@@ -56,8 +56,7 @@
         ]
         chosen = self._choose(request, progress, usable)
         if chosen is not None:
-            progress.selected_s = self.clock()
-            limiter.try_acquire(chosen.record)
+            progress.counted_s = limiter.try_acquire(chosen.record)
         return chosen
 
     def _choose(self, request, progress, usable):
--- a/boragetrail/direct/tests/test_limits.py
+++ b/boragetrail/direct/tests/test_limits.py
@@ -4,6 +4,7 @@
 
 import pytest
 
+from boragetrail.direct.peers import PeerTable
 from boragetrail.direct.tests.test_leaving import send
 from boragetrail.platform.names import HEADER_NAMES
 from standins.httpserver import whole_answer
@@ -15,6 +16,8 @@
 MAX_ARRIVALS = 1.5 * LIMIT_PER_S * WINDOW_S + 5
 REACTION_S = 0.5
 MAX_HEAR_ATTEMPTS = 20
+# Time in which a router sends a second's requests at the limit.
+FULL_WINDOW_S = 1.1
 
 
 def name_limit(value, status="200 OK", *fields):
@@ -27,6 +30,11 @@
     return respond
 
 
+async def name_no_limit(request):
+    """Respond without a limit."""
+    return whole_answer(request)
+
+
 async def hear(cluster, daemons, server):
     """Send requests until a server has answered each router.
 
@@ -87,3 +95,48 @@
         first.requests.clear()
         await send(cluster, daemon, path, 60)
         assert len(first.requests) <= MAX_ARRIVALS
+
+
+class TestUseOfTheLimit:
+    """A server gets as many requests as it says that it takes."""
+
+    # Guards against requests that are counted twice and not sent.
+    async def test_all_servers_name_a_limit(self, cluster):
+        daemon = await cluster.add_router()
+        await asyncio.sleep(PeerTable.STARTUP_S)
+        for server in cluster.servers:
+            server.default = name_limit(20)
+        await hear(cluster, [daemon], cluster.servers[0])
+        await hear(cluster, [daemon], cluster.servers[1])
+        started_s = daemon.clock()
+        for server in cluster.servers:
+            server.requests.clear()
+        while daemon.clock() < started_s + 2 * FULL_WINDOW_S:
+            await send(cluster, daemon, "/status/1")
+            await asyncio.sleep(0.005)
+        for server in cluster.servers:
+            assert 0.8 * 20 * 2 <= len(server.requests) <= 20 * 2 * 1.2
+        for _ in range(2 * 20):
+            status, fields, body = await cluster.call(daemon, "/status/1")
+            if status != 200:
+                break
+        assert status == 503 and b'"limited"' in body
+        assert 0 < float(fields["Retry-After"]) <= FULL_WINDOW_S + REACTION_S
+
+    async def test_end_of_the_limit(self, cluster):
+        daemons = [await cluster.add_router() for _ in range(2)]
+        first, _ = cluster.servers
+        first.default = name_limit(LIMIT_PER_S)
+        await hear(cluster, daemons, first)
+        first.default = name_no_limit
+        await cluster.until(lambda: len(daemons[1].peers.live_peers()) == 1)
+        for _ in range(200):
+            for daemon in daemons:
+                await send(cluster, daemon, "/status/1")
+                await asyncio.sleep(0.01)
+        tables = [daemon.knowledge.limits for daemon in daemons]
+        assert not any(
+            table.rate_per_s(server)
+            for table in tables
+            for server in table.reports_by_server
+        )
--- a/boragetrail/policy/serverlimits.py
+++ b/boragetrail/policy/serverlimits.py
@@ -157,7 +157,7 @@
     >>> quota = LimitQuota(lambda: 0.0)
     >>> report = LimitReport(7, 5.0, 0.0)
     >>> [quota.try_acquire(report, 4, 0) for _ in range(3)]
-    [True, True, False]
+    [0.0, 0.0, None]
     """
 
     # Windows that are tried, in seconds of the limit.
@@ -181,13 +181,15 @@
         :param report: :class:`LimitReport` in force, or ``None``
         :param routers: number of routers that may send
         :param rank: this router's rank among them; 0 is the first
-        :returns: whether the request may be sent
+        :returns: monotonic time at which it was counted, or ``None`` if it
+            must not be sent
         """
         if report is not None and self.wait_s(report, routers, rank):
-            return False
+            return None
         self._trim(self._longest_window_s(report))
-        self.sent_s.append(self.clock())
-        return True
+        now_s = self.clock()
+        self.sent_s.append(now_s)
+        return now_s
 
     def give_back(self, sent_s):
         """Remove a request that was counted but not sent.
