Use the whole limit that a server names

Cause: the number of requests in a window was rounded down and the window lengthened after that, so up to a third of a small limit was not given to any router. It is now worked out for the lengthened window and rounded up; in any 4 s all routers together stay below 1.1 times the limit and one request, where 1.5 times and 5 are allowed. The new tests cover 1 to 330 routers and limits of 0.1 to 40 a second; those of the use failed before at 0.6 a second (10 of 12 requests).

--- a/boragetrail/policy/serverlimits.py
+++ b/boragetrail/policy/serverlimits.py
@@ -160,10 +160,10 @@
     [0.0, 0.0, None]
     """
 
-    # Windows that are tried, in seconds of the limit.
+    # Windows that are tried, before they are stretched.
     WINDOWS_S = (1.0, 2.0, 4.0)
-    # Each window lasts longer than the limit's, since requests that are sent
-    # in two windows can arrive in one.
+    # The windows are longer than a server's, since requests that are sent in
+    # two windows can arrive in one.
     STRETCH = 1.1
     # Silence of the server after which the router of the first rank sends a
     # request; that of the next rank waits as long again.
@@ -222,12 +222,13 @@
     def _window(self, rate_per_s, routers):
         """Return (requests of all routers in a window, its length)."""
         for window_s in self.WINDOWS_S:
-            total = math.floor(rate_per_s * window_s)
+            length_s = self.STRETCH * window_s
+            total = math.ceil(rate_per_s * length_s)
             if total >= routers:
                 break
-        if not total:
+        if rate_per_s * length_s < 1:
             return 1, self.STRETCH / rate_per_s
-        return total, self.STRETCH * window_s
+        return total, length_s
 
     def _silence_s(self, report):
         return max(self.SILENCE_S, self.STRETCH / report.rate_per_s)
