Leave servers that limit their rate out of the load bound

Cause: the bound is a multiple of the mean number of requests at all servers that may get one. While four of five servers limit their rate, the fifth with most of the requests is over the bound and comes last, so requests go to limited servers that have nothing of their prompt cached, and the slots there are lost for those that have.

The mean is that of the servers without a limit, if there are any; the choice of cold servers uses it too. The test of TestLimitedEngines failed before.

All tests pass.

--- a/boragetrail/direct/fleet.py
+++ b/boragetrail/direct/fleet.py
@@ -166,6 +166,7 @@
             state.pending_tokens + others.pending_tokens,
             int(state.is_suspect()),
             self._failure_rate(state),
+            self.knowledge.limiter.is_limited(state.record),
         )
 
     def _failure_rate(self, state):
--- a/boragetrail/direct/knowledge/limiter.py
+++ b/boragetrail/direct/knowledge/limiter.py
@@ -22,6 +22,10 @@
         self.peers = peers
         self.quotas_by_run = collections.OrderedDict()
 
+    def is_limited(self, record):
+        """Return whether a server limits its rate."""
+        return self.table.report(run_key(record)) is not None
+
     def allows(self, record):
         """Return whether a server may get a request of this router now.
 
--- a/boragetrail/direct/selector.py
+++ b/boragetrail/direct/selector.py
@@ -4,7 +4,11 @@
 
 from boragetrail.direct.headers import parse_prompt_parts
 from boragetrail.policy.leastloaded import LeastLoadedOrder
-from boragetrail.policy.prefix import PrefixPlacement, load_bound
+from boragetrail.policy.prefix import (
+    PrefixPlacement,
+    load_bound,
+    mean_running,
+)
 from boragetrail.utils import join_address
 
 __all__ = ["PrefillPlan", "ServerSelector"]
@@ -76,8 +80,8 @@
 
     def _is_overloaded(self, state, states):
         """Return whether one more request would exceed the load bound."""
-        running = [self.fleet.engine_view(each).running for each in states]
-        bound = load_bound(sum(running) / len(running))
+        views = [self.fleet.engine_view(each) for each in states]
+        bound = load_bound(mean_running(views))
         return self.fleet.engine_view(state).running + 1 > bound
 
     def _choose_cold(self, request, progress, cold):
--- a/boragetrail/policy/prefix.py
+++ b/boragetrail/policy/prefix.py
@@ -5,7 +5,13 @@
 
 from boragetrail.policy.placement import rendezvous_score
 
-__all__ = ["EngineView", "PrefixCacheIndex", "PrefixPlacement", "load_bound"]
+__all__ = [
+    "EngineView",
+    "PrefixCacheIndex",
+    "PrefixPlacement",
+    "load_bound",
+    "mean_running",
+]
 
 MEAN_LOAD_MULTIPLE = 1.6
 LOAD_SLACK_REQUESTS = 2.0
@@ -22,6 +28,7 @@
         have not produced a first token
     :param suspect: 1 if a connection to it failed a short time ago, else 0
     :param failure_rate: expected fraction of failed requests
+    :param is_limited: whether the engine limits the rate of its requests
     """
 
     id: str
@@ -29,6 +36,7 @@
     pending_tokens: int
     suspect: int
     failure_rate: float = 0.0
+    is_limited: bool = False
 
 
 class PrefixCacheIndex:
@@ -139,7 +147,7 @@
         """
         if not engines:
             return []
-        bound = load_bound(sum(e.running for e in engines) / len(engines))
+        bound = load_bound(mean_running(engines))
         cached = self.cached_tokens_by_engine(prompt)
         max_cached = max(cached.values(), default=0)
         uncached = max(0, _shared_tokens(prompt) - max_cached)
@@ -248,6 +256,18 @@
     return MEAN_LOAD_MULTIPLE * mean + LOAD_SLACK_REQUESTS
 
 
+def mean_running(engines):
+    """Return the mean number of requests of the engines without a limit.
+
+    An engine that limits its rate has few requests, however many there are.
+
+    :param engines: list of :class:`EngineView`, not empty
+    """
+    counts = [each.running for each in engines if not each.is_limited]
+    counts = counts or [each.running for each in engines]
+    return sum(counts) / len(counts)
+
+
 def _shared_tokens(prompt):
     """Return the tokens of all parts but the last, the prompt's own."""
     return sum(tokens for _, tokens in prompt[:-1])
--- a/boragetrail/policy/tests/test_prefix.py
+++ b/boragetrail/policy/tests/test_prefix.py
@@ -186,3 +186,19 @@
             placement.prefill_tokens(prompt("deck", "chat-2"), other, None)
             == 0
         )
+
+
+class TestLimitedEngines:
+    """Engines that limit their rate do not count in the load bound."""
+
+    def test_engine_without_a_limit_is_not_overloaded(self):
+        index = PrefixCacheIndex(lambda: 0.0)
+        index.add_holder("deck", "free")
+        placement = PrefixPlacement(index, random.Random(1))
+        limited = [
+            EngineView(f"e{number}", 1, 0, 0, is_limited=True)
+            for number in range(4)
+        ]
+        free = EngineView("free", 30, 0, 0)
+        order = placement.order(prompt("deck"), [free, *limited])
+        assert order[0].id == "free"
