--- a/boragetrail/direct/dispatch.py
+++ b/boragetrail/direct/dispatch.py
@@ -66,7 +66,7 @@
         self.rewriter = HeaderRewriter(names)
         self.buffer_budget = BufferBudget()
         self.retry_quotas_by_service = {}
-        self.request_log = RequestLog(fleet.peers, clock)
+        self.request_log = RequestLog(fleet.peers, names, clock)
 
     async def run(self, request, caller):
         """Serve a request.
--- a/boragetrail/direct/interfaces.py
+++ b/boragetrail/direct/interfaces.py
@@ -179,6 +179,8 @@
     :param tokens: number of tokens of the prompt, and limit on those of the
         response
     :param last_event_id: id of the event after which a stream is resumed
+    :param resumed_request: id of the request that brought the first event of
+        a stream that the caller resumes
     :param priority: priority at the server; 0 is the most urgent
     :param copy_from: address of the engine to copy cached parts from
     :param reserved: names that a caller may not send, in lower case
@@ -200,6 +202,7 @@
     prompt_parts: str
     tokens: str
     last_event_id: str
+    resumed_request: str
     priority: str
     copy_from: str
     reserved: frozenset
--- a/boragetrail/direct/model.py
+++ b/boragetrail/direct/model.py
@@ -162,6 +162,7 @@
         read
     :param started_ms: start of the run in milliseconds of Unix time, or 0 if
         unknown
+    :param version: version of its software, or empty if unknown
     """
 
     id: str
@@ -172,3 +173,4 @@
     ready: bool
     cold_s: float
     started_ms: int
+    version: str = ""
--- a/boragetrail/direct/requestlog.py
+++ b/boragetrail/direct/requestlog.py
@@ -9,13 +9,15 @@
     """Log what happens to a request between its arrival and its end.
 
     :param peers: :class:`~boragetrail.direct.peers.PeerTable`
+    :param names: :class:`~boragetrail.direct.interfaces.HeaderNames`
     :param clock: function that returns monotonic seconds
     """
 
-    __slots__ = ("peers", "clock")
+    __slots__ = ("peers", "names", "clock")
 
-    def __init__(self, peers, clock):
+    def __init__(self, peers, names, clock):
         self.peers = peers
+        self.names = names
         self.clock = clock
 
     def sent(self, request, progress, state, plan):
@@ -24,6 +26,7 @@
         request.selection = {
             "server": state.record.id,
             "tries": progress.attempt_count,
+            "software": state.record.version,
         }
         inputs = {
             "in_flight": state.in_flight,
@@ -32,6 +35,10 @@
             "doubtful": state.is_suspect(),
             "left_s": round(request.deadline_s - self.clock(), 3),
         }
+        headers = request.http_request.headers
+        resumed = headers.get(self.names.resumed_request)
+        if resumed is not None:
+            inputs["resumes"] = resumed
         if progress.prompt:
             inputs["unread_tokens"] = plan.prefill_tokens
             inputs["copied_from"] = plan.copy_from
--- a/boragetrail/direct/tests/conftest.py
+++ b/boragetrail/direct/tests/conftest.py
@@ -161,6 +161,7 @@
         server = HttpServer()
         await server.open()
         server.id = f"i-{len(self.servers)}"
+        server.version = fields.get("version", server.version)
         self.servers.append(server)
         self.store.put("servers", server.id, server.entry("apps", **fields))
         return server
--- a/boragetrail/platform/decode.py
+++ b/boragetrail/platform/decode.py
@@ -192,4 +192,5 @@
         ready=data["state"] == READY_STATE,
         cold_s=cold_ms / 1000.0,
         started_ms=_number(data.get("born", 0)),
+        version=_string(data.get("version", "")),
     )
--- a/boragetrail/platform/names.py
+++ b/boragetrail/platform/names.py
@@ -29,6 +29,7 @@
     prompt_parts="X-Boragetrail-Prefix-Hash",
     tokens="X-Boragetrail-Token-Count",
     last_event_id="Last-Event-Id",
+    resumed_request="Resumes",
     priority="X-Boragetrail-Request-Priority",
     copy_from="Kv-Fetch",
     reserved=frozenset(
@@ -58,6 +59,7 @@
             "x-boragetrail-prefix-hash",
             "x-boragetrail-length-hint",
             "last-event-id",
+            "resumes",
         )
     ),
 )
--- a/standins/httpserver.py
+++ b/standins/httpserver.py
@@ -62,6 +62,7 @@
     :ivar default: handler when the queue is empty; sends a complete
         response unless a test replaces it
     :ivar born_ms: start of its run as its entry tells it, or 0
+    :ivar version: version of its software as its entry tells it
     :ivar writers: writers of the open connections
     """
 
@@ -71,6 +72,7 @@
         self.default = _default_response
         self.connections = 0
         self.born_ms = 0
+        self.version = "v1"
         self.writers = set()
         self.server = None
         self.address = ""
@@ -97,7 +99,7 @@
             "service": service,
             "address": self.address,
             "zone": zone,
-            "version": "v1",
+            "version": self.version,
             "slots": 8,
             "state": "ready",
             "coldLeftMs": 0,
