Go on with streams only at the version that began them

Cause: the version of a server's entry was dropped, and a stream went on at any server. Ruled out: that only restarts are at fault (the tests join streams without one), and that entries come too late.

Change: the version of the server that sent the first event is the only one at which a stream goes on. A router tells three others, the first in rendezvous order for the stream, and asks them (all others in a small fleet) when a client resumes a stream that it does not know; it waits 0.15 s at most. If no router knows, the stream can only be of the version of the service if there was just one in the life of a stream (30 s). Routers keep a history for that, save it in the store when a version comes or goes (a row for each service, written by the readers under a condition), and read it when they start. A router without the store and without peers does not rely on it. Else the resumption is refused at once with "stream-unknown", or "version-gone" if no server has the version. Messages of older routers stay readable, and they skip the new records.

--- a/boragetrail/direct/daemon.py
+++ b/boragetrail/direct/daemon.py
@@ -27,7 +27,9 @@
 from boragetrail.direct.readers import reader_role
 from boragetrail.direct.recordgossip import RecordGossip
 from boragetrail.direct.relay import PeerSource, PeerFetcher, RelayServer
+from boragetrail.direct.resumption import StreamVersions
 from boragetrail.direct.selector import ServerSelector
+from boragetrail.direct.versionledger import VersionLedger
 from boragetrail.events import Event, log_event
 from boragetrail.policy.quarantine import PromptQuarantine
 from boragetrail.utils import BackgroundTasks, new_incarnation, split_address
@@ -105,6 +107,9 @@
                 self.metrics,
                 self.tasks,
             ),
+            StreamVersions(
+                self.fleet, names, self.liveness_by_table[Table.SERVERS].age_s
+            ),
         )
         filter_chain = FilterChain(
             self.directory, platform.HEADER_NAMES, self.random
@@ -200,6 +205,10 @@
         self.tasks.start(self.socket.run(), "gossip")
         self.tasks.start(self.socket.run_updates(), "news")
         self.tasks.start(self._join(), "join")
+        ledger = VersionLedger(self.directory, self.store, self._reader_role)
+        self.tasks.start(
+            ledger.run(self.settings.first_start), "versions in service"
+        )
         self.tasks.start(self._remove_unlisted(), "sweep")
         self.tasks.start(self._abort_unresponsive(), "unresponsive servers")
         self.tasks.start(self._close_idle(), "idle connections")
--- a/boragetrail/direct/directory.py
+++ b/boragetrail/direct/directory.py
@@ -5,6 +5,7 @@
 from boragetrail.direct.interfaces import Table
 from boragetrail.direct.mirror import Mirror
 from boragetrail.events import Event, log_event
+from boragetrail.policy.versionhistory import VersionHistory
 
 __all__ = ["Directory", "ListedServer"]
 
@@ -37,6 +38,8 @@
     :ivar configuration: newest configuration, or ``None``
     :ivar servers_by_id: :class:`ListedServer` by id
     :ivar evacuated_zones: zones that get no new work
+    :ivar version_history:
+        :class:`~boragetrail.policy.versionhistory.VersionHistory`
     """
 
     # Length of the grace period after the store has recovered. Expired entries
@@ -55,6 +58,7 @@
         self.servers_by_id = {}
         self.evacuated_zones = set()
         self.expiry_grace_until_s = float("-inf")
+        self.version_history = VersionHistory(clock)
 
     def apply(self, table, change_set):
         """Apply changes of a table.
@@ -107,7 +111,13 @@
 
     def remove(self, server_id):
         """Remove a server whose address now belongs to another server."""
-        self.servers_by_id.pop(server_id, None)
+        self._record_version(self.servers_by_id.pop(server_id, None))
+
+    def _record_version(self, known):
+        """Record that the version of a server was in service until now."""
+        if known is not None:
+            record = known.record
+            self.version_history.record(record.service, record.version)
 
     def _operators_row_changed(self, row):
         zone = self.decoder.evacuated_zone(row.key)
@@ -143,6 +153,7 @@
             self._server_removed(row)
             return
         record = self.decoder.server(row)
+        self._record_version(self.servers_by_id.get(row.key))
         if record is None:
             self.servers_by_id.pop(row.key, None)
             return
@@ -163,6 +174,7 @@
         known = self.servers_by_id.get(row.key)
         if known is None:
             return
+        self._record_version(known)
         now_s = self.clock()
         kept = now_s < self.expiry_grace_until_s and known.record.ready
         if kept:
@@ -187,4 +199,4 @@
             if known.kept_until_s and known.kept_until_s <= now_s
         ]
         for key in expired:
-            del self.servers_by_id[key]
+            self._record_version(self.servers_by_id.pop(key))
--- a/boragetrail/direct/dispatch.py
+++ b/boragetrail/direct/dispatch.py
@@ -51,14 +51,25 @@
     :param clock: function that returns monotonic seconds
     :param random: random generator
     :param crash_monitor: :class:`~boragetrail.direct.crashes.CrashMonitor`
+    :param stream_versions:
+        :class:`~boragetrail.direct.resumption.StreamVersions`
     """
 
     def __init__(
-        self, fleet, selector, names, bounds, clock, random, crash_monitor
+        self,
+        fleet,
+        selector,
+        names,
+        bounds,
+        clock,
+        random,
+        crash_monitor,
+        stream_versions,
     ):
         self.fleet = fleet
         self.selector = selector
         self.crash_monitor = crash_monitor
+        self.stream_versions = stream_versions
         self.names = names
         self.bounds = bounds
         self.clock = clock
@@ -111,6 +122,9 @@
         )
 
     async def _serve(self, request, caller, progress):
+        refusal = await self.stream_versions.require(request, progress)
+        if refusal is not None:
+            return refusal
         while True:
             failure = self._admit(request, progress)
             if failure is not None:
@@ -290,6 +304,10 @@
             if splitter.exceeds_limit():
                 self._record_failure(attempt)
                 return Failure(Reason.TRUNCATED, EVENT_TOO_LONG)
+            if complete and not progress.stream_begun:
+                progress.stream_begun = True
+                record = attempt.server.record
+                self.stream_versions.begun(request, progress, record)
             if complete:
                 await caller.write(complete)
             if complete and not stream_started:
@@ -333,6 +351,9 @@
             return Failure(Reason.BACKEND_FAILED, detail)
         service = request.service.name
         detail = f"service {service!r}"
+        if progress.version not in (None, *self.fleet.versions(service)):
+            detail = f"{detail}, version {progress.version!r}"
+            return Refusal(Reason.VERSION_GONE, detail)
         wait_s = self.fleet.wait_s(service)
         if wait_s:
             wait_s += self.random.uniform(0, RETURN_SPREAD_S)
--- a/boragetrail/direct/fleet.py
+++ b/boragetrail/direct/fleet.py
@@ -95,6 +95,15 @@
         ]
         return min(waits_s, default=0.0)
 
+    def versions(self, service):
+        """Return the software versions of the servers that may get work.
+
+        :param service: name of the service
+        :returns: set of versions
+        """
+        staying = self._staying_servers(service)
+        return {state.record.version for state in staying}
+
     def are_paused(self, service):
         """Return whether all servers of a service have asked for a pause."""
         return all(
--- a/boragetrail/direct/interfaces.py
+++ b/boragetrail/direct/interfaces.py
@@ -18,8 +18,10 @@
     "Row",
     "RowDecoder",
     "RowSource",
+    "SavedVersions",
     "SourceFailure",
     "Table",
+    "VersionRegistry",
 ]
 
 
@@ -103,6 +105,44 @@
         """Return the registered hosts; an empty list if the read fails."""
 
 
+@dataclasses.dataclass(slots=True, frozen=True)
+class SavedVersions:
+    """Hold the versions in service of a service, as they are saved.
+
+    :param listed: list of the versions of its servers
+    :param gone_ms_by_version: time at which each other version left, in
+        milliseconds of the registry's clock
+    :param now_ms: time of that clock when this was read
+    :param row_version: version of the row, or 0 if there is none
+    """
+
+    listed: list = dataclasses.field(default_factory=list)
+    gone_ms_by_version: dict = dataclasses.field(default_factory=dict)
+    now_ms: int = 0
+    row_version: int = 0
+
+
+class VersionRegistry(abc.ABC):
+    """Save which software versions of each service were in service."""
+
+    @abc.abstractmethod
+    async def read_versions(self):
+        """Return what was saved last.
+
+        :returns: dictionary of :class:`SavedVersions` by service, or
+            :class:`SourceFailure`
+        """
+
+    @abc.abstractmethod
+    async def save_versions(self, service, saved):
+        """Save the versions of a service, unless they were changed since.
+
+        :param saved: :class:`SavedVersions` with the version of the row that
+            it replaces
+        :returns: whether it was saved
+        """
+
+
 @dataclasses.dataclass(slots=True)
 class CacheContent:
     """Hold the response of an engine to a query of its cache.
--- a/boragetrail/direct/knowledge/servers.py
+++ b/boragetrail/direct/knowledge/servers.py
@@ -6,6 +6,7 @@
 from boragetrail.direct.knowledge.leaving import Leaving, LeavingServers
 from boragetrail.direct.knowledge.limiter import RequestLimiter
 from boragetrail.direct.knowledge.pauses import PauseTable
+from boragetrail.direct.knowledge.streams import StreamOrigins
 from boragetrail.events import Event, log_event
 from boragetrail.policy.serverlimits import (
     LimitReport,
@@ -36,6 +37,8 @@
     :ivar limits: :class:`~boragetrail.policy.serverlimits.LimitTable`
     :ivar limiter:
         :class:`~boragetrail.direct.knowledge.limiter.RequestLimiter`
+    :ivar streams:
+        :class:`~boragetrail.direct.knowledge.streams.StreamOrigins`
     :ivar tell: function that sends a record to all other routers at once
     """
 
@@ -49,6 +52,7 @@
         self.pauses = PauseTable(peers.clock)
         self.limits = LimitTable(peers.clock)
         self.limiter = RequestLimiter(self.limits, peers)
+        self.streams = StreamOrigins(peers)
 
     def accepts_requests(self, record):
         """Return whether a server wants new requests of this router.
--- /dev/null
+++ b/boragetrail/direct/knowledge/streams.py
@@ -0,0 +1,194 @@
+"""Versions of the servers at which streams began.
+
+A client that resumes a stream may come to any router, also after the router
+that began it is gone. Each router therefore tells a few others, which are the
+first in rendezvous order for the stream [1]_, where a stream began, and asks
+them if it has to go on with one that it does not know.
+
+.. [1] D. Thaler, C. Ravishankar, "Using Name-Based Mappings to Increase Hit
+   Rates", IEEE/ACM Transactions on Networking 6(1), 1998.
+"""
+
+import asyncio
+import collections
+import dataclasses
+
+import xxhash
+
+from boragetrail.policy.placement import rendezvous_score
+from boragetrail.policy.versionhistory import VersionHistory
+
+__all__ = ["StreamOrigin", "StreamOrigins", "StreamQuery", "StreamUnknown"]
+
+
+@dataclasses.dataclass(slots=True, frozen=True)
+class StreamOrigin:
+    """Tell at which version a stream began.
+
+    :param stream: key of the request that brought its first event
+    :param version: software version of the server
+    :param begun_s: monotonic time of the first event
+    """
+
+    stream: int
+    version: str
+    begun_s: float
+
+
+@dataclasses.dataclass(slots=True, frozen=True)
+class StreamQuery:
+    """Ask another router where a stream began.
+
+    :param stream: key of the request that brought its first event
+    """
+
+    stream: int
+
+
+@dataclasses.dataclass(slots=True, frozen=True)
+class StreamUnknown:
+    """Reply that a router does not know where a stream began.
+
+    :param stream: key of the request that brought its first event
+    """
+
+    stream: int
+
+
+class StreamOrigins:
+    """Hold where recent streams began, and ask other routers.
+
+    :param peers: :class:`~boragetrail.direct.peers.PeerTable`
+    :ivar origins_by_stream: :class:`StreamOrigin` by key, oldest first
+    :ivar send_to: function that sends a record to a list of addresses
+    """
+
+    MAX_STREAMS = 16384
+    # Routers that are told of each stream.
+    OWNER_COUNT = 3
+    # In a fleet of at most this many routers, all of them are asked.
+    MAX_ASKED = 20
+    # Longest wait for the replies of other routers.
+    REPLY_TIMEOUT_S = 0.15
+
+    def __init__(self, peers):
+        self.peers = peers
+        self.clock = peers.clock
+        self.origins_by_stream = collections.OrderedDict()
+        self.queries_by_stream = {}
+        self.send_to = lambda record, addresses: None
+
+    def add(self, request_id, version):
+        """Record the first event of a stream, and tell other routers.
+
+        :param request_id: id of the request that brought it
+        :param version: software version of the server
+        """
+        origin = StreamOrigin(stream_key(request_id), version, self.clock())
+        self._add(origin)
+        self.send_to(origin, self._owners(origin.stream))
+
+    async def find(self, request_id):
+        """Return where a stream began.
+
+        :param request_id: id of the request that brought its first event
+        :returns: :class:`StreamOrigin`, or ``None`` if no router knows
+        """
+        stream = stream_key(request_id)
+        known = self._get(stream)
+        if known is not None:
+            return known
+        query = self.queries_by_stream.get(stream)
+        if query is None:
+            query = self._ask(stream)
+        try:
+            async with asyncio.timeout(self.REPLY_TIMEOUT_S):
+                await query.done.wait()
+        except TimeoutError:
+            pass
+        finally:
+            self.queries_by_stream.pop(stream, None)
+        return self._get(stream)
+
+    def apply(self, record, sender):
+        """Handle a record of another router.
+
+        :param record: :class:`StreamOrigin`, :class:`StreamQuery` or
+            :class:`StreamUnknown`
+        :param sender: (host, port) of the router
+        """
+        if isinstance(record, StreamQuery):
+            known = self._get(record.stream)
+            reply = known or StreamUnknown(record.stream)
+            self.send_to(reply, [sender])
+            return
+        query = self.queries_by_stream.get(record.stream)
+        if isinstance(record, StreamOrigin):
+            self._add(record)
+            if query is not None:
+                query.done.set()
+        elif query is not None:
+            query.silent.discard(sender)
+            if not query.silent:
+                query.done.set()
+
+    def _ask(self, stream):
+        live = [peer.address for peer in self.peers.live_peers()]
+        if len(live) > self.MAX_ASKED:
+            live = self._owners(stream)
+        query = _Query(set(live))
+        self.queries_by_stream[stream] = query
+        if live:
+            self.send_to(StreamQuery(stream), live)
+        else:
+            query.done.set()
+        return query
+
+    def _owners(self, stream):
+        """Return the addresses of the routers that know of a stream."""
+        addresses = [peer.address for peer in self.peers.live_peers()]
+        addresses.append(self.peers.own_address)
+        addresses.sort(
+            key=lambda address: rendezvous_score(str(stream), address),
+            reverse=True,
+        )
+        return [
+            address
+            for address in addresses[: self.OWNER_COUNT]
+            if address != self.peers.own_address
+        ]
+
+    def _add(self, origin):
+        known = self._get(origin.stream)
+        if known is not None:
+            return
+        self.origins_by_stream[origin.stream] = origin
+        self.origins_by_stream.move_to_end(origin.stream)
+        oldest_s = self.clock() - VersionHistory.STREAM_LIFE_S
+        while self.origins_by_stream:
+            first = next(iter(self.origins_by_stream.values()))
+            is_full = len(self.origins_by_stream) > self.MAX_STREAMS
+            if first.begun_s >= oldest_s and not is_full:
+                break
+            self.origins_by_stream.popitem(last=False)
+
+    def _get(self, stream):
+        return self.origins_by_stream.get(stream)
+
+
+class _Query:
+    """Hold the routers that have not yet replied to a query."""
+
+    __slots__ = ("silent", "done")
+
+    def __init__(self, silent):
+        self.silent = silent
+        self.done = asyncio.Event()
+
+
+def stream_key(request_id):
+    """Return the 64-bit key of a stream.
+
+    :param request_id: id of the request that brought its first event
+    """
+    return xxhash.xxh64_intdigest(request_id.encode())
--- a/boragetrail/direct/peersocket.py
+++ b/boragetrail/direct/peersocket.py
@@ -49,6 +49,7 @@
         self.on_message = on_message
         self.record_gossip = record_gossip
         record_gossip.send = self._send_to_all
+        record_gossip.send_to = self._send_to
         self.transport = None
         self.sequence = 0
         self.sent_bytes = 0
@@ -82,7 +83,7 @@
         elif isinstance(message, Update):
             self._update_received(message, addr[0])
         elif isinstance(message, RecordMessage):
-            self.record_gossip.apply(message)
+            self.record_gossip.apply(message, addr[:2])
         else:
             self._digest_received(message, addr[0])
 
@@ -150,6 +151,11 @@
         for peer in self.table.sample(self.table.update_fanout()):
             self._send_data(data, peer.address)
 
+    def _send_to(self, message, addresses):
+        data = encode_datagram(message)
+        for address in addresses:
+            self._send_data(data, address)
+
     def _send_to_all(self, message):
         data = encode_datagram(message)
         for address in self.table.peers_by_address:
--- a/boragetrail/direct/progress.py
+++ b/boragetrail/direct/progress.py
@@ -13,6 +13,9 @@
     :ivar is_trial: whether the next attempt tries a quarantined part
     :ivar counted_s: monotonic time at which the last attempt was counted
         against the limit of its server
+    :ivar stream_begun: whether the caller got an event
+    :ivar version: software version at which its stream must go on, or
+        ``None`` if any will do
     :ivar tried_ids: ids of the servers that were tried
     :ivar attempt_count: number of attempts, also of those whose connection
         failed before the request was sent
@@ -34,6 +37,8 @@
         "parts",
         "is_trial",
         "counted_s",
+        "stream_begun",
+        "version",
         "tried_ids",
         "attempt_count",
         "attempts_sent",
@@ -49,6 +54,8 @@
         self.parts = parts
         self.is_trial = False
         self.counted_s = None
+        self.stream_begun = False
+        self.version = None
         self.tried_ids = set()
         self.attempt_count = 0
         self.attempts_sent = 0
--- a/boragetrail/direct/recordgossip.py
+++ b/boragetrail/direct/recordgossip.py
@@ -3,12 +3,19 @@
 import collections
 
 from boragetrail.direct.knowledge.leaving import Leaving
+from boragetrail.direct.knowledge.streams import (
+    StreamOrigin,
+    StreamQuery,
+    StreamUnknown,
+)
 from boragetrail.direct.recordmessages import decode_records, encode_records
 from boragetrail.policy.crashrecords import CrashReport, Survival, Trial
 from boragetrail.policy.serverlimits import LimitReport
 
 __all__ = ["RecordGossip"]
 
+STREAM_RECORDS = (StreamOrigin, StreamQuery, StreamUnknown)
+
 
 class RecordGossip:
     """Queue records for peers and apply those of peers.
@@ -26,6 +33,7 @@
     :param clock: function that returns monotonic seconds
     :ivar queue: (record, number of times that it is still to be sent)
     :ivar send: function that sends a message to all peers
+    :ivar send_to: function that sends a message to a list of addresses
 
     .. [1] A. Demers et al., "Epidemic Algorithms for Replicated Database
        Maintenance", PODC 1987.
@@ -44,7 +52,9 @@
         self.clock = clock
         self.queue = collections.deque(maxlen=self.MAX_QUEUED)
         self.send = None
+        self.send_to = None
         knowledge.tell = self.send_now
+        knowledge.streams.send_to = self._send_to
 
     def add(self, record):
         """Queue a record."""
@@ -56,11 +66,12 @@
             self.send(message)
         self.queue.append((record, self.SEND_COUNT - 1))
 
-    def apply(self, message):
+    def apply(self, message, sender):
         """Apply the records of a peer.
 
         :param message:
             :class:`~boragetrail.direct.recordmessages.RecordMessage`
+        :param sender: (host, port) of the peer
         """
         add_by_type = {
             CrashReport: self.quarantine.add_crash,
@@ -70,6 +81,9 @@
             LimitReport: self.knowledge.apply,
         }
         for record in decode_records(message, self.clock()):
+            if isinstance(record, STREAM_RECORDS):
+                self.knowledge.streams.apply(record, sender)
+                continue
             is_new = add_by_type[type(record)](record)
             if is_new and self.peers.needs_relaying():
                 self.add(record)
@@ -95,6 +109,10 @@
             + self.knowledge.snapshot()
         )
 
+    def _send_to(self, record, addresses):
+        for message in self._messages([record]):
+            self.send_to(message, addresses)
+
     def _messages(self, records):
         now_s = self.clock()
         size = self.MAX_PER_DATAGRAM
--- a/boragetrail/direct/recordmessages.py
+++ b/boragetrail/direct/recordmessages.py
@@ -9,6 +9,11 @@
 
 from boragetrail.direct import checks
 from boragetrail.direct.knowledge.leaving import Leaving
+from boragetrail.direct.knowledge.streams import (
+    StreamOrigin,
+    StreamQuery,
+    StreamUnknown,
+)
 from boragetrail.policy.crashrecords import CrashReport, Survival, Trial
 from boragetrail.policy.serverlimits import MAX_RATE_PER_S, LimitReport
 
@@ -34,6 +39,8 @@
         ``"survival"``, ``"trial"`` and
         ``"leaving"`` for
         :class:`~boragetrail.direct.knowledge.leaving.Leaving`,
+        ``"stream"``, ``"query"`` and ``"unknown"`` for those of
+        :mod:`boragetrail.direct.knowledge.streams`,
         ``"limit"`` for
         :class:`~boragetrail.policy.serverlimits.LimitReport`
     """
@@ -95,6 +102,15 @@
     return checks.fixed_list(value, checks.text, _age)
 
 
+def _check_stream(value):
+    return checks.fixed_list(value, _key, _software, _age)
+
+
+def _software(value):
+    """Return a software version, which may be empty if unknown."""
+    return checks.text(value) if value != "" else ""
+
+
 def _check_limit(value):
     return checks.fixed_list(value, _key, _rate, _age)
 
@@ -150,6 +166,9 @@
     Trial: "trial",
     Leaving: "leaving",
     LimitReport: "limit",
+    StreamOrigin: "stream",
+    StreamQuery: "query",
+    StreamUnknown: "unknown",
 }
 _ENCODERS_BY_NAME = {
     "survival": lambda record, now_s: [
@@ -163,6 +182,13 @@
     ],
     "leaving": lambda record, now_s: record.server,
     "limit": _encode_limit,
+    "stream": lambda record, now_s: [
+        record.stream,
+        record.version,
+        _age_ms(record.begun_s, now_s),
+    ],
+    "query": lambda record, now_s: record.stream,
+    "unknown": lambda record, now_s: record.stream,
 }
 _DECODERS_BY_NAME = {
     "survival": lambda value, now_s: Survival(
@@ -172,6 +198,11 @@
     "trial": lambda value, now_s: Trial(value[0], now_s - value[1] / 1000.0),
     "leaving": lambda value, now_s: Leaving(value),
     "limit": _decode_limit,
+    "stream": lambda value, now_s: StreamOrigin(
+        value[0], value[1], now_s - value[2] / 1000.0
+    ),
+    "query": lambda value, now_s: StreamQuery(value),
+    "unknown": lambda value, now_s: StreamUnknown(value),
 }
 _CHECKS_BY_NAME = {
     "survival": _check_part_with_age,
@@ -179,4 +210,7 @@
     "trial": _check_part_with_age,
     "leaving": _key,
     "limit": _check_limit,
+    "stream": _check_stream,
+    "query": _key,
+    "unknown": _key,
 }
--- /dev/null
+++ b/boragetrail/direct/resumption.py
@@ -0,0 +1,101 @@
+"""Software versions at which streams may go on."""
+
+from boragetrail.direct.interfaces import Table
+from boragetrail.errors import Refusal
+from boragetrail.reasons import Reason
+
+__all__ = ["StreamVersions"]
+
+RETRY_AFTER_S = 0.3
+
+
+class StreamVersions:
+    """Decide at which version of the servers a stream may go on.
+
+    What servers of two versions write does not fit together, so a stream
+    goes on at the version that began it, and is refused if that is unknown.
+
+    :param fleet: :class:`~boragetrail.direct.fleet.Fleet`
+    :param names: :class:`~boragetrail.direct.interfaces.HeaderNames`
+    :param list_age_s: function that returns the seconds since the store's
+        last response about servers to any router
+    """
+
+    # Silence of the store after which a router without peers does not rely
+    # on its list of servers.
+    MAX_STORE_SILENCE_S = 3.0
+
+    def __init__(self, fleet, names, list_age_s):
+        self.fleet = fleet
+        self.names = names
+        self.list_age_s = list_age_s
+
+    async def require(self, request, progress):
+        """Set the version at which a resumed stream must go on.
+
+        :param request: :class:`~boragetrail.direct.request.DirectRequest`
+        :param progress:
+            :class:`~boragetrail.direct.progress.RequestProgress`
+        :returns: :class:`~boragetrail.errors.Refusal` if it is unknown, else
+            ``None``
+        """
+        if not request.route.resumable or not self._resumes(request):
+            return None
+        origins = self.fleet.knowledge.streams
+        resumed = self._header(request, self.names.resumed_request)
+        origin = await origins.find(resumed) if resumed else None
+        if origin is not None:
+            progress.version = origin.version
+            return None
+        progress.version = self._only_version(request.service.name)
+        if progress.version is None:
+            return Refusal(
+                Reason.STREAM_UNKNOWN,
+                f"request {resumed!r}",
+                retry_after_s=RETRY_AFTER_S,
+            )
+        return None
+
+    def begun(self, request, progress, record):
+        """Record that the first event of a stream is sent to the caller.
+
+        :param record: :class:`~boragetrail.direct.model.ServerRecord`
+        """
+        if not request.route.resumable:
+            return
+        progress.version = record.version
+        resumed = self._header(request, self.names.resumed_request)
+        if not self._resumes(request):
+            self.fleet.knowledge.streams.add(request.id, record.version)
+        elif resumed:
+            self.fleet.knowledge.streams.add(resumed, record.version)
+
+    def _resumes(self, request):
+        return bool(
+            self._header(request, self.names.last_event_id)
+            or self._header(request, self.names.resumed_request)
+        )
+
+    def _only_version(self, service):
+        """Return the version of all streams of a service, or ``None``."""
+        if not self._list_is_current():
+            return None
+        directory = self.fleet.directory
+        listed = {
+            known.record.version for known in directory.servers_of(service)
+        }
+        return directory.version_history.only_version(service, listed)
+
+    def _list_is_current(self):
+        """Return whether no newer list of servers can be known elsewhere."""
+        peers = self.fleet.peers
+        version = self.fleet.directory.versions()[Table.SERVERS.value]
+        if peers.peers_ahead(Table.SERVERS.value, version):
+            return False
+        if self.list_age_s() <= self.MAX_STORE_SILENCE_S:
+            return True
+        return bool(peers.live_peers())
+
+    @staticmethod
+    def _header(request, name):
+        return request.http_request.headers.get(name, "")
--- a/boragetrail/direct/selector.py
+++ b/boragetrail/direct/selector.py
@@ -57,6 +57,7 @@
             for state in self.fleet.usable_servers(request.service.name)
             if state.record.id not in progress.tried_ids
             and limiter.allows(state.record)
+            and progress.version in (None, state.record.version)
         ]
         chosen = self._choose(request, progress, usable)
         if chosen is not None:
--- a/boragetrail/events.py
+++ b/boragetrail/events.py
@@ -84,6 +84,7 @@
     PAUSE_INVALID = (512, "WARNING", "A server asked for an invalid pause.")
     LIMIT_CHANGED = (513, "INFO", "The limit that a server names changed.")
     LIMIT_INVALID = (514, "WARNING", "A server named an invalid limit.")
+    VERSIONS_SAVED = (515, "INFO", "Versions in service were saved.")
     ORDER_UNKNOWN = (600, "ERROR", "An order's outcome is unknown.")
     ORDER_FENCED = (601, "WARNING", "An order has a stale fencing token.")
     LEASE_ACQUIRED = (602, "INFO", "A lease on model loading was acquired.")
--- a/boragetrail/platform/names.py
+++ b/boragetrail/platform/names.py
@@ -11,6 +11,7 @@
     "MEMBERS_TABLE",
     "READY_STATE",
     "TABLE_NAMES",
+    "VERSIONS_TABLE",
 ]
 
 HEADER_NAMES = HeaderNames(
@@ -66,6 +67,7 @@
 
 TABLE_NAMES = {Table.OPERATORS: "op", Table.SERVERS: "servers"}
 MEMBERS_TABLE = "routers"
+VERSIONS_TABLE = "versions"
 CONFIGURATION_KEY = "config"
 EVACUATION_PREFIX = "evacuate/"
 READY_STATE = "ready"
--- a/boragetrail/platform/store.py
+++ b/boragetrail/platform/store.py
@@ -11,9 +11,15 @@
     MemberRegistry,
     Row,
     RowSource,
+    SavedVersions,
     SourceFailure,
+    VersionRegistry,
+)
+from boragetrail.platform.names import (
+    MEMBERS_TABLE,
+    TABLE_NAMES,
+    VERSIONS_TABLE,
 )
-from boragetrail.platform.names import MEMBERS_TABLE, TABLE_NAMES
 
 __all__ = ["PlatformStoreClient"]
 
@@ -25,8 +31,8 @@
 MAX_PAGE_ROWS = 500
 
 
-class PlatformStoreClient(RowSource, MemberRegistry):
-    """Client that reads tables and registers routers in the store.
+class PlatformStoreClient(RowSource, MemberRegistry, VersionRegistry):
+    """Client that reads tables and saves what outlives routers in the store.
 
     :param session: ``aiohttp.ClientSession``
     :param address: ``host:port`` of the store
@@ -68,6 +74,44 @@
             return []
         return [row.key for row in rows.rows]
 
+    async def read_versions(self):
+        """Return the saved versions by service; see the base class."""
+        query = {
+            "table": VERSIONS_TABLE,
+            "part": "",
+            "limit": str(MAX_PAGE_ROWS),
+        }
+        data = await self._call("GET", "/-/rows-get", 0.0, params=query)
+        if isinstance(data, SourceFailure):
+            return data
+        rows = _change_set(data, True)
+        if isinstance(rows, SourceFailure):
+            return rows
+        now_ms = data.get("nowMs")
+        if type(now_ms) not in (int, float):
+            return SourceFailure("rows without the time of the store")
+        return {
+            row.key: saved
+            for row in rows.rows
+            if (saved := _saved_versions(row, now_ms)) is not None
+        }
+
+    async def save_versions(self, service, saved):
+        """Save the versions of a service; see the base class."""
+        content = {
+            "listed": saved.listed,
+            "gone": saved.gone_ms_by_version,
+        }
+        data = base64.b64encode(json.dumps(content).encode()).decode()
+        row = {"table": VERSIONS_TABLE, "part": "", "key": service}
+        body = {
+            "expect": [{**row, "ver": saved.row_version}],
+            "write": [{**row, "data": data}],
+            "remove": [],
+        }
+        result = await self._call("POST", "/-/rows-tx", 0.0, json=body)
+        return not isinstance(result, SourceFailure)
+
     async def _read_table(self, name):
         rows = []
         version = None
@@ -125,6 +169,20 @@
         return SourceFailure(f"invalid rows in the store's response: {exc!r}")
 
 
+def _saved_versions(row, now_ms):
+    """Return the decoded row of a service, or ``None`` if it is invalid."""
+    try:
+        content = json.loads(row.data)
+        listed = [str(each) for each in content["listed"]]
+        gone_ms = {
+            str(version): float(at_ms)
+            for version, at_ms in content["gone"].items()
+        }
+    except (ValueError, TypeError, KeyError, AttributeError):
+        return None
+    return SavedVersions(listed, gone_ms, now_ms, row.version)
+
+
 def _row(data):
     if data.get("deleted"):
         return Row(data["key"], int(data["ver"]), None)
--- a/boragetrail/reasons.py
+++ b/boragetrail/reasons.py
@@ -106,6 +106,18 @@
         Executed.NO,
         "All backend servers have asked for a pause.",
     )
+    STREAM_UNKNOWN = (
+        "stream-unknown",
+        503,
+        Executed.NO,
+        "It is not known which software version began the stream.",
+    )
+    VERSION_GONE = (
+        "version-gone",
+        503,
+        Executed.NO,
+        "No backend server has the software version that began the stream.",
+    )
     LIMITED = (
         "limited",
         503,
