Copy cached prompt parts only between servers of one version

Cause: sources of copies were all servers of the service. What two versions write does not fit together, and the platform's pages do not say that KV cache of one may be used by the other. The test of TestCopies failed before.

--- a/boragetrail/direct/dispatch.py
+++ b/boragetrail/direct/dispatch.py
@@ -184,7 +184,7 @@
         )
         progress.attempt = attempt
         state.attempts.add(attempt)
-        plan = self.selector.plan(request, progress, record.id)
+        plan = self.selector.plan(request, progress, record)
         self.request_log.sent(request, progress, state, plan)
         progress.pending_work = PendingWork(state, plan.prefill_tokens)
         try:
--- a/boragetrail/direct/fleet.py
+++ b/boragetrail/direct/fleet.py
@@ -127,18 +127,21 @@
             known.record in self.knowledge.leaving for known in listed
         )
 
-    def copy_sources(self, service):
+    def copy_sources(self, service, version):
         """Return the servers from which cached prompt parts can be copied.
 
-        Servers that are shutting down or in evacuated zones are included.
+        Servers that are shutting down or in evacuated zones are included,
+        those of another software version are not.
 
         :param service: name of the service
+        :param version: software version of the server that copies
         :returns: addresses by server id
         """
         return {
             known.record.id: known.record.address
             for known in self.directory.servers_of(service)
-            if not self._is_suspect(known.record.id)
+            if known.record.version == version
+            and not self._is_suspect(known.record.id)
             and known.record not in self.knowledge.leaving
         }
 
--- a/boragetrail/direct/selector.py
+++ b/boragetrail/direct/selector.py
@@ -114,15 +114,19 @@
         text = request.http_request.headers.get(self.names.prompt_parts, "")
         return parse_prompt_parts(text)
 
-    def plan(self, request, progress, server_id):
+    def plan(self, request, progress, record):
         """Plan the prefill at a server and record the parts as cached there.
 
+        :param record: :class:`~boragetrail.direct.model.ServerRecord`
         :returns: :class:`PrefillPlan`
         """
         prompt = progress.prompt
         if not prompt:
             return PrefillPlan()
-        copy_sources = self.fleet.copy_sources(request.service.name)
+        server_id = record.id
+        copy_sources = self.fleet.copy_sources(
+            request.service.name, record.version
+        )
         source_id = self.prefix_placement.copy_source(
             prompt, server_id, copy_sources
         )
--- a/boragetrail/direct/tests/test_leaving.py
+++ b/boragetrail/direct/tests/test_leaving.py
@@ -148,7 +148,7 @@
     async def test_source_of_cache_copies(self, cluster):
         daemon = await cluster.add_router()
         first, second = await hear(cluster, daemon)
-        assert set(daemon.fleet.copy_sources("apps")) == {second.id}
+        assert set(daemon.fleet.copy_sources("apps", "v1")) == {second.id}
 
     async def test_probe(self, cluster):
         daemon = await cluster.add_router()
--- a/boragetrail/direct/tests/test_versions.py
+++ b/boragetrail/direct/tests/test_versions.py
@@ -213,3 +213,18 @@
                 cluster, started, **resuming(request_id, count)
             )
             assert (status, set(seen)) == (200, {"v1"})
+
+
+class TestCopies:
+    """Cached prompt parts are copied between servers of one version only."""
+
+    async def test_sources_have_the_version(self, versions):
+        daemon = await versions.add_router()
+        for version in ("v1", "v2"):
+            sources = daemon.fleet.copy_sources("apps", version)
+            expected = {
+                server.id
+                for server in versions.servers
+                if server.version == version
+            }
+            assert set(sources) == expected
--- a/boragetrail/emulator/fleet.py
+++ b/boragetrail/emulator/fleet.py
@@ -203,7 +203,7 @@
         state = router.selector.choose(RequestStub(), progress)
         if state is None:
             return None
-        plan = router.selector.plan(RequestStub(), progress, state.record.id)
+        plan = router.selector.plan(RequestStub(), progress, state.record)
         pending = PendingWork(state, plan.prefill_tokens)
         source = self.engines_by_id.get(plan.copy_from.partition(":")[0])
         engine = self.engines_by_id[state.record.id]
