Save where streams began while a service has several versions

Cause: where a stream began was known to routers only. While a service has, or in the last 30 s had, several versions, each router now writes its own streams to the store in batches, at most each 0.3 s, to eight rows in turn, and a router that starts reads them all. Without a release nothing is written.

A refused resumption says when it may be tried again: when there can be only one version, not in 0.3 s, which was in vain.

test_saved_stream_goes_on and test_retry_after_of_an_unknown_stream failed before. All tests pass.

--- a/boragetrail/direct/daemon.py
+++ b/boragetrail/direct/daemon.py
@@ -29,6 +29,7 @@
 from boragetrail.direct.relay import PeerSource, PeerFetcher, RelayServer
 from boragetrail.direct.resumption import StreamVersions
 from boragetrail.direct.selector import ServerSelector
+from boragetrail.direct.streamarchive import StreamArchive
 from boragetrail.direct.versionledger import VersionLedger
 from boragetrail.events import Event, log_event
 from boragetrail.policy.quarantine import PromptQuarantine
@@ -46,6 +47,7 @@
 UNRESPONSIVE_CHECK_INTERVAL_S = 0.25
 IDLE_CHECK_INTERVAL_S = 1.0
 ANNOUNCE_RETRY_S = 1.0
+STREAMS_RETRY_S = 0.5
 
 
 class DirectDaemon:
@@ -209,6 +211,7 @@
         self.tasks.start(
             ledger.run(self.settings.first_start), "versions in service"
         )
+        self.tasks.start(self._archive_streams(ledger), "streams")
         self.tasks.start(self._remove_unlisted(), "sweep")
         self.tasks.start(self._abort_unresponsive(), "unresponsive servers")
         self.tasks.start(self._close_idle(), "idle connections")
@@ -339,6 +342,18 @@
         if host != own_host:
             self.socket.request_digest((host, port))
 
+    async def _archive_streams(self, ledger):
+        """Read the saved origins of streams, then save new ones."""
+        archive = StreamArchive(
+            self.knowledge.streams, self.store, ledger.are_mixed, self.peers
+        )
+        await ledger.loaded.wait()
+        if ledger.are_mixed():
+            while not await archive.load():
+                await asyncio.sleep(STREAMS_RETRY_S)
+        self.knowledge.streams.loaded.set()
+        await archive.run()
+
     async def _discover_caches(self):
         while not self.directory.is_complete():
             await asyncio.sleep(POLL_INTERVAL_S)
--- a/boragetrail/direct/dispatch.py
+++ b/boragetrail/direct/dispatch.py
@@ -17,6 +17,7 @@
 from boragetrail.direct.requestlog import RequestLog
 from boragetrail.errors import Failure, Refusal
 from boragetrail.policy.quota import RetryQuota
+from boragetrail.policy.versionhistory import VersionHistory
 from boragetrail.reasons import Executed, Reason
 
 __all__ = ["Dispatcher"]
@@ -353,7 +354,8 @@
         detail = f"service {service!r}"
         if progress.version not in (None, *self.fleet.versions(service)):
             detail = f"{detail}, version {progress.version!r}"
-            return Refusal(Reason.VERSION_GONE, detail)
+            life_s = VersionHistory.STREAM_LIFE_S
+            return Refusal(Reason.VERSION_GONE, detail, Executed.NO, life_s)
         wait_s = self.fleet.wait_s(service)
         if wait_s:
             wait_s += self.random.uniform(0, RETURN_SPREAD_S)
--- a/boragetrail/direct/interfaces.py
+++ b/boragetrail/direct/interfaces.py
@@ -20,6 +20,7 @@
     "RowSource",
     "SavedVersions",
     "SourceFailure",
+    "StreamRegistry",
     "Table",
     "VersionRegistry",
 ]
@@ -143,6 +144,27 @@
         """
 
 
+class StreamRegistry(abc.ABC):
+    """Save at which versions streams began."""
+
+    @abc.abstractmethod
+    async def read_streams(self):
+        """Return all saved streams.
+
+        :returns: list of (key of the stream, version), or
+            :class:`SourceFailure`
+        """
+
+    @abc.abstractmethod
+    async def save_streams(self, name, streams_by_version):
+        """Replace a row of saved streams.
+
+        :param name: name of the row
+        :param streams_by_version: lists of keys of streams by version
+        :returns: whether they were saved
+        """
+
+
 @dataclasses.dataclass(slots=True)
 class CacheContent:
     """Hold the response of an engine to a query of its cache.
--- a/boragetrail/direct/knowledge/streams.py
+++ b/boragetrail/direct/knowledge/streams.py
@@ -60,22 +60,30 @@
 
     :param peers: :class:`~boragetrail.direct.peers.PeerTable`
     :ivar origins_by_stream: :class:`StreamOrigin` by key, oldest first
+    :ivar unsaved: each :class:`StreamOrigin` of this router that the store
+        does not have
+    :ivar loaded: whether the origins that the store has were read
     :ivar send_to: function that sends a record to a list of addresses
     """
 
-    MAX_STREAMS = 16384
+    MAX_STREAMS = 65536
+    MAX_UNSAVED = 4096
     # Routers that are told of each stream.
     OWNER_COUNT = 3
     # In a fleet of at most this many routers, all of them are asked.
     MAX_ASKED = 20
     # Longest wait for the replies of other routers.
     REPLY_TIMEOUT_S = 0.15
+    # Longest wait of a router that starts until it has read the store.
+    LOAD_TIMEOUT_S = 0.5
 
     def __init__(self, peers):
         self.peers = peers
         self.clock = peers.clock
         self.origins_by_stream = collections.OrderedDict()
         self.queries_by_stream = {}
+        self.unsaved = collections.deque(maxlen=self.MAX_UNSAVED)
+        self.loaded = asyncio.Event()
         self.send_to = lambda record, addresses: None
 
     def add(self, request_id, version):
@@ -85,9 +93,32 @@
         :param version: software version of the server
         """
         origin = StreamOrigin(stream_key(request_id), version, self.clock())
-        self._add(origin)
+        if self._add(origin):
+            self.unsaved.append(origin)
         self.send_to(origin, self._owners(origin.stream))
 
+    def add_saved(self, stream, version):
+        """Record an origin that was read from the store.
+
+        :param stream: key of the request that brought the first event
+        :param version: software version of the server
+        """
+        self._add(StreamOrigin(stream, version, self.clock()))
+
+    def take_unsaved(self, count):
+        """Return the newest origins that are still of use, at most a number.
+
+        The others are forgotten.
+        """
+        oldest_s = self.clock() - VersionHistory.STREAM_LIFE_S
+        recent = [each for each in self.unsaved if each.begun_s >= oldest_s]
+        self.unsaved.clear()
+        return recent[-count:]
+
+    def return_unsaved(self, origins):
+        """Queue origins again that could not be saved."""
+        self.unsaved.extendleft(reversed(origins))
+
     async def find(self, request_id):
         """Return where a stream began.
 
@@ -98,18 +129,25 @@
         known = self._get(stream)
         if known is not None:
             return known
+        await self._wait(self.loaded, self.LOAD_TIMEOUT_S)
         query = self.queries_by_stream.get(stream)
         if query is None:
             query = self._ask(stream)
         try:
-            async with asyncio.timeout(self.REPLY_TIMEOUT_S):
-                await query.done.wait()
-        except TimeoutError:
-            pass
+            await self._wait(query.done, self.REPLY_TIMEOUT_S)
         finally:
             self.queries_by_stream.pop(stream, None)
         return self._get(stream)
 
+    @staticmethod
+    async def _wait(event, timeout_s):
+        """Wait until an event is set, or the time has passed."""
+        try:
+            async with asyncio.timeout(timeout_s):
+                await event.wait()
+        except TimeoutError:
+            pass
+
     def apply(self, record, sender):
         """Handle a record of another router.
 
@@ -159,9 +197,10 @@
         ]
 
     def _add(self, origin):
+        """Add an origin; returns whether it is new."""
         known = self._get(origin.stream)
         if known is not None:
-            return
+            return False
         self.origins_by_stream[origin.stream] = origin
         self.origins_by_stream.move_to_end(origin.stream)
         oldest_s = self.clock() - VersionHistory.STREAM_LIFE_S
@@ -171,6 +210,7 @@
             if first.begun_s >= oldest_s and not is_full:
                 break
             self.origins_by_stream.popitem(last=False)
+        return True
 
     def _get(self, stream):
         return self.origins_by_stream.get(stream)
--- a/boragetrail/direct/resumption.py
+++ b/boragetrail/direct/resumption.py
@@ -6,7 +6,8 @@
 
 __all__ = ["StreamVersions"]
 
-RETRY_AFTER_S = 0.3
+# Retry-After if just the list of servers may be out of date.
+MIN_RETRY_AFTER_S = 0.3
 
 
 class StreamVersions:
@@ -49,10 +50,11 @@
             return None
         progress.version = self._only_version(request.service.name)
         if progress.version is None:
+            wait_s = self._wait_s(request.service.name)
             return Refusal(
                 Reason.STREAM_UNKNOWN,
                 f"request {resumed!r}",
-                retry_after_s=RETRY_AFTER_S,
+                retry_after_s=max(MIN_RETRY_AFTER_S, wait_s),
             )
         return None
 
@@ -80,11 +82,17 @@
         """Return the version of all streams of a service, or ``None``."""
         if not self._list_is_current():
             return None
-        directory = self.fleet.directory
-        listed = {
-            known.record.version for known in directory.servers_of(service)
-        }
-        return directory.version_history.only_version(service, listed)
+        history = self.fleet.directory.version_history
+        return history.only_version(service, self._listed(service))
+
+    def _wait_s(self, service):
+        """Return after how long a stream of a service may be resumed."""
+        history = self.fleet.directory.version_history
+        return history.wait_s(service, self._listed(service))
+
+    def _listed(self, service):
+        servers = self.fleet.directory.servers_of(service)
+        return {known.record.version for known in servers}
 
     def _list_is_current(self):
         """Return whether no newer list of servers can be known elsewhere."""
--- /dev/null
+++ b/boragetrail/direct/streamarchive.py
@@ -0,0 +1,89 @@
+"""Saved origins of streams, which outlive all routers."""
+
+import asyncio
+import collections
+
+from boragetrail.direct.interfaces import SourceFailure
+from boragetrail.policy.versionhistory import VersionHistory
+
+__all__ = ["StreamArchive"]
+
+
+class StreamArchive:
+    """Save in the store where recent streams began, and read it at start.
+
+    Only services with several versions need it. Each router writes its own
+    streams in batches, to one of a few rows in turn, so that the oldest row
+    is replaced when its streams can no longer be resumed.
+
+    :param origins:
+        :class:`~boragetrail.direct.knowledge.streams.StreamOrigins`
+    :param registry: :class:`~boragetrail.direct.interfaces.StreamRegistry`
+    :param are_mixed: function that returns whether a service has, or
+        recently had, several versions
+    :param peers: :class:`~boragetrail.direct.peers.PeerTable`
+    """
+
+    CHECK_INTERVAL_S = 0.05
+    # Shortest time between two writes of a router, and of all of them.
+    MIN_WRITE_INTERVAL_S = 0.3
+    FLEET_WRITE_INTERVAL_S = 0.01
+    ROW_COUNT = 8
+    # Time covered by each row.
+    ROW_SPAN_S = VersionHistory.STREAM_LIFE_S / (ROW_COUNT - 1)
+    MAX_STREAMS_PER_ROW = 4000
+
+    def __init__(self, origins, registry, are_mixed, peers):
+        self.origins = origins
+        self.registry = registry
+        self.are_mixed = are_mixed
+        self.peers = peers
+        self.clock = peers.clock
+        self.row_index = 0
+        self.row_started_s = float("-inf")
+        self.row_streams = []
+
+    async def load(self):
+        """Read the saved origins.
+
+        :returns: whether the store responded
+        """
+        saved = await self.registry.read_streams()
+        if isinstance(saved, SourceFailure):
+            return False
+        for stream, version in saved:
+            self.origins.add_saved(stream, version)
+        return True
+
+    async def run(self):
+        """Save new origins until cancelled."""
+        while True:
+            await asyncio.sleep(self.CHECK_INTERVAL_S)
+            if not self.origins.unsaved or not self.are_mixed():
+                continue
+            await self._save()
+            routers = self.peers.size()
+            await asyncio.sleep(
+                max(
+                    self.MIN_WRITE_INTERVAL_S,
+                    routers * self.FLEET_WRITE_INTERVAL_S,
+                )
+            )
+
+    async def _save(self):
+        """Write the row in use with the origins that are new."""
+        is_full = len(self.row_streams) > self.MAX_STREAMS_PER_ROW
+        if is_full or self.clock() - self.row_started_s > self.ROW_SPAN_S:
+            self.row_index = (self.row_index + 1) % self.ROW_COUNT
+            self.row_started_s = self.clock()
+            self.row_streams = []
+        batch = self.origins.take_unsaved(self.MAX_STREAMS_PER_ROW)
+        streams_by_version = collections.defaultdict(list)
+        for origin in [*self.row_streams, *batch]:
+            streams_by_version[origin.version].append(origin.stream)
+        host = self.peers.own_address[0]
+        name = f"{host}/{self.row_index}"
+        if await self.registry.save_streams(name, streams_by_version):
+            self.row_streams.extend(batch)
+        else:
+            self.origins.return_unsaved(batch)
--- a/boragetrail/direct/tests/test_versions.py
+++ b/boragetrail/direct/tests/test_versions.py
@@ -7,8 +7,10 @@
 
 from boragetrail.direct.tests.test_trouble import chunk, stream_head
 from boragetrail.platform.names import HEADER_NAMES
+from boragetrail.policy.versionhistory import VersionHistory
 
 COUNT = 8
+STREAM_LIFE_S = VersionHistory.STREAM_LIFE_S
 
 
 def event(number, version):
@@ -180,6 +182,30 @@
             )
             assert status == 503 or set(seen) == {"v1"}
 
+    # Guards against streams that are refused after a restart (LOST).
+    @pytest.mark.parametrize("version", ["v1", "v2"])
+    async def test_saved_stream_goes_on(self, versions, version):
+        daemon = await versions.add_router()
+        request_id, count = await begin_and_break(versions, daemon, version)
+        await asyncio.sleep(0.5)
+        await daemon.close()
+        started = await versions.add_router()
+        for _ in range(5):
+            status, seen, _ = await stream(
+                versions, started, **resuming(request_id, count)
+            )
+            assert (status, set(seen)) == (200, {version})
+
+    # Guards against callers that are told to come back in vain.
+    async def test_retry_after_of_an_unknown_stream(self, versions):
+        daemon = await versions.add_router()
+        fields = resuming("of-another-fleet", 2)
+        status, headers, _ = await versions.call(
+            daemon, "/resume/1", headers=fields
+        )
+        assert status == 503
+        assert float(headers["Retry-After"]) > STREAM_LIFE_S / 2
+
     # Guards against the version whose servers have just left (ORDER).
     async def test_servers_of_its_version_have_left(self, versions):
         daemon = await versions.add_router()
--- a/boragetrail/direct/versionledger.py
+++ b/boragetrail/direct/versionledger.py
@@ -21,6 +21,7 @@
     :param registry: :class:`~boragetrail.direct.interfaces.VersionRegistry`
     :param role: function that returns the router's
         :class:`~boragetrail.direct.readers.ReaderRole`
+    :ivar loaded: set when the saved versions were read
     """
 
     CHECK_INTERVAL_S = 0.1
@@ -32,6 +33,15 @@
         self.registry = registry
         self.role = role
         self.saved_by_service = {}
+        self.loaded = asyncio.Event()
+
+    def are_mixed(self):
+        """Return whether a service has, or recently had, several versions."""
+        listed = self._listed(self.saved_by_service)
+        return any(
+            len(self.history.versions(service, versions)) > 1
+            for service, versions in listed.items()
+        )
 
     async def run(self, first_start):
         """Read what was saved, then save changes until cancelled.
@@ -41,6 +51,7 @@
         """
         while not await self._load(first_start):
             await asyncio.sleep(self.RETRY_INTERVAL_S)
+        self.loaded.set()
         while True:
             await asyncio.sleep(self.CHECK_INTERVAL_S)
             if self.role() is not ReaderRole.READER:
@@ -64,9 +75,12 @@
             self.history.load(service, _ages_s(each))
         return True
 
-    def _listed(self):
-        """Return the versions of the servers that are there, by service."""
-        listed = {}
+    def _listed(self, services=()):
+        """Return the versions of the servers that are there, by service.
+
+        :param services: names of services to include without servers too
+        """
+        listed = {service: set() for service in services}
         for known in self.directory.servers_by_id.values():
             record = known.record
             listed.setdefault(record.service, set()).add(record.version)
--- a/boragetrail/platform/names.py
+++ b/boragetrail/platform/names.py
@@ -10,6 +10,7 @@
     "KINDS_BY_ROUTE_TYPE",
     "MEMBERS_TABLE",
     "READY_STATE",
+    "STREAMS_TABLE",
     "TABLE_NAMES",
     "VERSIONS_TABLE",
 ]
@@ -68,6 +69,7 @@
 TABLE_NAMES = {Table.OPERATORS: "op", Table.SERVERS: "servers"}
 MEMBERS_TABLE = "routers"
 VERSIONS_TABLE = "versions"
+STREAMS_TABLE = "streams"
 CONFIGURATION_KEY = "config"
 EVACUATION_PREFIX = "evacuate/"
 READY_STATE = "ready"
--- a/boragetrail/platform/store.py
+++ b/boragetrail/platform/store.py
@@ -3,6 +3,7 @@
 import asyncio
 import base64
 import json
+import struct
 
 import aiohttp
 
@@ -13,10 +14,12 @@
     RowSource,
     SavedVersions,
     SourceFailure,
+    StreamRegistry,
     VersionRegistry,
 )
 from boragetrail.platform.names import (
     MEMBERS_TABLE,
+    STREAMS_TABLE,
     TABLE_NAMES,
     VERSIONS_TABLE,
 )
@@ -31,7 +34,9 @@
 MAX_PAGE_ROWS = 500
 
 
-class PlatformStoreClient(RowSource, MemberRegistry, VersionRegistry):
+class PlatformStoreClient(
+    RowSource, MemberRegistry, VersionRegistry, StreamRegistry
+):
     """Client that reads tables and saves what outlives routers in the store.
 
     :param session: ``aiohttp.ClientSession``
@@ -62,10 +67,7 @@
 
     async def announce(self, host):
         """Write a router's row to the table of routers; see the base class."""
-        row = {"table": MEMBERS_TABLE, "part": "", "key": host, "data": ""}
-        body = {"expect": [], "write": [row], "remove": []}
-        data = await self._call("POST", "/-/rows-tx", 0.0, json=body)
-        return not isinstance(data, SourceFailure)
+        return await self._write_row(MEMBERS_TABLE, host, b"")
 
     async def members(self):
         """Return the hosts of registered routers; see the base class."""
@@ -102,11 +104,42 @@
             "listed": saved.listed,
             "gone": saved.gone_ms_by_version,
         }
-        data = base64.b64encode(json.dumps(content).encode()).decode()
-        row = {"table": VERSIONS_TABLE, "part": "", "key": service}
+        data = json.dumps(content).encode()
+        return await self._write_row(
+            VERSIONS_TABLE, service, data, saved.row_version
+        )
+
+    async def read_streams(self):
+        """Return the saved streams; see the base class."""
+        rows = await self._read_table(STREAMS_TABLE)
+        if isinstance(rows, SourceFailure):
+            return rows
+        return [stream for row in rows.rows for stream in _streams(row.data)]
+
+    async def save_streams(self, name, streams_by_version):
+        """Replace a row of saved streams; see the base class."""
+        content = {
+            version: base64.b64encode(
+                struct.pack(f">{len(streams)}Q", *streams)
+            ).decode()
+            for version, streams in streams_by_version.items()
+        }
+        data = json.dumps(content).encode()
+        return await self._write_row(STREAMS_TABLE, name, data)
+
+    async def _write_row(self, table, key, data, expected_version=None):
+        """Write a row, under a condition if a version is expected.
+
+        :returns: whether it was written
+        """
+        row = {"table": table, "part": "", "key": key}
+        expect = []
+        if expected_version is not None:
+            expect = [{**row, "ver": expected_version}]
+        content = base64.b64encode(data).decode()
         body = {
-            "expect": [{**row, "ver": saved.row_version}],
-            "write": [{**row, "data": data}],
+            "expect": expect,
+            "write": [{**row, "data": content}],
             "remove": [],
         }
         result = await self._call("POST", "/-/rows-tx", 0.0, json=body)
@@ -183,6 +216,18 @@
     return SavedVersions(listed, gone_ms, now_ms, row.version)
 
 
+def _streams(data):
+    """Return the streams of a row as (key, version); none if invalid."""
+    try:
+        return [
+            (stream, str(version))
+            for version, packed in json.loads(data).items()
+            for (stream,) in struct.iter_unpack(">Q", base64.b64decode(packed))
+        ]
+    except (ValueError, TypeError, AttributeError, struct.error):
+        return []
+
+
 def _row(data):
     if data.get("deleted"):
         return Row(data["key"], int(data["ver"]), None)
--- a/boragetrail/policy/versionhistory.py
+++ b/boragetrail/policy/versionhistory.py
@@ -78,9 +78,31 @@
         :returns: version, or ``None`` if there are several, or if the
             history is not known
         """
-        is_known = service in self.loaded
-        uptime_s = self.clock() - self.started_s
-        if not is_known and uptime_s < self.STREAM_LIFE_S:
+        if self._unknown_s(service):
             return None
         versions = self.versions(service, listed)
         return next(iter(versions)) if len(versions) == 1 else None
+
+    def wait_s(self, service, listed):
+        """Return after how long there may be only one version of streams.
+
+        :returns: seconds, at most ``STREAM_LIFE_S``
+        """
+        if len(listed) > 1:
+            return self.STREAM_LIFE_S
+        now_s = self.clock()
+        gone_s = [
+            seen_s + self.STREAM_LIFE_S - now_s
+            for version, seen_s in self.seen_s_by_service.get(
+                service, {}
+            ).items()
+            if version not in listed
+        ]
+        return max(0.0, self._unknown_s(service), *gone_s)
+
+    def _unknown_s(self, service):
+        """Return how long the history is not known yet, or 0."""
+        if service in self.loaded:
+            return 0.0
+        uptime_s = self.clock() - self.started_s
+        return max(0.0, self.STREAM_LIFE_S - uptime_s)
