Let routers of a large fleet agree on who knows of a stream

Cause: the routers that are told where a stream began were selected among the peers whose last digest is at most 1.5 s old. In a fleet of 68 a digest of a given router comes every 5 s, so two routers select from different quarters of the fleet, and a resumption finds nobody who knows.

The members of the fleet count instead, as for quotas and ranks.

--- a/boragetrail/direct/knowledge/streams.py
+++ b/boragetrail/direct/knowledge/streams.py
@@ -171,20 +171,20 @@
                 query.done.set()
 
     def _ask(self, stream):
-        live = [peer.address for peer in self.peers.live_peers()]
-        if len(live) > self.MAX_ASKED:
-            live = self._owners(stream)
-        query = _Query(set(live))
+        asked = [peer.address for peer in self.peers.members()]
+        if len(asked) > self.MAX_ASKED:
+            asked = self._owners(stream)
+        query = _Query(set(asked))
         self.queries_by_stream[stream] = query
-        if live:
-            self.send_to(StreamQuery(stream), live)
+        if asked:
+            self.send_to(StreamQuery(stream), asked)
         else:
             query.done.set()
         return query
 
     def _owners(self, stream):
         """Return the addresses of the routers that know of a stream."""
-        addresses = [peer.address for peer in self.peers.live_peers()]
+        addresses = [peer.address for peer in self.peers.members()]
         addresses.append(self.peers.own_address)
         addresses.sort(
             key=lambda address: rendezvous_score(str(stream), address),
--- a/boragetrail/direct/peers.py
+++ b/boragetrail/direct/peers.py
@@ -229,7 +229,7 @@
 
     def size(self):
         """Return the number of routers in the fleet, including this one."""
-        known = len(self._members()) + 1
+        known = len(self.members()) + 1
         return max(self._min_size(), known)
 
     def rank(self, key):
@@ -244,7 +244,7 @@
         own_score = rendezvous_score(key, self.own_address)
         higher = sum(
             1
-            for peer in self._members()
+            for peer in self.members()
             if rendezvous_score(key, peer.address) > own_score
         )
         return higher + self._min_size()
@@ -264,7 +264,7 @@
         own = precedence(self.own_address, self.link_mbps)
         return all(
             precedence(peer.address, peer.link_mbps) < own
-            for peer in self._members()
+            for peer in self.members()
         )
 
     def _min_size(self):
@@ -276,7 +276,11 @@
             else self.MIN_SIZE_WITHOUT_LIST
         )
 
-    def _members(self):
+    def members(self):
+        """Return the peers that count towards the fleet, as a list.
+
+        In a large fleet most of them have sent no digest for seconds.
+        """
         oldest_s = self.clock() - self.MEMBERSHIP_TIMEOUT_S
         return [
             peer
