Keep a router's rank at a limited server for half a second

Rank and number of routers look at each peer, for each limited server and each request: with 68 routers and 42 limited servers thousands of hashes a request, on routers with 0.39 cores. They are kept for 0.5 s now.

--- a/boragetrail/direct/knowledge/limiter.py
+++ b/boragetrail/direct/knowledge/limiter.py
@@ -16,11 +16,16 @@
     """
 
     MAX_RUNS = 4096
+    # Time for which the number of routers and the own rank are kept, since
+    # both take a look at each peer.
+    PLACE_LIFE_S = 0.5
 
     def __init__(self, table, peers):
         self.table = table
         self.peers = peers
         self.quotas_by_run = collections.OrderedDict()
+        self.places_by_run = {}
+        self.places_until_s = 0.0
 
     def is_limited(self, record):
         """Return whether a server limits its rate."""
@@ -75,4 +80,13 @@
 
     def _place(self, record):
         """Return (number of routers, rank of this router at a server)."""
-        return self.peers.size(), self.peers.rank(record.id)
+        now_s = self.peers.clock()
+        if now_s >= self.places_until_s:
+            self.places_by_run.clear()
+            self.places_until_s = now_s + self.PLACE_LIFE_S
+        run = run_key(record)
+        place = self.places_by_run.get(run)
+        if place is None:
+            place = self.peers.size(), self.peers.rank(record.id)
+            self.places_by_run[run] = place
+        return place
