Do not send callers away for longer than a limit's window

A router without a part of a limit told callers to come back when it may break the silence of the server, up to minutes later.

--- a/boragetrail/policy/serverlimits.py
+++ b/boragetrail/policy/serverlimits.py
@@ -202,6 +202,9 @@
     def wait_s(self, report, routers, rank):
         """Return the seconds until the quota allows a request, or 0.
 
+        A router without a part of the limit is one window away from it at the
+        most, since callers that return come to another router.
+
         :param report: :class:`LimitReport` in force
         :param routers: number of routers that may send
         :param rank: this router's rank among them
@@ -211,13 +214,14 @@
         now_s = self.clock()
         last_s = self.sent_s[-1] if self.sent_s else -math.inf
         since_s = max(report.heard_s, last_s)
-        wait_s = since_s + (rank + 1) * self._silence_s(report) - now_s
+        silence_s = since_s + (rank + 1) * self._silence_s(report) - now_s
+        wait_s = max(0.0, min(silence_s, window_s))
         if share:
             recent = [each for each in self.sent_s if now_s - each < window_s]
             if len(recent) < share:
                 return 0.0
             wait_s = min(wait_s, recent[-share] + window_s - now_s)
-        return max(0.0, wait_s)
+        return wait_s
 
     def _window(self, rate_per_s, routers):
         """Return (requests of all routers in a window, its length)."""
