--- a/boragetrail/direct/knowledge/servers.py
+++ b/boragetrail/direct/knowledge/servers.py
@@ -47,6 +47,7 @@
 
     def __init__(self, peers):
         self.clock = peers.clock
+        self.random = peers.random
         self.tell = lambda record: None
         self.leaving = LeavingServers(self._server_leaves)
         self.pauses = PauseTable(peers.clock)
@@ -108,9 +109,16 @@
             record = dataclasses.replace(record, heard_s=heard_s)
         return self.limits.add(record)
 
-    def snapshot(self):
-        """Return the records that a router that starts needs, as a list."""
-        return self.limits.recent()
+    def snapshot(self, count=None):
+        """Return the records that a router that starts needs.
+
+        :param count: size of a random sample, or ``None`` for all
+        :returns: list
+        """
+        records = self.limits.recent()
+        if count is None or len(records) <= count:
+            return records
+        return self.random.sample(records, count)
 
     def _server_leaves(self, record):
         log_event(Event.SERVER_SAYS_LEAVING, server=record.id)
--- a/boragetrail/direct/peersocket.py
+++ b/boragetrail/direct/peersocket.py
@@ -39,6 +39,8 @@
     UPDATE_INTERVAL_S = 0.1
     PEERS_PER_DIGEST = 6
     SNAPSHOT_FANOUT = 1
+    # Records about servers in each regular snapshot.
+    SAMPLE_SIZE = 24
 
     def __init__(
         self, table, make_digest, take_update, on_message, record_gossip
@@ -126,7 +128,9 @@
             await asyncio.sleep(self.DIGEST_INTERVAL_S * jitter)
             for peer in self.table.sample(self.DIGEST_FANOUT):
                 self._send_digest(peer.address, False)
-            self._send_snapshot(self.table.sample(self.SNAPSHOT_FANOUT))
+            self._send_snapshot(
+                self.table.sample(self.SNAPSHOT_FANOUT), self.SAMPLE_SIZE
+            )
             self.table.remove_silent()
 
     async def run_updates(self):
@@ -161,8 +165,8 @@
         for address in self.table.peers_by_address:
             self._send_data(data, address)
 
-    def _send_snapshot(self, peers):
-        for message in self.record_gossip.snapshot():
+    def _send_snapshot(self, peers, count=None):
+        for message in self.record_gossip.snapshot(count):
             data = encode_datagram(message)
             for peer in peers:
                 self._send_data(data, peer.address)
--- a/boragetrail/direct/recordgossip.py
+++ b/boragetrail/direct/recordgossip.py
@@ -99,14 +99,19 @@
                 self.queue.append((record, sends_left - 1))
         return self._messages([record for record, _ in batch])
 
-    def snapshot(self):
-        """Return messages with all records that still matter, as a list."""
+    def snapshot(self, count=None):
+        """Return messages with all records that still matter.
+
+        :param count: size of a random sample of those about servers, or
+            ``None`` for all
+        :returns: list of messages
+        """
         quarantine = self.quarantine
         quarantine.remove_expired()
         return self._messages(
             quarantine.active_reports()
             + quarantine.active_trials()
-            + self.knowledge.snapshot()
+            + self.knowledge.snapshot(count)
         )
 
     def _send_to(self, record, addresses):
