--- a/boragetrail/direct/dispatch.py
+++ b/boragetrail/direct/dispatch.py
@@ -10,6 +10,12 @@
 )
 from boragetrail.direct.crashes import shared_parts
 from boragetrail.direct.eventstream import MAX_EVENT_BYTES
+from boragetrail.direct.failures import (
+    RETRY_AFTER_S,
+    deadline_failure,
+    no_server_failure,
+    overall_failure,
+)
 from boragetrail.direct.headers import HeaderRewriter
 from boragetrail.direct.model import RequestKind
 from boragetrail.direct.progress import PendingWork, RequestProgress
@@ -17,15 +23,10 @@
 from boragetrail.direct.requestlog import RequestLog
 from boragetrail.errors import Failure, Refusal
 from boragetrail.policy.quota import RetryQuota
-from boragetrail.policy.versionhistory import VersionHistory
 from boragetrail.reasons import Executed, Reason
 
 __all__ = ["Dispatcher"]
 
-RETRY_AFTER_S = 0.3
-# Callers that are refused during a pause of all servers return spread over
-# this time after it.
-RETURN_SPREAD_S = 0.5
 # Limit on all attempts of a request. A route's max_attempts limits just the
 # attempts that may have been executed.
 MAX_TOTAL_ATTEMPTS = 8
@@ -93,9 +94,9 @@
         try:
             async with asyncio.timeout_at(request.deadline_s):
                 failure = await self._serve(request, caller, progress)
-            failure = self._overall_failure(failure, progress)
+            failure = overall_failure(failure, progress)
         except TimeoutError:
-            failure = self._deadline_failure(request, progress)
+            failure = deadline_failure(request, progress)
         finally:
             if progress.attempt is not None:
                 progress.attempt.abort()
@@ -104,24 +105,6 @@
                 caller.set_response(*progress.server_error)
         return failure
 
-    @staticmethod
-    def _overall_failure(failure, progress):
-        """Return what a failure of the last attempt says of all attempts.
-
-        A refusal is only true of a request that no attempt may have executed.
-        Its caller is always told when to come back.
-
-        :param failure: :class:`~boragetrail.errors.Failure` or ``None``
-        """
-        if not isinstance(failure, Refusal):
-            return failure
-        if progress.possible_executions:
-            return Failure(Reason.BACKEND_FAILED, failure.detail)
-        retry_after_s = failure.retry_after_s or RETRY_AFTER_S
-        return Refusal(
-            failure.reason, failure.detail, failure.ran, retry_after_s
-        )
-
     async def _serve(self, request, caller, progress):
         refusal = await self.stream_versions.require(request, progress)
         if refusal is not None:
@@ -132,7 +115,9 @@
                 return failure
             state = self.selector.choose(request, progress)
             if state is None:
-                return self._no_server_failure(request, progress)
+                return no_server_failure(
+                    request, progress, self.fleet, self.random
+                )
             failure = await self._try_server(request, caller, progress, state)
             if failure is None:
                 return None
@@ -346,38 +331,6 @@
         routers = self.fleet.peers.size()
         return self._retry_quota(request.service).try_acquire(routers)
 
-    def _no_server_failure(self, request, progress):
-        if progress.possible_executions:
-            detail = "no other server is available for the request"
-            return Failure(Reason.BACKEND_FAILED, detail)
-        service = request.service.name
-        detail = f"service {service!r}"
-        if progress.version not in (None, *self.fleet.versions(service)):
-            detail = f"{detail}, version {progress.version!r}"
-            life_s = VersionHistory.STREAM_LIFE_S
-            return Refusal(Reason.VERSION_GONE, detail, Executed.NO, life_s)
-        wait_s = self.fleet.wait_s(service)
-        if wait_s:
-            wait_s += self.random.uniform(0, RETURN_SPREAD_S)
-            paused = self.fleet.are_paused(service)
-            reason = Reason.PAUSED if paused else Reason.LIMITED
-            return Refusal(reason, detail, Executed.NO, wait_s)
-        reason = Reason.OVERLOADED if progress.tried_ids else Reason.NO_SERVER
-        if self.fleet.are_leaving(service):
-            reason = Reason.LEAVING
-        return Refusal(reason, detail, Executed.NO, RETRY_AFTER_S)
-
-    def _deadline_failure(self, request, progress):
-        attempt = progress.attempt
-        allowed_s = request.deadline_s - request.received_s
-        detail = f"the {request.deadline_source} allowed {allowed_s:.2f} s"
-        if progress.possible_executions or (
-            attempt and attempt.executed() is not Executed.NO
-        ):
-            return Failure(Reason.DEADLINE, detail)
-        detail = f"{detail}, and no server accepted the request"
-        return Refusal(Reason.OVERLOADED, detail, Executed.NO, RETRY_AFTER_S)
-
     @staticmethod
     def _record_failure(attempt):
         """Record a failure of the server, unless this router caused it."""
--- a/boragetrail/direct/knowledge/servers.py
+++ b/boragetrail/direct/knowledge/servers.py
@@ -52,6 +52,7 @@
         self.leaving = LeavingServers(self._server_leaves)
         self.pauses = PauseTable(peers.clock)
         self.limits = LimitTable(peers.clock)
+        self.invalid_limit_runs = set()
         self.limiter = RequestLimiter(self.limits, peers)
         self.streams = StreamOrigins(peers)
 
@@ -79,11 +80,7 @@
         else:
             rate_per_s = parse_limit(text)
             if rate_per_s is None:
-                log_event(
-                    Event.LIMIT_INVALID,
-                    server=record.id,
-                    value=text[:MAX_LOGGED_LENGTH],
-                )
+                self._log_invalid_limit(record, text)
                 return
             report = LimitReport(run, rate_per_s, self.clock())
         if self.limits.add(report):
@@ -120,6 +117,20 @@
             return records
         return self.random.sample(records, count)
 
+    def _log_invalid_limit(self, record, text):
+        """Log an invalid limit once for each run of a server."""
+        run = run_key(record)
+        if run in self.invalid_limit_runs:
+            return
+        if len(self.invalid_limit_runs) >= LimitTable.MAX_RUNS:
+            self.invalid_limit_runs.clear()
+        self.invalid_limit_runs.add(run)
+        log_event(
+            Event.LIMIT_INVALID,
+            server=record.id,
+            value=text[:MAX_LOGGED_LENGTH],
+        )
+
     def _server_leaves(self, record):
         log_event(Event.SERVER_SAYS_LEAVING, server=record.id)
         self.tell(Leaving(run_key(record)))
--- a/boragetrail/direct/selector.py
+++ b/boragetrail/direct/selector.py
@@ -56,8 +56,8 @@
             state
             for state in self.fleet.usable_servers(request.service.name)
             if state.record.id not in progress.tried_ids
-            and limiter.allows(state.record)
             and progress.version in (None, state.record.version)
+            and limiter.allows(state.record)
         ]
         chosen = self._choose(request, progress, usable)
         if chosen is not None:
--- a/boragetrail/direct/tests/test_limits.py
+++ b/boragetrail/direct/tests/test_limits.py
@@ -140,3 +140,19 @@
             for table in tables
             for server in table.reports_by_server
         )
+
+
+class TestInvalidLimit:
+    """A value that cannot be used leaves the known limit as it is."""
+
+    async def test_known_limit_stays(self, cluster):
+        daemon = await cluster.add_router()
+        first, _ = cluster.servers
+        first.default = name_limit(LIMIT_PER_S)
+        await hear(cluster, [daemon], first)
+        first.default = name_limit("soon")
+        record = daemon.directory.servers_by_id[first.id].record
+        for _ in range(3):
+            daemon.knowledge.hear_limit(record, "soon", daemon.clock())
+        assert daemon.knowledge.limiter.is_limited(record)
+        assert len(daemon.knowledge.invalid_limit_runs) == 1
--- a/boragetrail/direct/tests/test_recordgossip.py
+++ b/boragetrail/direct/tests/test_recordgossip.py
@@ -6,6 +6,11 @@
 import pytest
 
 from boragetrail.direct.knowledge.leaving import Leaving
+from boragetrail.direct.knowledge.streams import (
+    StreamOrigin,
+    StreamQuery,
+    StreamUnknown,
+)
 from boragetrail.direct.recordmessages import (
     RecordMessage,
     decode_records,
@@ -23,6 +28,7 @@
 from boragetrail.direct.tests.test_peers import digest
 from boragetrail.direct.tests.test_updates import Transport, make_record_gossip
 from boragetrail.policy.crashrecords import CrashReport, Survival, Trial
+from boragetrail.policy.serverlimits import LimitReport
 from standins.clock import ManualClock
 
 PORT = 7000
@@ -32,6 +38,12 @@
     CrashReport(7, ("base", "odd"), True, NOW_S - 0.5),
     Trial("odd", NOW_S - 2.0),
     Leaving(9),
+    LimitReport(7, 2.5, NOW_S - 1.0),
+    LimitReport(8, None, NOW_S - 1.0),
+    StreamOrigin(3, "v1", NOW_S - 0.5),
+    StreamOrigin(4, "", NOW_S),
+    StreamQuery(5),
+    StreamUnknown(6),
 ]
 
 
@@ -110,6 +122,15 @@
             ("trial", [[5, 5]]),
             ("trial", {}),
             ("leaving", ["server"]),
+            ("limit", [[1, -1, 5]]),
+            ("limit", [[1, 2.5, 5]]),
+            ("limit", [[1, 10**10, 5]]),
+            ("limit", [[1, 5]]),
+            ("stream", [[1, 5, 5]]),
+            ("stream", [[1, "v" * 201, 5]]),
+            ("stream", [[2**64, "v1", 5]]),
+            ("query", ["request"]),
+            ("unknown", [-1]),
         ],
     )
     def test_invalid_list(self, name, value):
