Save the origin of a stream when its request is sent

What callers saw: after a kill of all routers in a release, streams that had just begun could not be resumed.

Cause: an origin was saved after the first event, up to 0.3 s later. It is saved when the request is sent now, so that the time to the first event covers the write. A stream that was expected from two versions counts as unknown. test_origin_is_saved_before_the_first_event failed before.

--- a/boragetrail/direct/dispatch.py
+++ b/boragetrail/direct/dispatch.py
@@ -208,6 +208,8 @@
             request, state.record.id, left_s, resume_after, plan.copy_from
         )
         progress.attempts_sent += 1
+        if not caller.started:
+            self.stream_versions.sent(request, state.record)
         outcome = await attempt.exchange(head + request.body)
         progress.pending_work.prefill_finished()
         if outcome is ExchangeOutcome.RESPONSE:
--- a/boragetrail/direct/knowledge/streams.py
+++ b/boragetrail/direct/knowledge/streams.py
@@ -18,7 +18,13 @@
 from boragetrail.policy.placement import rendezvous_score
 from boragetrail.policy.versionhistory import VersionHistory
 
-__all__ = ["StreamOrigin", "StreamOrigins", "StreamQuery", "StreamUnknown"]
+__all__ = [
+    "StreamOrigin",
+    "StreamOrigins",
+    "StreamQuery",
+    "StreamUnknown",
+    "stream_key",
+]
 
 
 @dataclasses.dataclass(slots=True, frozen=True)
@@ -60,6 +66,7 @@
 
     :param peers: :class:`~boragetrail.direct.peers.PeerTable`
     :ivar origins_by_stream: :class:`StreamOrigin` by key, oldest first
+    :ivar expected: version by key of recent requests that were sent
     :ivar unsaved: each :class:`StreamOrigin` of this router that the store
         does not have
     :ivar loaded: whether the origins that the store has were read
@@ -83,6 +90,7 @@
         self.origins_by_stream = collections.OrderedDict()
         self.queries_by_stream = {}
         self.unsaved = collections.deque(maxlen=self.MAX_UNSAVED)
+        self.expected = collections.OrderedDict()
         self.loaded = asyncio.Event()
         self.send_to = lambda record, addresses: None
 
@@ -93,17 +101,41 @@
         :param version: software version of the server
         """
         origin = StreamOrigin(stream_key(request_id), version, self.clock())
-        if self._add(origin):
+        if self._add(origin) and not self._is_expected(origin):
             self.unsaved.append(origin)
         self.send_to(origin, self._owners(origin.stream))
 
-    def add_saved(self, stream, version):
-        """Record an origin that was read from the store.
+    def expect(self, request_id, version):
+        """Save where a stream will begin if its server sends an event.
 
-        :param stream: key of the request that brought the first event
-        :param version: software version of the server
+        The store then has the origin when the first event arrives.
+
+        :param request_id: id of the request
+        :param version: software version of the server that gets it
+        """
+        origin = StreamOrigin(stream_key(request_id), version, self.clock())
+        if not self._is_expected(origin):
+            self.expected[origin.stream] = version
+            self.unsaved.append(origin)
+        if len(self.expected) > self.MAX_UNSAVED:
+            self.expected.popitem(last=False)
+
+    def add_saved(self, saved):
+        """Record the origins that were read from the store.
+
+        A stream that was expected from two versions is left out.
+
+        :param saved: list of (key of the stream, version)
         """
-        self._add(StreamOrigin(stream, version, self.clock()))
+        versions_by_stream = collections.defaultdict(set)
+        for stream, version in saved:
+            versions_by_stream[stream].add(version)
+        for stream, versions in versions_by_stream.items():
+            if len(versions) == 1:
+                self._add(StreamOrigin(stream, *versions, self.clock()))
+
+    def _is_expected(self, origin):
+        return self.expected.get(origin.stream) == origin.version
 
     def take_unsaved(self, count):
         """Return the newest origins that are still of use, at most a number.
--- a/boragetrail/direct/resumption.py
+++ b/boragetrail/direct/resumption.py
@@ -58,6 +58,14 @@
             )
         return None
 
+    def sent(self, request, record):
+        """Record that a request for a new stream is sent to a server.
+
+        :param record: :class:`~boragetrail.direct.model.ServerRecord`
+        """
+        if request.route.resumable and not self._resumes(request):
+            self.fleet.knowledge.streams.expect(request.id, record.version)
+
     def begun(self, request, progress, record):
         """Record that the first event of a stream is sent to the caller.
 
--- a/boragetrail/direct/streamarchive.py
+++ b/boragetrail/direct/streamarchive.py
@@ -51,8 +51,7 @@
         saved = await self.registry.read_streams()
         if isinstance(saved, SourceFailure):
             return False
-        for stream, version in saved:
-            self.origins.add_saved(stream, version)
+        self.origins.add_saved(saved)
         return True
 
     async def run(self):
--- a/boragetrail/direct/tests/test_versions.py
+++ b/boragetrail/direct/tests/test_versions.py
@@ -1,13 +1,17 @@
 """Tests with servers of several software versions in one service."""
 
 import asyncio
+import random
 
 import aiohttp
 import pytest
 
+from boragetrail.direct.knowledge.streams import StreamOrigins, stream_key
+from boragetrail.direct.peers import PeerTable
 from boragetrail.direct.tests.test_trouble import chunk, stream_head
 from boragetrail.platform.names import HEADER_NAMES
 from boragetrail.policy.versionhistory import VersionHistory
+from standins.clock import ManualClock
 
 COUNT = 8
 STREAM_LIFE_S = VersionHistory.STREAM_LIFE_S
@@ -196,6 +200,26 @@
             )
             assert (status, set(seen)) == (200, {version})
 
+    # Guards against streams that began just before the kill (LOST).
+    async def test_origin_is_saved_before_the_first_event(self, versions):
+        daemon = await versions.add_router()
+        rows_at_first_event = []
+
+        async def begin_late(request):
+            await asyncio.sleep(0.6)
+            rows_at_first_event.extend(await daemon.store.read_streams())
+            return await streaming("v1")(request)
+
+        for server in versions.servers:
+            server.default = begin_late
+        _, _, request_id = await stream(versions, daemon)
+        assert stream_key(request_id) in dict(rows_at_first_event)
+
+    async def test_stream_expected_from_two_versions_is_unknown(self):
+        origins = StreamOrigins(PeerTable(ManualClock(5.0), random.Random(1)))
+        origins.add_saved([(1, "v1"), (2, "v1"), (1, "v2"), (2, "v1")])
+        assert list(origins.origins_by_stream) == [2]
+
     # Guards against callers that are told to come back in vain.
     async def test_retry_after_of_an_unknown_stream(self, versions):
         daemon = await versions.add_router()
