Log the store's epoch, and how crowded a service was at a selection

The timeline of changes that are not in force cannot tell a store that has returned from a copy from one that is silent, nor a crowded server of a full service from one whose neighbours are left out. The client of the store reads the epoch of each response, failures included, and logs a change (E516) and an epoch that is invalid or goes back (E517). E205 names the mean load of the service's ready servers and how many of them could not be selected.

No decision changes.

--- a/boragetrail/direct/fleet.py
+++ b/boragetrail/direct/fleet.py
@@ -67,18 +67,28 @@
         for part, server_id in placements:
             self.placements.receive(part, server_id, forward)
 
-    def usable_servers(self, service):
-        """Return the servers of a service that may get new work.
+    def ready_servers(self, service):
+        """Return the servers of a service that are listed as ready.
+
+        Those in evacuated zones are left out.
 
         :param service: name of the service
         :returns: list of :class:`ServerState`
         """
         zones_out = self.directory.evacuated_zones
-        states = [
+        return [
             self._state(known)
             for known in self.directory.servers_of(service)
             if known.record.ready and known.record.zone not in zones_out
         ]
+
+    def usable_servers(self, service):
+        """Return the servers of a service that may get new work.
+
+        :param service: name of the service
+        :returns: list of :class:`ServerState`
+        """
+        states = self.ready_servers(service)
         return [state for state in states if state.accepts_requests()]
 
     def wait_s(self, service):
--- a/boragetrail/direct/progress.py
+++ b/boragetrail/direct/progress.py
@@ -13,6 +13,9 @@
     :ivar is_trial: whether the next attempt tries a quarantined part
     :ivar counted_s: monotonic time at which the last attempt was counted
         against the limit of its server
+    :ivar mean_load: mean known number of requests of the service's ready
+        servers when the last one was selected
+    :ivar left_out_count: number of these that could not be selected
     :ivar stream_begun: whether the caller got an event
     :ivar version: software version at which its stream must go on, or
         ``None`` if any will do
@@ -37,6 +40,8 @@
         "parts",
         "is_trial",
         "counted_s",
+        "mean_load",
+        "left_out_count",
         "stream_begun",
         "version",
         "tried_ids",
@@ -54,6 +59,8 @@
         self.parts = parts
         self.is_trial = False
         self.counted_s = None
+        self.mean_load = 0.0
+        self.left_out_count = 0
         self.stream_begun = False
         self.version = None
         self.tried_ids = set()
--- a/boragetrail/direct/requestlog.py
+++ b/boragetrail/direct/requestlog.py
@@ -31,6 +31,8 @@
         inputs = {
             "in_flight": state.in_flight,
             "others": peers.load(state.record.id).requests,
+            "mean": round(progress.mean_load, 2),
+            "left_out": progress.left_out_count,
             "news_age_s": peers.newest_digest_age_s(),
             "doubtful": state.is_suspect(),
             "left_s": round(request.deadline_s - self.clock(), 3),
--- a/boragetrail/direct/selector.py
+++ b/boragetrail/direct/selector.py
@@ -52,18 +52,27 @@
         The request is counted against the limit that the server names.
         """
         limiter = self.fleet.knowledge.limiter
+        ready = self.fleet.ready_servers(request.service.name)
         usable = [
             state
-            for state in self.fleet.usable_servers(request.service.name)
-            if state.record.id not in progress.tried_ids
+            for state in ready
+            if state.accepts_requests()
+            and state.record.id not in progress.tried_ids
             and progress.version in (None, state.record.version)
             and limiter.allows(state.record)
         ]
+        progress.left_out_count = len(ready) - len(usable)
+        progress.mean_load = self._mean_load(ready)
         chosen = self._choose(request, progress, usable)
         if chosen is not None:
             progress.counted_s = limiter.try_acquire(chosen.record)
         return chosen
 
+    def _mean_load(self, states):
+        """Return the mean known number of requests of some servers."""
+        loads = [self.fleet.engine_view(each).running for each in states]
+        return sum(loads) / len(loads) if loads else 0.0
+
     def _choose(self, request, progress, usable):
         has_cold_limit = request.service.cold_rate_per_s > 0
         cold = [
--- a/boragetrail/events.py
+++ b/boragetrail/events.py
@@ -85,6 +85,12 @@
     LIMIT_CHANGED = (513, "INFO", "The limit that a server names changed.")
     LIMIT_INVALID = (514, "WARNING", "A server named an invalid limit.")
     VERSIONS_SAVED = (515, "INFO", "Versions in service were saved.")
+    STORE_EPOCH_CHANGED = (516, "WARNING", "The store began another epoch.")
+    STORE_EPOCH_INVALID = (
+        517,
+        "WARNING",
+        "A response names an invalid or earlier epoch of the store.",
+    )
     ORDER_UNKNOWN = (600, "ERROR", "An order's outcome is unknown.")
     ORDER_FENCED = (601, "WARNING", "An order has a stale fencing token.")
     LEASE_ACQUIRED = (602, "INFO", "A lease on model loading was acquired.")
--- a/boragetrail/platform/names.py
+++ b/boragetrail/platform/names.py
@@ -5,6 +5,7 @@
 
 __all__ = [
     "CONFIGURATION_KEY",
+    "EPOCH_HEADER",
     "EVACUATION_PREFIX",
     "HEADER_NAMES",
     "KINDS_BY_ROUTE_TYPE",
@@ -66,6 +67,8 @@
     ),
 )
 
+# Number of times that the store has returned from a copy of its rows.
+EPOCH_HEADER = "Store-Era"
 TABLE_NAMES = {Table.OPERATORS: "op", Table.SERVERS: "servers"}
 MEMBERS_TABLE = "routers"
 VERSIONS_TABLE = "versions"
--- a/boragetrail/platform/store.py
+++ b/boragetrail/platform/store.py
@@ -17,7 +17,9 @@
     StreamRegistry,
     VersionRegistry,
 )
+from boragetrail.events import Event, log_event
 from boragetrail.platform.names import (
+    EPOCH_HEADER,
     MEMBERS_TABLE,
     STREAMS_TABLE,
     TABLE_NAMES,
@@ -32,6 +34,8 @@
 # HTTP status if the store no longer keeps the changes that were asked for.
 HISTORY_LOST_STATUS = 410
 MAX_PAGE_ROWS = 500
+MAX_EPOCH = 2**62
+MAX_LOGGED_LENGTH = 80
 
 
 class PlatformStoreClient(
@@ -42,12 +46,14 @@
     :param session: ``aiohttp.ClientSession``
     :param address: ``host:port`` of the store
     :ivar calls: number of HTTP requests since the start
+    :ivar epoch: latest epoch of the store, 0 if its responses name none
     """
 
     def __init__(self, session, address):
         self.session = session
         self.base = f"http://{address}"
         self.calls = 0
+        self.epoch = 0
 
     async def read(self, table):
         """Return all rows of a table; see the base class."""
@@ -183,6 +189,7 @@
                 body = await response.read()
         except (aiohttp.ClientError, asyncio.TimeoutError, OSError) as exc:
             return SourceFailure(f"{method} {path}: {exc!r}")
+        self._record_epoch(response.headers.get(EPOCH_HEADER))
         if response.status != 200:
             detail = f"{method} {path}: status {response.status}"
             return SourceFailure(
@@ -193,6 +200,33 @@
         except ValueError as exc:
             return SourceFailure(f"{method} {path}: {exc!r}")
 
+    def _record_epoch(self, text):
+        """Record the epoch that a response names.
+
+        An epoch that is invalid, or earlier than one before, is ignored.
+
+        :param text: value of the header field, or ``None`` without it
+        """
+        if text is None:
+            return
+        epoch = int(text) if _is_epoch(text) else -1
+        if epoch < self.epoch:
+            log_event(
+                Event.STORE_EPOCH_INVALID,
+                value=text[:MAX_LOGGED_LENGTH],
+                epoch=self.epoch,
+            )
+        elif epoch > self.epoch:
+            log_event(
+                Event.STORE_EPOCH_CHANGED, epoch=epoch, before=self.epoch
+            )
+            self.epoch = epoch
+
+
+def _is_epoch(text):
+    is_number = text.isascii() and text.isdigit()
+    return is_number and len(text) < 20 and int(text) <= MAX_EPOCH
+
 
 def _change_set(data, is_snapshot):
     try:
