Order rows by the store's epoch, and keep what a copy has lost

Callers were refused (404, 401) as an older version of the configuration says, long after a newer one was confirmed.

Cause: in a drill the store returns from a copy that is some seconds old, and versions are given out again. Everything was ordered by version alone: a read of the new epoch seemed outdated and was repeated for ever, newer rows with smaller versions were dropped, and routers told each other that the old rows were the newest. A change was missed until versions had overtaken the old ones.

Change: rows, mirrors, change sets, digests, updates and rows between routers are ordered by epoch and version. What was known before stays in force until it is written again; rows that the copy merely holds are recognized by the history of their versions. Routers that start later fetch what others retain. Registrations, versions in service and origins of streams are saved again, and conditional writes hold within an epoch. Fields are added so that older routers ignore them; rows for them are encoded as before.

--- a/boragetrail/direct/daemon.py
+++ b/boragetrail/direct/daemon.py
@@ -1,6 +1,7 @@
 """The process of a direct router."""
 
 import asyncio
+import math
 import random
 import signal
 import time
@@ -142,6 +143,7 @@
         )
         self.session = None
         self.store = None
+        self.announced_epoch = math.inf
         self.fetcher = None
         self.feeds_by_table = {}
         self.health_runner = None
@@ -207,6 +209,7 @@
         self.tasks.start(self.socket.run(), "gossip")
         self.tasks.start(self.socket.run_updates(), "news")
         self.tasks.start(self._join(), "join")
+        self.tasks.start(self._announce_again(), "announce again")
         ledger = VersionLedger(self.directory, self.store, self._reader_role)
         self.tasks.start(
             ledger.run(self.settings.first_start), "versions in service"
@@ -332,12 +335,24 @@
             self._request_digest(seed, host, port)
         while not await self.store.announce(host):
             await asyncio.sleep(ANNOUNCE_RETRY_S)
+        self.announced_epoch = self.store.epoch
         members = await self.store.members()
         if members:
             self.peers.add_listed([(member, port) for member in members])
         for member in members:
             self._request_digest(member, host, port)
 
+    async def _announce_again(self):
+        """Register this router again if the store has lost its row."""
+        host, _ = split_address(self.settings.gossip)
+        while True:
+            await asyncio.sleep(ANNOUNCE_RETRY_S * self.random.random())
+            epoch = max(self.store.epoch, self.directory.latest_epoch())
+            if epoch <= self.announced_epoch:
+                continue
+            if await self.store.announce(host):
+                self.announced_epoch = epoch
+
     def _request_digest(self, host, own_host, port):
         if host != own_host:
             self.socket.request_digest((host, port))
--- a/boragetrail/direct/directory.py
+++ b/boragetrail/direct/directory.py
@@ -3,6 +3,10 @@
 import dataclasses
 
 from boragetrail.direct.interfaces import Table
+from boragetrail.direct.knowledge.epochs import (
+    EPOCH_SUFFIX,
+    RETAINED_SUFFIX,
+)
 from boragetrail.direct.mirror import Mirror
 from boragetrail.events import Event, log_event
 from boragetrail.policy.versionhistory import VersionHistory
@@ -33,6 +37,10 @@
     return soon after its end. A ready server whose entry is removed in the
     grace period after an outage is therefore kept for a while.
 
+    If the store returns from a copy, what was known before stays in force
+    until the operators or the servers write it again, but not for ever. A
+    configuration never goes back.
+
     :param decoder: :class:`~boragetrail.direct.interfaces.RowDecoder`
     :param clock: function that returns monotonic seconds
     :ivar configuration: newest configuration, or ``None``
@@ -49,6 +57,9 @@
     PEER_EXPIRY_GRACE_S = 1.2
     # Longest time for which a server is kept without an entry.
     MAX_KEPT_S = 1.7
+    # Longest time for which rows are in force that the store has lost. Servers
+    # write their entries again with their next heartbeat.
+    RETENTION_S_BY_TABLE = {Table.SERVERS: 6.0, Table.OPERATORS: 60.0}
 
     def __init__(self, decoder, clock):
         self.decoder = decoder
@@ -59,6 +70,7 @@
         self.evacuated_zones = set()
         self.expiry_grace_until_s = float("-inf")
         self.version_history = VersionHistory(clock)
+        self.retained_until_s_by_table = {}
 
     def apply(self, table, change_set):
         """Apply changes of a table.
@@ -67,13 +79,81 @@
         :param change_set: :class:`~boragetrail.direct.interfaces.ChangeSet`
         :returns: list of the rows that changed
         """
-        changed = self.mirrors[table].apply(change_set)
+        mirror = self.mirrors[table]
+        epoch = mirror.epoch
+        was_read = mirror.version >= 0
+        changed = mirror.apply(change_set)
+        if was_read and mirror.epoch != epoch:
+            log_event(
+                Event.STORE_EPOCH_CHANGED,
+                table=table.value,
+                epoch=mirror.epoch,
+                before=epoch,
+                retained=len(mirror.retained),
+            )
+            self.start_expiry_grace()
+            self._retain(table, self.RETENTION_S_BY_TABLE[table])
+        elif change_set.retained:
+            self._retain(table, change_set.retained_s)
+        self._rows_changed(table, changed)
+        return changed
+
+    def epoch(self, table):
+        """Return the epoch of the store to which the rows of a table belong.
+
+        :param table: :class:`~boragetrail.direct.interfaces.Table`
+        """
+        return self.mirrors[table].epoch
+
+    def latest_epoch(self):
+        """Return the latest epoch of the store that is known."""
+        return max(mirror.epoch for mirror in self.mirrors.values())
+
+    def changes_since(self, table, position):
+        """Return what another router has to know of a table.
+
+        :param table: :class:`~boragetrail.direct.interfaces.Table`
+        :param position:
+            :class:`~boragetrail.direct.knowledge.epochs.RowPosition` of the
+            other router
+        :returns: :class:`~boragetrail.direct.interfaces.ChangeSet`
+        """
+        self._end_retention()
+        changes = self.mirrors[table].since(position)
+        until_s = self.retained_until_s_by_table.get(table, 0.0)
+        changes.retained_s = max(0.0, until_s - self.clock())
+        return changes
+
+    def _rows_changed(self, table, changed):
         for row in changed:
             if table is Table.SERVERS:
                 self._server_changed(row)
             else:
                 self._operators_row_changed(row)
-        return changed
+
+    def _retain(self, table, retained_s):
+        """Retain rows of a table for some seconds from now on."""
+        retained_s = min(retained_s, self.RETENTION_S_BY_TABLE[table])
+        until_s = self.clock() + retained_s
+        self.retained_until_s_by_table[table] = until_s
+
+    def _end_retention(self):
+        """Put the rows of the store in force whose time has come.
+
+        The configuration is retained, since it must not go back.
+        """
+        now_s = self.clock()
+        ended = [
+            table
+            for table, until_s in self.retained_until_s_by_table.items()
+            if until_s <= now_s
+        ]
+        for table in ended:
+            del self.retained_until_s_by_table[table]
+            changed = self.mirrors[table].end_retention(
+                self.decoder.is_configuration
+            )
+            self._rows_changed(table, changed)
 
     def start_expiry_grace(self):
         """Start the grace period after an outage of the store."""
@@ -85,11 +165,18 @@
         self.expiry_grace_until_s = max(self.expiry_grace_until_s, until_s)
 
     def versions(self):
-        """Return the version of the newest row by table name."""
-        return {
-            table.value: mirror.newest_row_version
-            for table, mirror in self.mirrors.items()
-        }
+        """Return the numbers that tell other routers which rows are known.
+
+        :returns: for each table the version of the newest row, its epoch, and
+            the number of the rows that are retained, by name
+        """
+        numbers = {}
+        for table, mirror in self.mirrors.items():
+            name = table.value
+            numbers[name] = mirror.newest_row_version
+            numbers[name + EPOCH_SUFFIX] = mirror.epoch
+            numbers[name + RETAINED_SUFFIX] = len(mirror.retained)
+        return numbers
 
     def is_complete(self):
         """Return whether the configuration and the servers are known."""
@@ -192,6 +279,7 @@
         )
 
     def _remove_expired(self):
+        self._end_retention()
         now_s = self.clock()
         expired = [
             key
--- a/boragetrail/direct/feed.py
+++ b/boragetrail/direct/feed.py
@@ -107,19 +107,29 @@
                 return result
             # A failure makes the feed repeat a read that is older than the
             # known rows.
-            if result.version < mirror.version:
+            if _is_outdated(result, mirror):
                 return SourceFailure(
                     f"{self.table.value}: read returned an outdated version"
                 )
             self.needs_full_read = False
             return result
+        position = mirror.position()
         is_long_poller = self.role() is ReaderRole.LONG_POLLER
         wait_s = (
             self.MAX_LONG_POLL_WAIT_S
             if is_long_poller
             else self.MAX_READER_WAIT_S
         )
-        return await self.source.changes(self.table, mirror.version, wait_s)
+        result = await self.source.changes(self.table, position, wait_s)
+        if isinstance(result, SourceFailure) or result.epoch is None:
+            return result
+        if result.epoch != position.epoch:
+            # The version that was asked for has another meaning now.
+            return SourceFailure(
+                f"{self.table.value}: the store began epoch {result.epoch}",
+                history_lost=result.epoch > mirror.epoch,
+            )
+        return result
 
     def _poll_succeeded(self):
         outage_s = self.liveness.record_response(
@@ -167,3 +177,9 @@
             ReaderRole.STANDBY,
             ReaderRole.FOLLOWER,
         )
+
+
+def _is_outdated(result, mirror):
+    """Return whether rows are older than those that a mirror holds."""
+    epoch = mirror.epoch if result.epoch is None else result.epoch
+    return (epoch, result.version) < (mirror.epoch, mirror.version)
--- a/boragetrail/direct/interfaces.py
+++ b/boragetrail/direct/interfaces.py
@@ -53,11 +53,20 @@
     :param rows: list of :class:`Row`
     :param version: newest version that the rows reflect
     :param is_snapshot: whether these are all rows of the table
+    :param epoch: epoch of the store in which the versions were given out, or
+        ``None`` if the source names none
+    :param retained: rows of earlier epochs that are in force, as a list of
+        :class:`~boragetrail.direct.knowledge.epochs.RetainedRow`, or ``None``
+        if the source does not know
+    :param retained_s: seconds for which they stay in force
     """
 
     rows: list
     version: int
     is_snapshot: bool
+    epoch: int | None = None
+    retained: list | None = None
+    retained_s: float = 0.0
 
 
 @dataclasses.dataclass(slots=True)
@@ -88,14 +97,19 @@
     async def changes(self, table, since, wait_s):
         """Return the rows that changed after a version.
 
-        :param since: newest version whose changes are known
+        :param since: position up to which all changes are known, see
+            :class:`~boragetrail.direct.knowledge.epochs.RowPosition`
         :param wait_s: seconds to wait for the first change
         :returns: :class:`ChangeSet` or :class:`SourceFailure`
         """
 
 
 class MemberRegistry(abc.ABC):
-    """Register the hosts of routers, so that others can find them."""
+    """Register the hosts of routers, so that others can find them.
+
+    :ivar epoch: latest known epoch of what is registered; what was written in
+        an earlier one may be lost
+    """
 
     @abc.abstractmethod
     async def announce(self, host):
@@ -115,16 +129,21 @@
         milliseconds of the registry's clock
     :param now_ms: time of that clock when this was read
     :param row_version: version of the row, or 0 if there is none
+    :param epoch: epoch of the registry in which it was given out
     """
 
     listed: list = dataclasses.field(default_factory=list)
     gone_ms_by_version: dict = dataclasses.field(default_factory=dict)
     now_ms: int = 0
     row_version: int = 0
+    epoch: int = 0
 
 
 class VersionRegistry(abc.ABC):
-    """Save which software versions of each service were in service."""
+    """Save which software versions of each service were in service.
+
+    :ivar epoch: as in a :class:`MemberRegistry`
+    """
 
     @abc.abstractmethod
     async def read_versions(self):
@@ -145,7 +164,10 @@
 
 
 class StreamRegistry(abc.ABC):
-    """Save at which versions streams began."""
+    """Save at which versions streams began.
+
+    :ivar epoch: as in a :class:`MemberRegistry`
+    """
 
     @abc.abstractmethod
     async def read_streams(self):
--- a/boragetrail/direct/peers.py
+++ b/boragetrail/direct/peers.py
@@ -325,11 +325,13 @@
         """Return whether this router's own link is slow."""
         return self.link_mbps < SLOW_LINK_MBPS
 
-    def peers_ahead(self, table, version):
-        """Return the peers that recently reported a newer row of a table.
+    def peers_ahead(self, table, position):
+        """Return the peers that recently reported unknown rows of a table.
 
         :param table: name of the table
-        :param version: version of the newest row that this router has
+        :param position:
+            :class:`~boragetrail.direct.knowledge.epochs.RowPosition` up to
+            which this router knows the rows
         :returns: list of :class:`Peer`
         """
         oldest_s = self.clock() - self.MAX_DIGEST_AGE_S
@@ -337,7 +339,7 @@
             peer
             for peer in self.peers_by_address.values()
             if peer.versions_received_s >= oldest_s
-            and peer.versions_by_table.get(table, -1) > version
+            and position.is_behind(peer.versions_by_table, table)
         ]
 
     def live_peers(self):
--- a/boragetrail/direct/relay.py
+++ b/boragetrail/direct/relay.py
@@ -10,6 +10,7 @@
 import aiohttp.web
 import cbor2
 
+from boragetrail.direct import checks
 from boragetrail.direct.discovery import PARTS_PATH, encode_parts
 from boragetrail.direct.interfaces import (
     ChangeSet,
@@ -18,6 +19,7 @@
     SourceFailure,
     Table,
 )
+from boragetrail.direct.knowledge.epochs import RetainedRow, RowPosition
 
 __all__ = ["PeerSource", "RelayServer", "PeerFetcher"]
 
@@ -29,14 +31,26 @@
 ROWS_PATH = "/rows"
 
 
-def encode_changes(change_set):
-    """Encode a change set as bytes."""
+def encode_changes(change_set, names_epochs=True):
+    """Encode a change set as bytes.
+
+    :param change_set: :class:`~boragetrail.direct.interfaces.ChangeSet`
+    :param names_epochs: whether the receiver knows of epochs
+    """
     rows = [[row.key, row.version, row.data] for row in change_set.rows]
-    return cbor2.dumps([change_set.version, change_set.is_snapshot, rows])
+    fields = [change_set.version, change_set.is_snapshot, rows]
+    if names_epochs:
+        retained = [
+            [row.key, row.version, row.data, row.copied_version]
+            for row in change_set.retained or ()
+        ]
+        retained_ms = int(1000 * change_set.retained_s)
+        fields += [change_set.epoch or 0, retained, retained_ms]
+    return cbor2.dumps(fields)
 
 
 def decode_changes(data):
-    """Decode a change set.
+    """Decode a change set, with or without epochs.
 
     :param data: bytes from another router
     :returns: :class:`~boragetrail.direct.interfaces.ChangeSet`, or
@@ -44,14 +58,20 @@
         are invalid
     """
     try:
-        version, is_snapshot, rows = cbor2.loads(data)
+        version, is_snapshot, rows, *further = cbor2.loads(data)
         decoded = [_row(*row) for row in rows]
+        changes = ChangeSet(
+            decoded, checks.version(version), checks.flag(is_snapshot)
+        )
+        if further:
+            epoch, retained, retained_ms = further[:3]
+            changes.epoch = checks.integer(epoch)
+            changes.retained = [_retained(*row) for row in retained]
+            changes.retained_s = checks.integer(retained_ms) / 1000.0
     except Exception as exc:
         # cbor2's decoders of tagged values raise exceptions of many types.
         return SourceFailure(f"invalid rows from a peer: {exc!r}")
-    if type(version) is not int or type(is_snapshot) is not bool:
-        return SourceFailure("invalid rows from a peer: no version or flag")
-    return ChangeSet(decoded, version, is_snapshot)
+    return changes
 
 
 def _row(key, version, data):
@@ -62,6 +82,12 @@
     return Row(key, version, data)
 
 
+def _retained(key, version, data, copied_version):
+    row = _row(key, version, data)
+    copied_version = checks.version(copied_version)
+    return RetainedRow(row.key, row.version, row.data, copied_version)
+
+
 class RelayServer:
     """Serves rows, cached prompt parts, the state dump and the metrics.
 
@@ -102,13 +128,17 @@
             await self.runner.cleanup()
 
     async def _rows(self, request):
+        query = request.query
         try:
-            table = Table(request.query.get("table", ""))
-            since = int(request.query.get("since", "-1"))
+            table = Table(query.get("table", ""))
+            since = int(query.get("since", "-1"))
+            # A router that names no epoch knows of none.
+            epoch = int(query.get("epoch", self.directory.epoch(table)))
         except ValueError:
             return aiohttp.web.Response(status=400)
-        rows = self.directory.mirrors[table].since(since)
-        return _encoded(encode_changes(rows))
+        position = RowPosition(since, epoch)
+        changes = self.directory.changes_since(table, position)
+        return _encoded(encode_changes(changes, "epoch" in query))
 
     async def _parts(self, request):
         return _encoded(encode_parts(self.prefix_index))
@@ -143,11 +173,15 @@
 
     async def read(self, table):
         """Return all rows; see the base class."""
-        return await self.changes(table, -1, 0.0)
+        return await self.changes(table, RowPosition(-1), 0.0)
 
     async def changes(self, table, since, wait_s):
         """Return newer rows without waiting; see the base class."""
-        query = {"table": table.value, "since": str(since)}
+        query = {
+            "table": table.value,
+            "since": str(since.version),
+            "epoch": str(since.epoch),
+        }
         timeout = aiohttp.ClientTimeout(
             total=None, sock_connect=READ_TIMEOUT_S, sock_read=READ_TIMEOUT_S
         )
@@ -223,9 +257,10 @@
         ahead = self._peers_ahead(table)
         if not ahead:
             return
-        version = self.directory.mirrors[table].version
-        source = self.make_source(self._choose_peer(ahead, table, version))
-        result = await source.changes(table, version, 0.0)
+        position = self.directory.mirrors[table].position()
+        peer = self._choose_peer(ahead, table, position)
+        source = self.make_source(peer)
+        result = await source.changes(table, position, 0.0)
         if isinstance(result, SourceFailure):
             self.newest_peer_failed.add(table)
             return
@@ -234,16 +269,19 @@
             self.directory.start_peer_expiry_grace()
         self.directory.apply(table, result)
 
-    def _choose_peer(self, ahead, table, version):
+    def _choose_peer(self, ahead, table, position):
         """Return the peer to fetch a table from."""
-        if version < 0 and table not in self.newest_peer_failed:
+        if position.version < 0 and table not in self.newest_peer_failed:
             # An outdated configuration may hold keys that were revoked
             # later, so a router without rows fetches from a peer with the
             # newest rows.
-            versions = [peer.versions_by_table[table.value] for peer in ahead]
-            newest = max(versions)
+            known = [
+                position.of_peer(peer.versions_by_table, table.value)
+                for peer in ahead
+            ]
+            newest = max(known)
             ahead = [
-                peer for peer, known in zip(ahead, versions) if known == newest
+                peer for peer, each in zip(ahead, known) if each == newest
             ]
         # Slow links are needed for the traffic of their routers' callers.
         fastest = max(peer.link_mbps for peer in ahead)
@@ -251,5 +289,5 @@
         return self.random.choice(ahead)
 
     def _peers_ahead(self, table):
-        version = self.directory.mirrors[table].version
-        return self.peers.peers_ahead(table.value, version)
+        position = self.directory.mirrors[table].position()
+        return self.peers.peers_ahead(table.value, position)
--- a/boragetrail/direct/resumption.py
+++ b/boragetrail/direct/resumption.py
@@ -105,8 +105,8 @@
     def _list_is_current(self):
         """Return whether no newer list of servers can be known elsewhere."""
         peers = self.fleet.peers
-        version = self.fleet.directory.versions()[Table.SERVERS.value]
-        if peers.peers_ahead(Table.SERVERS.value, version):
+        position = self.fleet.directory.mirrors[Table.SERVERS].position()
+        if peers.peers_ahead(Table.SERVERS.value, position):
             return False
         if self.list_age_s() <= self.MAX_STORE_SILENCE_S:
             return True
--- a/boragetrail/direct/streamarchive.py
+++ b/boragetrail/direct/streamarchive.py
@@ -22,6 +22,8 @@
     :param are_mixed: function that returns whether a service has, or
         recently had, several versions
     :param peers: :class:`~boragetrail.direct.peers.PeerTable`
+    :ivar streams_by_row: saved origins by index of the row
+    :ivar epoch: epoch of the registry in which they were saved
     """
 
     CHECK_INTERVAL_S = 0.05
@@ -41,7 +43,8 @@
         self.clock = peers.clock
         self.row_index = 0
         self.row_started_s = float("-inf")
-        self.row_streams = []
+        self.streams_by_row = {}
+        self.epoch = registry.epoch
 
     async def load(self):
         """Read the saved origins.
@@ -58,31 +61,43 @@
         """Save new origins until cancelled."""
         while True:
             await asyncio.sleep(self.CHECK_INTERVAL_S)
+            if self.registry.epoch != self.epoch:
+                await self._save_again()
             if not self.origins.unsaved or not self.are_mixed():
                 continue
             await self._save()
-            routers = self.peers.size()
-            await asyncio.sleep(
-                max(
-                    self.MIN_WRITE_INTERVAL_S,
-                    routers * self.FLEET_WRITE_INTERVAL_S,
-                )
-            )
+            await asyncio.sleep(self._interval_s())
+
+    def _interval_s(self):
+        fleet_s = self.peers.size() * self.FLEET_WRITE_INTERVAL_S
+        return max(self.MIN_WRITE_INTERVAL_S, fleet_s)
+
+    async def _save_again(self):
+        """Write all rows anew, since the registry may have lost them."""
+        self.epoch = self.registry.epoch
+        for row_index, streams in list(self.streams_by_row.items()):
+            await self._write(row_index, streams)
+            await asyncio.sleep(self._interval_s())
 
     async def _save(self):
         """Write the row in use with the origins that are new."""
-        is_full = len(self.row_streams) > self.MAX_STREAMS_PER_ROW
+        streams = self.streams_by_row.get(self.row_index, [])
+        is_full = len(streams) > self.MAX_STREAMS_PER_ROW
         if is_full or self.clock() - self.row_started_s > self.ROW_SPAN_S:
             self.row_index = (self.row_index + 1) % self.ROW_COUNT
             self.row_started_s = self.clock()
-            self.row_streams = []
+            streams = []
         batch = self.origins.take_unsaved(self.MAX_STREAMS_PER_ROW)
-        streams_by_version = collections.defaultdict(list)
-        for origin in [*self.row_streams, *batch]:
-            streams_by_version[origin.version].append(origin.stream)
-        host = self.peers.own_address[0]
-        name = f"{host}/{self.row_index}"
-        if await self.registry.save_streams(name, streams_by_version):
-            self.row_streams.extend(batch)
+        if await self._write(self.row_index, [*streams, *batch]):
+            streams = [*streams, *batch]
         else:
             self.origins.return_unsaved(batch)
+        self.streams_by_row[self.row_index] = streams
+
+    async def _write(self, row_index, streams):
+        """Replace a row; returns whether it was written."""
+        streams_by_version = collections.defaultdict(list)
+        for origin in streams:
+            streams_by_version[origin.version].append(origin.stream)
+        name = f"{self.peers.own_address[0]}/{row_index}"
+        return await self.registry.save_streams(name, streams_by_version)
--- a/boragetrail/direct/tests/test_feed.py
+++ b/boragetrail/direct/tests/test_feed.py
@@ -7,6 +7,7 @@
 
 from boragetrail.direct.directory import Directory
 from boragetrail.direct.feed import Feed
+from boragetrail.direct.knowledge.epochs import RowPosition
 from boragetrail.direct.liveness import StoreLiveness
 from boragetrail.direct.mirror import Mirror
 from boragetrail.direct.interfaces import ChangeSet, Row, SourceFailure, Table
@@ -346,7 +347,7 @@
         behind.apply(changes(5, Row("gone", 3, b"1"), Row("a", 4, b"2")))
         restarted.apply(changes(8, Row("a", 4, b"2"), is_snapshot=True))
         restarted.apply(changes(9, Row("b", 9, b"3")))
-        changed = behind.apply(restarted.since(behind.version))
+        changed = behind.apply(restarted.since(behind.position()))
         assert {row.key for row in changed} == {"gone", "b"}
         assert behind.rows_by_key["gone"].data is None
 
@@ -355,8 +356,8 @@
         second.apply(changes(2, Row("a", 1, b"1")))
         third.apply(changes(5, Row("a", 1, b"1"), Row("short", 4, b"2")))
         first.apply(changes(8, Row("a", 1, b"1"), is_snapshot=True))
-        second.apply(first.since(second.version))
-        changed = third.apply(second.since(third.version))
+        second.apply(first.since(second.position()))
+        changed = third.apply(second.since(third.position()))
         assert [row.key for row in changed] == ["short"]
 
     def test_row_from_before_a_snapshot_stays_deleted(self):
@@ -370,15 +371,15 @@
         rows = [Row(f"k{n}", n, None) for n in range(count)]
         mirror.apply(changes(count, *rows))
         assert len(mirror.rows_by_key) <= mirror.MAX_TOMBSTONES
-        assert mirror.since(0).is_snapshot
-        assert not mirror.since(count - 1).is_snapshot
+        assert mirror.since(RowPosition(0)).is_snapshot
+        assert not mirror.since(RowPosition(count - 1)).is_snapshot
 
     def test_changes_since_a_version_update_another_mirror(self):
         ahead, behind = Mirror(), Mirror()
         rows = [Row("a", 1, b"1"), Row("b", 2, b"2"), Row("a", 3, None)]
         ahead.apply(changes(4, *rows))
         behind.apply(changes(2, *rows[:2]))
-        changed = behind.apply(ahead.since(behind.version))
+        changed = behind.apply(ahead.since(behind.position()))
         assert [row.key for row in changed] == ["a"]
         assert behind.version == ahead.version == 4
         assert behind.newest_row_version == 3
--- a/boragetrail/direct/tests/test_hostile.py
+++ b/boragetrail/direct/tests/test_hostile.py
@@ -7,13 +7,21 @@
 
 from boragetrail.direct.discovery import decode_parts, encode_parts
 from boragetrail.direct.interfaces import ChangeSet, Row, SourceFailure
+from boragetrail.direct.knowledge.epochs import RetainedRow
 from boragetrail.direct.mirror import Mirror
 from boragetrail.direct.relay import decode_changes, encode_changes
 from boragetrail.platform.store import _change_set
 from boragetrail.policy.prefix import PrefixCacheIndex
 from standins.clock import ManualClock
 
-ROWS = ChangeSet([Row("a", 3, b"1"), Row("b", 4, None)], 4, False)
+ROWS = ChangeSet(
+    [Row("a", 3, b"1"), Row("b", 4, None)],
+    4,
+    False,
+    epoch=2,
+    retained=[RetainedRow("c", 9, b"2", -1)],
+    retained_s=1.5,
+)
 MUTATION_COUNT = 3000
 
 
@@ -41,6 +49,11 @@
             ["4", False, []],
             [4, 0, []],
             [4, False, None],
+            [4, False, [], -1, [], 0],
+            [4, False, [], 1, [["a", 3, b"1"]], 0],
+            [4, False, [], 1, [["a", 3, b"1", -2]], 0],
+            [4, False, [], 1, [], "soon"],
+            [4, False, [], 1],
             {},
             None,
         ],
--- a/boragetrail/direct/tests/test_relay.py
+++ b/boragetrail/direct/tests/test_relay.py
@@ -5,6 +5,7 @@
 
 import pytest
 
+from boragetrail.direct.mirror import Mirror
 from boragetrail.direct.interfaces import ChangeSet, Row, SourceFailure, Table
 from boragetrail.direct.relay import PeerFetcher
 
@@ -24,12 +25,12 @@
             _peer("other", NEW_VERSION, 10.0),
         ]
 
-    def peers_ahead(self, table, version):
+    def peers_ahead(self, table, position):
         """Return the routers with newer rows."""
         return [
             peer
             for peer in self.peers
-            if peer.versions_by_table[table] > version
+            if position.is_behind(peer.versions_by_table, table)
         ]
 
 
@@ -37,9 +38,7 @@
     """Replaces a directory; records the versions of applied change sets."""
 
     def __init__(self):
-        self.mirrors = {
-            table: types.SimpleNamespace(version=-1) for table in Table
-        }
+        self.mirrors = {table: Mirror() for table in Table}
         self.applied = []
 
     def apply(self, table, result):
--- a/boragetrail/direct/tests/test_updates.py
+++ b/boragetrail/direct/tests/test_updates.py
@@ -9,6 +9,7 @@
     encode_datagram,
 )
 from boragetrail.direct.directory import Directory
+from boragetrail.direct.knowledge.epochs import RowPosition
 from boragetrail.direct.interfaces import ChangeSet, Row, Table
 from boragetrail.direct.knowledge import ServerKnowledge
 from boragetrail.direct.messagebuilder import MessageBuilder
@@ -103,7 +104,7 @@
         self.clock.now_s += self.table.MAX_DIGEST_AGE_S
         self.table.apply_update(update(versions_by_table={"servers": 6}), HOST)
         self.clock.now_s += 0.1
-        assert len(self.table.peers_ahead("servers", 5)) == 1
+        assert len(self.table.peers_ahead("servers", RowPosition(5))) == 1
 
     def test_unknown_sender_is_asked_for_a_digest(self):
         received = []
--- a/boragetrail/direct/versionledger.py
+++ b/boragetrail/direct/versionledger.py
@@ -21,6 +21,8 @@
     :param registry: :class:`~boragetrail.direct.interfaces.VersionRegistry`
     :param role: function that returns the router's
         :class:`~boragetrail.direct.readers.ReaderRole`
+    :ivar epoch: epoch of the registry in which the versions were read
+    :ivar lost_by_service: what was saved in an earlier epoch
     :ivar loaded: set when the saved versions were read
     """
 
@@ -33,6 +35,8 @@
         self.registry = registry
         self.role = role
         self.saved_by_service = {}
+        self.epoch = 0
+        self.lost_by_service = {}
         self.loaded = asyncio.Event()
 
     def are_mixed(self):
@@ -56,6 +60,8 @@
             await asyncio.sleep(self.CHECK_INTERVAL_S)
             if self.role() is not ReaderRole.READER:
                 continue
+            if self.registry.epoch != self.epoch:
+                self._enter_epoch()
             for service, listed in self._listed().items():
                 if not self._is_saved(service, listed):
                     await self._save(service, listed)
@@ -73,8 +79,15 @@
         for service, each in saved.items():
             self.saved_by_service[service] = each
             self.history.load(service, _ages_s(each))
+        self.epoch = self.registry.epoch
         return True
 
+    def _enter_epoch(self):
+        """Forget what is saved, since the registry may have lost it."""
+        self.epoch = self.registry.epoch
+        self.lost_by_service.update(self.saved_by_service)
+        self.saved_by_service = {}
+
     def _listed(self, services=()):
         """Return the versions of the servers that are there, by service.
 
@@ -97,9 +110,12 @@
             await asyncio.sleep(self.RETRY_INTERVAL_S)
             return
         self.saved_by_service.update(result)
-        if self._is_saved(service, listed):
+        lost = self.lost_by_service.pop(service, None)
+        if lost is None and self._is_saved(service, listed):
             return
-        saved = self.saved_by_service.get(service, SavedVersions())
+        saved = result.get(service, SavedVersions(epoch=self.registry.epoch))
+        if lost is not None:
+            saved = _with_lost(saved, lost)
         changed = _changed(saved, listed, self.history.STREAM_LIFE_S)
         if await self.registry.save_versions(service, changed):
             self.saved_by_service[service] = changed
@@ -119,6 +135,14 @@
     return ages_s
 
 
+def _with_lost(saved, lost):
+    """Return saved versions with those that the registry has lost."""
+    gone_ms = dict(lost.gone_ms_by_version)
+    gone_ms.update(dict.fromkeys(lost.listed, saved.now_ms or lost.now_ms))
+    gone_ms.update(saved.gone_ms_by_version)
+    return dataclasses.replace(saved, gone_ms_by_version=gone_ms)
+
+
 def _changed(saved, listed, life_s):
     """Return the saved versions after a change of those in service."""
     gone_ms = {
--- a/boragetrail/platform/store.py
+++ b/boragetrail/platform/store.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import base64
+import dataclasses
 import json
 import struct
 
@@ -63,13 +64,15 @@
         """Return the rows changed after a version; see the base class."""
         query = {
             "table": TABLE_NAMES[table],
-            "sinceRev": str(since),
+            "sinceRev": str(since.version),
             "waitMs": str(int(wait_s * 1000)),
         }
-        data = await self._call("GET", "/-/rows-feed", wait_s, params=query)
-        if isinstance(data, SourceFailure):
-            return data
-        return _change_set(data, False)
+        response = await self._call(
+            "GET", "/-/rows-feed", wait_s, params=query
+        )
+        if isinstance(response, SourceFailure):
+            return response
+        return _change_set(response.content, False, response.epoch)
 
     async def announce(self, host):
         """Write a router's row to the table of routers; see the base class."""
@@ -89,19 +92,19 @@
             "part": "",
             "limit": str(MAX_PAGE_ROWS),
         }
-        data = await self._call("GET", "/-/rows-get", 0.0, params=query)
-        if isinstance(data, SourceFailure):
-            return data
-        rows = _change_set(data, True)
+        response = await self._call("GET", "/-/rows-get", 0.0, params=query)
+        if isinstance(response, SourceFailure):
+            return response
+        rows = _change_set(response.content, True, response.epoch)
         if isinstance(rows, SourceFailure):
             return rows
-        now_ms = data.get("nowMs")
+        now_ms = response.content.get("nowMs")
         if type(now_ms) not in (int, float):
             return SourceFailure("rows without the time of the store")
         return {
             row.key: saved
             for row in rows.rows
-            if (saved := _saved_versions(row, now_ms)) is not None
+            if (saved := _saved_versions(row, now_ms, rows.epoch)) is not None
         }
 
     async def save_versions(self, service, saved):
@@ -111,9 +114,12 @@
             "gone": saved.gone_ms_by_version,
         }
         data = json.dumps(content).encode()
-        return await self._write_row(
+        was_written = await self._write_row(
             VERSIONS_TABLE, service, data, saved.row_version
         )
+        # In another epoch, the expected version is that of another row.
+        is_same_row = not saved.row_version or self.epoch == saved.epoch
+        return was_written and is_same_row
 
     async def read_streams(self):
         """Return the saved streams; see the base class."""
@@ -153,21 +159,25 @@
 
     async def _read_table(self, name):
         rows = []
-        version = None
+        first = None
         query = {"table": name, "part": "", "limit": str(MAX_PAGE_ROWS)}
         while True:
-            data = await self._call("GET", "/-/rows-get", 0.0, params=query)
-            if isinstance(data, SourceFailure):
-                return data
-            page = _change_set(data, True)
+            response = await self._call(
+                "GET", "/-/rows-get", 0.0, params=query
+            )
+            if isinstance(response, SourceFailure):
+                return response
+            page = _change_set(response.content, True, response.epoch)
             if isinstance(page, SourceFailure):
                 return page
             rows.extend(page.rows)
             # Rows may change between the pages, so the feed of changes resumes
             # at the version of the first page.
-            version = page.version if version is None else version
-            if not data.get("hasMore") or not page.rows:
-                return ChangeSet(rows, version, True)
+            first = first or page
+            if page.epoch != first.epoch:
+                return SourceFailure("the epoch changed between two pages")
+            if not response.content.get("hasMore") or not page.rows:
+                return ChangeSet(rows, first.version, True, first.epoch)
             # The store returns rows from the key ``source`` on, inclusive; a
             # null character makes the smallest key after the last row's.
             query["source"] = page.rows[-1].key + "\x00"
@@ -189,26 +199,28 @@
                 body = await response.read()
         except (aiohttp.ClientError, asyncio.TimeoutError, OSError) as exc:
             return SourceFailure(f"{method} {path}: {exc!r}")
-        self._record_epoch(response.headers.get(EPOCH_HEADER))
+        epoch = self._record_epoch(response.headers.get(EPOCH_HEADER))
+        if epoch < self.epoch:
+            return SourceFailure(f"{method} {path}: an earlier epoch")
         if response.status != 200:
             detail = f"{method} {path}: status {response.status}"
             return SourceFailure(
                 detail, response.status == HISTORY_LOST_STATUS
             )
         try:
-            return json.loads(body)
+            return _Response(json.loads(body), epoch)
         except ValueError as exc:
             return SourceFailure(f"{method} {path}: {exc!r}")
 
     def _record_epoch(self, text):
         """Record the epoch that a response names.
 
-        An epoch that is invalid, or earlier than one before, is ignored.
-
         :param text: value of the header field, or ``None`` without it
+        :returns: epoch, or the latest one if the response names none; -1 if
+            it is invalid
         """
         if text is None:
-            return
+            return self.epoch
         epoch = int(text) if _is_epoch(text) else -1
         if epoch < self.epoch:
             log_event(
@@ -216,11 +228,16 @@
                 value=text[:MAX_LOGGED_LENGTH],
                 epoch=self.epoch,
             )
-        elif epoch > self.epoch:
-            log_event(
-                Event.STORE_EPOCH_CHANGED, epoch=epoch, before=self.epoch
-            )
-            self.epoch = epoch
+        self.epoch = max(self.epoch, epoch)
+        return epoch
+
+
+@dataclasses.dataclass(slots=True)
+class _Response:
+    """Hold the decoded body of a response, and the epoch that it names."""
+
+    content: dict
+    epoch: int
 
 
 def _is_epoch(text):
@@ -228,15 +245,16 @@
     return is_number and len(text) < 20 and int(text) <= MAX_EPOCH
 
 
-def _change_set(data, is_snapshot):
+def _change_set(content, is_snapshot, epoch=None):
     try:
-        rows = [_row(row) for row in data["rows"]]
-        return ChangeSet(rows, int(data["ver"]), is_snapshot)
+        rows = [_row(row) for row in content["rows"]]
+        version = int(content["ver"])
+        return ChangeSet(rows, version, is_snapshot, epoch)
     except (ValueError, TypeError, KeyError, AttributeError) as exc:
         return SourceFailure(f"invalid rows in the store's response: {exc!r}")
 
 
-def _saved_versions(row, now_ms):
+def _saved_versions(row, now_ms, epoch):
     """Return the decoded row of a service, or ``None`` if it is invalid."""
     try:
         content = json.loads(row.data)
@@ -247,7 +265,7 @@
         }
     except (ValueError, TypeError, KeyError, AttributeError):
         return None
-    return SavedVersions(listed, gone_ms, now_ms, row.version)
+    return SavedVersions(listed, gone_ms, now_ms, row.version, epoch)
 
 
 def _streams(data):
--- a/boragetrail/platform/tests/test_saved.py
+++ b/boragetrail/platform/tests/test_saved.py
@@ -1,11 +1,22 @@
 """Tests of what routers save in the store."""
 
+import json
+import random
+
 import aiohttp
 import pytest
 
-from boragetrail.direct.interfaces import SavedVersions
-from boragetrail.platform import PlatformStoreClient
+from boragetrail.direct.directory import Directory
+from boragetrail.direct.interfaces import ChangeSet, Row, SavedVersions, Table
+from boragetrail.direct.knowledge.streams import StreamOrigins, stream_key
+from boragetrail.direct.peers import PeerTable
+from boragetrail.direct.readers import ReaderRole
+from boragetrail.direct.streamarchive import StreamArchive
+from boragetrail.direct.tests.conftest import configuration
+from boragetrail.direct.versionledger import VersionLedger
+from boragetrail.platform import PlatformRowDecoder, PlatformStoreClient
 from boragetrail.platform.names import STREAMS_TABLE, VERSIONS_TABLE
+from standins.clock import ManualClock
 from standins.rowstore import RowStore
 
 
@@ -68,3 +79,73 @@
         rows, client = store
         rows.put(STREAMS_TABLE, "10.0.0.1/0", row)
         assert await client.read_streams() == []
+
+
+class TestSavedAgain:
+    """What the store has lost with a return from a copy is saved again."""
+
+    async def test_versions(self, store):
+        rows, client = store
+        ledger, directory, _ = make_ledger(client)
+        rows.save_copy()
+        list_version(directory, 1, "v1")
+        await ledger._load(True)
+        await ledger._save("chat", {"v1"})
+        list_version(directory, 2, "v2")
+        await ledger._save("chat", {"v2"})
+        rows.return_from_copy()
+        assert isinstance(await client.read_versions(), dict)
+        ledger._enter_epoch()
+        await ledger._save("chat", {"v2"})
+        saved = (await client.read_versions())["chat"]
+        assert saved.listed == ["v2"]
+        assert "v1" in saved.gone_ms_by_version
+
+    async def test_condition_on_a_version_of_another_epoch(self, store):
+        rows, client = store
+        rows.save_copy()
+        assert await client.save_versions("chat", SavedVersions(["v1"]))
+        read = (await client.read_versions())["chat"]
+        rows.return_from_copy()
+        # The new epoch gives out the same version for another row.
+        rows.put(VERSIONS_TABLE, "chat", {"listed": ["v9"], "gone": {}})
+        assert not await client.save_versions("chat", read)
+
+    async def test_streams(self, store):
+        rows, client = store
+        peers = PeerTable(ManualClock(100.0), random.Random(1))
+        peers.own_address = ("10.0.0.1", 1)
+        origins = StreamOrigins(peers)
+        archive = StreamArchive(origins, client, lambda: True, peers)
+        rows.save_copy()
+        origins.expect("a1", "v1")
+        await archive._save()
+        assert await client.read_streams() == [(stream_key("a1"), "v1")]
+        rows.return_from_copy()
+        assert await client.read_streams() == []
+        await archive._save_again()
+        assert await client.read_streams() == [(stream_key("a1"), "v1")]
+
+
+def make_ledger(registry):
+    """Return (ledger, directory, clock) with a configuration."""
+    clock = ManualClock(100.0)
+    directory = Directory(PlatformRowDecoder(), clock)
+    row = Row("config", 1, json.dumps(configuration()).encode())
+    directory.apply(Table.OPERATORS, ChangeSet([row], 1, True))
+    ledger = VersionLedger(directory, registry, lambda: ReaderRole.READER)
+    return ledger, directory, clock
+
+
+def list_version(directory, row_version, version):
+    """List a server of a software version."""
+    entry = {
+        "service": "chat",
+        "address": "127.0.0.1:80",
+        "zone": "z1",
+        "state": "ready",
+        "version": version,
+    }
+    row = Row("i-1", row_version, json.dumps(entry).encode())
+    rows = ChangeSet([row], row_version, row_version == 1)
+    directory.apply(Table.SERVERS, rows)
--- a/standins/rowstore.py
+++ b/standins/rowstore.py
@@ -20,6 +20,7 @@
     :ivar silent: whether calls get no response
     :ivar drops_responses: whether writes take effect and get no response
     :ivar oldest_version: oldest version from which the feed can be read
+    :ivar epoch: epoch that all responses name; 0 to name none
     :ivar calls: number of calls so far
     """
 
@@ -27,6 +28,8 @@
         self.rows_by_key = {}
         self.version = 0
         self.oldest_version = 0
+        self.epoch = 1
+        self.copy = ({}, 0)
         self.status = 0
         self.silent = False
         self.drops_responses = False
@@ -71,6 +74,19 @@
         """Drop the history of changes up to the current version."""
         self.oldest_version = self.version
 
+    def save_copy(self):
+        """Copy all rows, for a later return from this copy."""
+        self.copy = (dict(self.rows_by_key), self.version)
+
+    def return_from_copy(self):
+        """Lose all that was written since the copy; a new epoch begins."""
+        rows_by_key, self.version = self.copy
+        self.rows_by_key = dict(rows_by_key)
+        self.oldest_version = min(self.oldest_version, self.version)
+        self.epoch += 1
+        self.changed.set()
+        self.changed = asyncio.Event()
+
     def _write(self, table, key, data):
         self.version += 1
         self.rows_by_key[table, key] = (self.version, data)
@@ -84,12 +100,17 @@
         if self.silent:
             await asyncio.sleep(SILENCE_S)
         if self.status:
-            return aiohttp.web.Response(status=self.status)
-        response = await handler(request)
+            return self._name_epoch(aiohttp.web.Response(status=self.status))
+        response = self._name_epoch(await handler(request))
         if self.drops_responses and request.method == "POST":
             request.transport.abort()
         return response
 
+    def _name_epoch(self, response):
+        if self.epoch:
+            response.headers["Store-Era"] = str(self.epoch)
+        return response
+
     async def _transaction(self, request):
         body = await request.json()
         for row in body["expect"]:
@@ -115,7 +136,7 @@
         wait_s = min(MAX_WAIT_S, int(request.query["waitMs"]) / 1000.0)
         end = time.monotonic() + wait_s
         while True:
-            if since < self.oldest_version:
+            if not self.oldest_version <= since <= self.version:
                 return self._respond({}, 410)
             rows = self._rows(request.query["table"], since)
             left_s = end - time.monotonic()
