Let an odd row of the store cost its own key alone

Routers stopped following a table, or a task ended, when another writer left one odd row: without a version, with data that is not base64, nested 200,000 deep, with a number of 400 digits or 1e999, or with a port out of range.

Cause: a response was decoded as a whole, so one row refused all, in each read again; the rows that routers save let RecursionError and OverflowError out; an address was not checked before a connection was opened to it, and names of hosts were looked up.

Versions, times and addresses are checked against their ranges.

--- a/boragetrail/direct/directory.py
+++ b/boragetrail/direct/directory.py
@@ -60,6 +60,7 @@
     # Longest time for which rows are in force that the store has lost. Servers
     # write their entries again with their next heartbeat.
     RETENTION_S_BY_TABLE = {Table.SERVERS: 6.0, Table.OPERATORS: 60.0}
+    MAX_UNREADABLE_KEYS = 1000
 
     def __init__(self, decoder, clock):
         self.decoder = decoder
@@ -71,6 +72,7 @@
         self.expiry_grace_until_s = float("-inf")
         self.version_history = VersionHistory(clock)
         self.retained_until_s_by_table = {}
+        self.unreadable_keys = set()
 
     def apply(self, table, change_set):
         """Apply changes of a table.
@@ -80,6 +82,7 @@
         :returns: list of the rows that changed
         """
         mirror = self.mirrors[table]
+        self._log_unreadable(table, change_set.unreadable)
         epoch = mirror.epoch
         was_read = mirror.version >= 0
         changed = mirror.apply(change_set)
@@ -131,6 +134,18 @@
             else:
                 self._operators_row_changed(row)
 
+    def _log_unreadable(self, table, unreadable):
+        """Log each key once whose row could not be read."""
+        for key, error in unreadable:
+            if (table, key) in self.unreadable_keys:
+                continue
+            if len(self.unreadable_keys) >= self.MAX_UNREADABLE_KEYS:
+                self.unreadable_keys.clear()
+            self.unreadable_keys.add((table, key))
+            log_event(
+                Event.ROW_INVALID, table=table.value, key=key, error=error
+            )
+
     def _retain(self, table, retained_s):
         """Retain rows of a table for some seconds from now on."""
         retained_s = min(retained_s, self.RETENTION_S_BY_TABLE[table])
--- a/boragetrail/direct/interfaces.py
+++ b/boragetrail/direct/interfaces.py
@@ -59,6 +59,8 @@
         :class:`~boragetrail.direct.knowledge.epochs.RetainedRow`, or ``None``
         if the source does not know
     :param retained_s: seconds for which they stay in force
+    :param unreadable: (key or ``None``, error) of each row that could not be
+        read; what is known of the key holds
     """
 
     rows: list
@@ -67,6 +69,7 @@
     epoch: int | None = None
     retained: list | None = None
     retained_s: float = 0.0
+    unreadable: list = dataclasses.field(default_factory=list)
 
 
 @dataclasses.dataclass(slots=True)
--- a/boragetrail/direct/mirror.py
+++ b/boragetrail/direct/mirror.py
@@ -243,6 +243,7 @@
         if change_set.version < self.version:
             return []
         present = {row.key for row in change_set.rows}
+        present.update(key for key, _ in change_set.unreadable)
         self._review_retained(present)
         tombstones = []
         for key, row in self.rows_by_key.items():
--- a/boragetrail/platform/decode.py
+++ b/boragetrail/platform/decode.py
@@ -1,5 +1,6 @@
 """Decoder of the rows of the platform's store."""
 
+import ipaddress
 import json
 
 from boragetrail.direct.model import (
@@ -22,11 +23,12 @@
 )
 from boragetrail.utils import split_address
 
-__all__ = ["PlatformRowDecoder"]
+__all__ = ["DECODE_ERRORS", "PlatformRowDecoder"]
 
 LOWEST_PRIORITY = 9
 # Larger numbers in a row make it invalid.
 MAX_NUMBER = 2**63
+MAX_PORT = 65535
 DECODE_ERRORS = (
     ValueError,
     TypeError,
@@ -176,8 +178,15 @@
     )
 
 
+def _address(text):
+    """Return an address to which a connection can be opened."""
+    host, port = split_address(_string(text))
+    if not 1 <= port <= MAX_PORT:
+        raise ValueError(f"{port} is not a port")
+    return str(ipaddress.IPv4Address(host)), port
+
+
 def _server(key, data):
-    host, port = split_address(data["address"])
     service = _string(data["service"])
     zone = _string(data["zone"])
     if not service or not zone:
@@ -186,7 +195,7 @@
     return ServerRecord(
         id=key,
         service=service,
-        address=(host, port),
+        address=_address(data["address"]),
         zone=zone,
         slots=_integer(data.get("slots", 1)),
         ready=data["state"] == READY_STATE,
--- a/boragetrail/platform/store.py
+++ b/boragetrail/platform/store.py
@@ -4,6 +4,7 @@
 import base64
 import dataclasses
 import json
+import math
 import struct
 
 import aiohttp
@@ -19,6 +20,7 @@
     VersionRegistry,
 )
 from boragetrail.events import Event, log_event
+from boragetrail.platform.decode import DECODE_ERRORS
 from boragetrail.platform.names import (
     EPOCH_HEADER,
     MEMBERS_TABLE,
@@ -35,8 +37,9 @@
 # HTTP status if the store no longer keeps the changes that were asked for.
 HISTORY_LOST_STATUS = 410
 MAX_PAGE_ROWS = 500
-MAX_EPOCH = 2**62
+MAX_EPOCH = MAX_VERSION = 2**62
 MAX_LOGGED_LENGTH = 80
+MAX_ERROR_LENGTH = 80
 
 
 class PlatformStoreClient(
@@ -98,8 +101,9 @@
         rows = _change_set(response.content, True, response.epoch)
         if isinstance(rows, SourceFailure):
             return rows
-        now_ms = response.content.get("nowMs")
-        if type(now_ms) not in (int, float):
+        try:
+            now_ms = _time_ms(response.content.get("nowMs"))
+        except DECODE_ERRORS:
             return SourceFailure("rows without the time of the store")
         return {
             row.key: saved
@@ -209,7 +213,7 @@
             )
         try:
             return _Response(json.loads(body), epoch)
-        except ValueError as exc:
+        except DECODE_ERRORS as exc:
             return SourceFailure(f"{method} {path}: {exc!r}")
 
     def _record_epoch(self, text):
@@ -246,12 +250,40 @@
 
 
 def _change_set(content, is_snapshot, epoch=None):
+    """Return the rows of a response.
+
+    A row that cannot be read costs no other row.
+    """
     try:
-        rows = [_row(row) for row in content["rows"]]
-        version = int(content["ver"])
-        return ChangeSet(rows, version, is_snapshot, epoch)
-    except (ValueError, TypeError, KeyError, AttributeError) as exc:
+        version = _version(content["ver"])
+        encoded = content["rows"]
+        if not isinstance(encoded, list):
+            raise TypeError("no list of rows")
+    except DECODE_ERRORS as exc:
         return SourceFailure(f"invalid rows in the store's response: {exc!r}")
+    changes = ChangeSet([], version, is_snapshot, epoch)
+    for each in encoded:
+        try:
+            changes.rows.append(_row(each))
+        except DECODE_ERRORS as exc:
+            key = each.get("key") if isinstance(each, dict) else None
+            changes.unreadable.append((key, repr(exc)))
+    return changes
+
+
+def _version(value):
+    """Return a row version."""
+    if type(value) is not int or not 0 <= value <= MAX_VERSION:
+        raise ValueError(f"{value!r} is not a row version"[:MAX_ERROR_LENGTH])
+    return value
+
+
+def _time_ms(value):
+    """Return a time of the store in milliseconds."""
+    time_ms = float(value)
+    if not math.isfinite(time_ms):
+        raise ValueError("not a time")
+    return time_ms
 
 
 def _saved_versions(row, now_ms, epoch):
@@ -260,10 +292,10 @@
         content = json.loads(row.data)
         listed = [str(each) for each in content["listed"]]
         gone_ms = {
-            str(version): float(at_ms)
+            str(version): _time_ms(at_ms)
             for version, at_ms in content["gone"].items()
         }
-    except (ValueError, TypeError, KeyError, AttributeError):
+    except DECODE_ERRORS:
         return None
     return SavedVersions(listed, gone_ms, now_ms, row.version, epoch)
 
@@ -276,12 +308,16 @@
             for version, packed in json.loads(data).items()
             for (stream,) in struct.iter_unpack(">Q", base64.b64decode(packed))
         ]
-    except (ValueError, TypeError, AttributeError, struct.error):
+    except (*DECODE_ERRORS, struct.error):
         return []
 
 
 def _row(data):
+    key = data["key"]
+    if not isinstance(key, str):
+        raise TypeError("the key is not a string")
+    version = _version(data["ver"])
     if data.get("deleted"):
-        return Row(data["key"], int(data["ver"]), None)
-    content = base64.b64decode(data.get("data") or "")
-    return Row(data["key"], int(data["ver"]), content)
+        return Row(key, version, None)
+    content = base64.b64decode(data.get("data") or "", validate=True)
+    return Row(key, version, content)
