Let routers take turns at servers with a small limit

Servers without a limit were crowded after the limits of others had ended: for up to 3.7 s nobody knew of the end, and one engine got what five share.

Cause: all routers hear of a limit at the same moment, having just sent to the server, so their parts of a window of 4.4 s fall due together. Between, nothing is sent, and an end is only said in a response.

Change: the first request of each router under a limit is late by its rank's part of a long window; later ones follow at the same distance.

--- a/boragetrail/policy/serverlimits.py
+++ b/boragetrail/policy/serverlimits.py
@@ -31,11 +31,14 @@
         routers together, or ``None`` if it named no limit
     :param heard_s: monotonic time of the statement: at the latest for a
         limit, at the earliest for no limit
+    :param began_s: monotonic time since which this router has known of a
+        limit, or of none, of the run
     """
 
     server: int
     rate_per_s: float | None
     heard_s: float
+    began_s: float = -math.inf
 
 
 def parse_limit(text):
@@ -68,7 +71,6 @@
 
     :param clock: function that returns monotonic seconds
     :ivar reports_by_server: newest :class:`LimitReport` by key of the run
-    :ivar changed_s_by_server: monotonic time of the last change by key
 
     >>> table = LimitTable(lambda: 11.0)
     >>> table.add(LimitReport(7, 2.5, 10.0)), table.rate_per_s(7)
@@ -87,7 +89,6 @@
     def __init__(self, clock):
         self.clock = clock
         self.reports_by_server = collections.OrderedDict()
-        self.changed_s_by_server = {}
 
     def add(self, report):
         """Add a statement.
@@ -101,15 +102,16 @@
             return False
         if known is not None and report.heard_s <= known.heard_s:
             return False
+        had_limit = known is not None and known.rate_per_s is not None
+        began_s = self.clock()
+        if known is not None and had_limit == (report.rate_per_s is not None):
+            began_s = known.began_s
+        report = dataclasses.replace(report, began_s=began_s)
         self.reports_by_server[server] = report
         self.reports_by_server.move_to_end(server)
         if len(self.reports_by_server) > self.MAX_RUNS:
-            removed, _ = self.reports_by_server.popitem(last=False)
-            self.changed_s_by_server.pop(removed)
-        if known is not None and known.rate_per_s == report.rate_per_s:
-            return False
-        self.changed_s_by_server[server] = self.clock()
-        return True
+            self.reports_by_server.popitem(last=False)
+        return known is None or known.rate_per_s != report.rate_per_s
 
     def report(self, server):
         """Return the :class:`LimitReport` of a limit in force, or ``None``.
@@ -131,12 +133,11 @@
         now_s = self.clock()
         return [
             report
-            for server, report in self.reports_by_server.items()
+            for report in self.reports_by_server.values()
             if now_s - report.heard_s < self.MAX_LIMIT_AGE_S
             and (
                 report.rate_per_s is not None
-                or now_s - self.changed_s_by_server[server]
-                < self.MAX_END_AGE_S
+                or now_s - report.began_s < self.MAX_END_AGE_S
             )
         ]
 
@@ -146,8 +147,10 @@
 
     The requests of a window are divided among the routers; those with the
     lowest ranks get what is left over. The window is the shortest in which
-    each router has a request, up to ``MAX_WINDOW_S``, so that requests arrive
-    evenly. What a router sent before it knew the limit counts as well.
+    each router has a request, up to the last of ``WINDOWS_S``, so that
+    requests arrive evenly. What a router sent before it knew the limit counts
+    as well. In long windows the routers take turns, since all of them hear of
+    a limit at the same time, and its end is only said in a response.
 
     The server's silence says nothing about its limit. If no router has heard
     from it for long, one after another sends a request, by rank.
@@ -217,12 +220,21 @@
         silence_s = since_s + (rank + 1) * self._silence_s(report) - now_s
         wait_s = max(0.0, min(silence_s, window_s))
         if share:
-            recent = [each for each in self.sent_s if now_s - each < window_s]
-            if len(recent) < share:
-                return 0.0
-            wait_s = min(wait_s, recent[-share] + window_s - now_s)
+            due_s = self._due_s(share, window_s, now_s)
+            is_long = window_s > self.STRETCH * self.WINDOWS_S[0]
+            if is_long and last_s <= report.began_s:
+                first_s = max(report.began_s, last_s + window_s)
+                due_s = first_s + window_s * rank / routers
+            wait_s = min(wait_s, max(0.0, due_s - now_s))
         return wait_s
 
+    def _due_s(self, share, window_s, now_s):
+        """Return from when on a window has room for a request."""
+        recent = [each for each in self.sent_s if now_s - each < window_s]
+        if len(recent) < share:
+            return now_s
+        return recent[-share] + window_s
+
     def _window(self, rate_per_s, routers):
         """Return (requests of all routers in a window, its length)."""
         for window_s in self.WINDOWS_S:
--- a/boragetrail/policy/tests/test_serverlimits.py
+++ b/boragetrail/policy/tests/test_serverlimits.py
@@ -83,6 +83,28 @@
         assert max_in_window(sent, LimitQuota.SILENCE_S) == 1
 
 
+class TestTurns:
+    """Routers that hear of a limit at the same time send in turn."""
+
+    # Routers used their parts all at once, so an end was heard late (LIMIT).
+    @pytest.mark.parametrize("rate_per_s", [0.6, 1.0, 2.2])
+    def test_a_limited_server_is_heard_from_regularly(self, rate_per_s):
+        clock = ManualClock(100.0)
+        quotas = [LimitQuota(clock) for _ in range(4)]
+        for quota in quotas:
+            quota.try_acquire(None, 4, 0)
+        report = LimitReport(7, rate_per_s, 100.0, clock.now_s)
+        sent_s = []
+        while clock.now_s < 140.0:
+            clock.now_s += 0.02
+            for rank, quota in enumerate(quotas):
+                if quota.try_acquire(report, 4, rank) is not None:
+                    sent_s.append(clock.now_s)
+        regular_s = [each for each in sent_s if each > 110.0]
+        gaps_s = [b - a for a, b in zip(regular_s, regular_s[1:])]
+        assert max(gaps_s) <= 2 / rate_per_s
+
+
 class TestLimitTable:
     """The newest statement of a server holds, in any order of arrival."""
 
@@ -105,7 +127,6 @@
         for server in range(2 * LimitTable.MAX_RUNS):
             table.add(LimitReport(server, 2.0, 10.0))
         assert len(table.reports_by_server) == LimitTable.MAX_RUNS
-        assert len(table.changed_s_by_server) == LimitTable.MAX_RUNS
 
     def test_what_other_routers_are_told(self):
         clock = ManualClock(20.0)
