Give the reason of a refusal from the look that selected no server

Cause: servers were looked at twice, once to select one and once more to say why there was none. A window that ended in between made the second look find a server without a wait, and so no reason. The wait is now taken once, at the selection. test_limit_that_allows_a_request_a_moment_later fails before, with a clock that advances at each reading.

--- a/boragetrail/direct/failures.py
+++ b/boragetrail/direct/failures.py
@@ -51,9 +51,8 @@
         detail = f"{detail}, version {progress.version!r}"
         life_s = VersionHistory.STREAM_LIFE_S
         return Refusal(Reason.VERSION_GONE, detail, Executed.NO, life_s)
-    wait_s = fleet.wait_s(service)
-    if wait_s:
-        wait_s += random.uniform(0, RETURN_SPREAD_S)
+    if progress.wait_s:
+        wait_s = progress.wait_s + random.uniform(0, RETURN_SPREAD_S)
         paused = fleet.are_paused(service)
         reason = Reason.PAUSED if paused else Reason.LIMITED
         return Refusal(reason, detail, Executed.NO, wait_s)
--- a/boragetrail/direct/fleet.py
+++ b/boragetrail/direct/fleet.py
@@ -91,19 +91,14 @@
         states = self.ready_servers(service)
         return [state for state in states if state.accepts_requests()]
 
-    def wait_s(self, service):
-        """Return for how long no server of a service takes a request.
+    def server_wait_s(self, state):
+        """Return for how long a server takes no request of this router.
 
-        :param service: name of the service
-        :returns: seconds until the first pause ends or the first limit allows
-            a request, or 0 if a server takes one or there is none
+        :param state: :class:`ServerState`
+        :returns: seconds until its pause ends and its limit allows a request
         """
-        limiter = self.knowledge.limiter
-        waits_s = [
-            max(state.pause_left_s(), limiter.wait_s(state.record))
-            for state in self._staying_servers(service)
-        ]
-        return min(waits_s, default=0.0)
+        limit_wait_s = self.knowledge.limiter.wait_s(state.record)
+        return max(state.pause_left_s(), limit_wait_s)
 
     def versions(self, service):
         """Return the software versions of the servers that may get work.
--- a/boragetrail/direct/knowledge/limiter.py
+++ b/boragetrail/direct/knowledge/limiter.py
@@ -31,13 +31,6 @@
         """Return whether a server limits its rate."""
         return self.table.report(run_key(record)) is not None
 
-    def allows(self, record):
-        """Return whether a server may get a request of this router now.
-
-        :param record: :class:`~boragetrail.direct.model.ServerRecord`
-        """
-        return not self.wait_s(record)
-
     def wait_s(self, record):
         """Return the seconds until a server may get a request, or 0."""
         run = run_key(record)
--- a/boragetrail/direct/progress.py
+++ b/boragetrail/direct/progress.py
@@ -13,6 +13,8 @@
     :ivar is_trial: whether the next attempt tries a quarantined part
     :ivar counted_s: monotonic time at which the last attempt was counted
         against the limit of its server
+    :ivar wait_s: seconds until the first server of the service takes a
+        request, when one was last selected
     :ivar mean_load: mean known number of requests of the service's ready
         servers when the last one was selected
     :ivar left_out_count: number of these that could not be selected
@@ -40,6 +42,7 @@
         "parts",
         "is_trial",
         "counted_s",
+        "wait_s",
         "mean_load",
         "left_out_count",
         "stream_begun",
@@ -59,6 +62,7 @@
         self.parts = parts
         self.is_trial = False
         self.counted_s = None
+        self.wait_s = 0.0
         self.mean_load = 0.0
         self.left_out_count = 0
         self.stream_begun = False
--- a/boragetrail/direct/selector.py
+++ b/boragetrail/direct/selector.py
@@ -53,13 +53,19 @@
         """
         limiter = self.fleet.knowledge.limiter
         ready = self.fleet.ready_servers(request.service.name)
+        waits_s_by_id = {
+            state.record.id: self.fleet.server_wait_s(state)
+            for state in ready
+            if not state.is_leaving()
+        }
+        # A failure has to name the same reason as this look at the servers.
+        progress.wait_s = min(waits_s_by_id.values(), default=0.0)
         usable = [
             state
             for state in ready
-            if state.accepts_requests()
+            if waits_s_by_id.get(state.record.id) == 0.0
             and state.record.id not in progress.tried_ids
             and progress.version in (None, state.record.version)
-            and limiter.allows(state.record)
         ]
         progress.left_out_count = len(ready) - len(usable)
         progress.mean_load = self._mean_load(ready)
--- a/boragetrail/direct/serverstate.py
+++ b/boragetrail/direct/serverstate.py
@@ -96,6 +96,10 @@
         """Return the seconds that are left of a pause, or 0."""
         return self.knowledge.pauses.left_s(self.record)
 
+    def is_leaving(self):
+        """Return whether the server told this router that it leaves."""
+        return self.record in self.knowledge.leaving
+
     def accepts_requests(self):
         """Return whether the server wants new requests of this router."""
         return self.knowledge.accepts_requests(self.record)
--- a/boragetrail/direct/tests/test_limits.py
+++ b/boragetrail/direct/tests/test_limits.py
@@ -1,12 +1,19 @@
 """Tests with servers that name a limit on their request rate."""
 
 import asyncio
+import random
 
 import pytest
 
+from boragetrail.direct.failures import no_server_failure
 from boragetrail.direct.peers import PeerTable
+from boragetrail.direct.progress import RequestProgress
+from boragetrail.direct.request import DirectRequest
+from boragetrail.direct.tests.fleetsimulation import ROUTE, SERVICE, Router
 from boragetrail.direct.tests.test_leaving import send
 from boragetrail.platform.names import HEADER_NAMES
+from boragetrail.reasons import Reason
+from standins.clock import ManualClock
 from standins.httpserver import whole_answer
 
 NOT_EXECUTED = f"{HEADER_NAMES.not_executed}: 1"
@@ -156,3 +163,37 @@
             daemon.knowledge.hear_limit(record, "soon", daemon.clock())
         assert daemon.knowledge.limiter.is_limited(record)
         assert len(daemon.knowledge.invalid_limit_runs) == 1
+
+
+class TickingClock(ManualClock):
+    """Advance with each reading, as a real clock does."""
+
+    TICK_S = 0.0001
+
+    def __call__(self):
+        self.now_s += self.TICK_S
+        return self.now_s
+
+
+class TestReason:
+    """A refusal says why no server was selected."""
+
+    # Callers were told that there was no server when all named a limit.
+    def test_limit_that_allows_a_request_a_moment_later(self):
+        clock = TickingClock(100.0)
+        router = Router(0, clock, random.Random(1), 2)
+        states = router.fleet.ready_servers("chat")
+        for state in states:
+            state.record_limit("1", clock())
+        request = DirectRequest(None, clock())
+        request.route, request.service = ROUTE, SERVICE
+        reasons = set()
+        for _ in range(3000):
+            progress = RequestProgress([], [])
+            if router.selector.choose(request, progress) is not None:
+                continue
+            failure = no_server_failure(
+                request, progress, router.fleet, random.Random(1)
+            )
+            reasons.add(failure.reason)
+        assert reasons == {Reason.LIMITED}
