Count a request as a whole among the causes of crashes

Cause: the evidence compares the shared parts of prompts. A deadly request has the same ones as its sound neighbours, which clear them, and its own last part is left out; requests of applications have no parts at all.

Change: a keyed digest of customer, method, path and body counts as one more part (knowledge/requests.py). It is convicted by two crashes, also without a head if no other response at the server had begun; requests that cannot be told apart are convicted together. Survivals of requests have a table of their own, so that they push out no part. Records keep their format: older routers read them.

--- a/boragetrail/direct/crashes.py
+++ b/boragetrail/direct/crashes.py
@@ -7,7 +7,7 @@
 from boragetrail.direct.attempt import ResponsePhase
 from boragetrail.direct.counts import run_key
 from boragetrail.events import Event, log_event
-from boragetrail.policy.crashrecords import Trial
+from boragetrail.policy.crashrecords import Trial, is_request_key
 
 __all__ = ["CrashMonitor", "log_quarantine", "shared_parts"]
 
@@ -77,13 +77,17 @@
     async def may_crash_again(self, progress, check):
         """Return whether a retry of a request may crash another server.
 
+        The request as a whole is not known to be sound or not before it has
+        come again, so it is only judged by the parts that it shares.
+
         :param progress:
             :class:`~boragetrail.direct.progress.RequestProgress`
         :param check: task of :meth:`response_lost`
         """
         if progress.attempt.phase is ResponsePhase.PROGRESSED:
             return False
-        if self.quarantine.are_known(progress.parts):
+        shared = [part for part in progress.parts if not is_request_key(part)]
+        if self.quarantine.are_known(shared):
             return False
         await asyncio.wait([check], timeout=self.MAX_CHECK_S)
         return check.done() and not check.cancelled() and check.result()
@@ -164,7 +168,7 @@
     """
     return [
         part
-        if len(part) <= MAX_PART_LENGTH
+        if len(part) <= MAX_PART_LENGTH and not is_request_key(part)
         else xxhash.xxh64_hexdigest(part.encode())
         for part, _ in prompt[:-1]
     ]
--- a/boragetrail/direct/dispatch.py
+++ b/boragetrail/direct/dispatch.py
@@ -17,6 +17,7 @@
     overall_failure,
 )
 from boragetrail.direct.headers import HeaderRewriter
+from boragetrail.direct.knowledge.requests import request_key
 from boragetrail.direct.model import RequestKind
 from boragetrail.direct.progress import PendingWork, RequestProgress
 from boragetrail.direct.reports import parse_load
@@ -89,7 +90,8 @@
         :returns: :class:`~boragetrail.errors.Failure`, or ``None`` on success
         """
         prompt = self.selector.prompt(request)
-        progress = RequestProgress(prompt, shared_parts(prompt))
+        parts = [*shared_parts(prompt), request_key(request)]
+        progress = RequestProgress(prompt, parts)
         self._retry_quota(request.service).record_request()
         try:
             async with asyncio.timeout_at(request.deadline_s):
@@ -147,9 +149,7 @@
     async def _may_crash_server(self, request, progress):
         """Return whether a failed request may crash another server."""
         attempt = progress.attempt
-        if not progress.parts or not attempt.connection_lost:
-            return False
-        if attempt.was_reset:
+        if not attempt.connection_lost or attempt.was_reset:
             return False
         check = self.crash_monitor.response_lost(request, progress)
         if not request.route.retryable:
--- a/boragetrail/direct/progress.py
+++ b/boragetrail/direct/progress.py
@@ -9,7 +9,8 @@
     """Hold what happened to a request so far.
 
     :ivar prompt: parts of the prompt as (id, tokens); empty if none
-    :ivar parts: ids of the parts that other prompts may contain
+    :ivar parts: ids of the parts that other prompts may contain, then the key
+        of the request as a whole
     :ivar is_trial: whether the next attempt tries a quarantined part
     :ivar counted_s: monotonic time at which the last attempt was counted
         against the limit of its server
--- a/boragetrail/policy/crashevidence.py
+++ b/boragetrail/policy/crashevidence.py
@@ -2,6 +2,8 @@
 
 import math
 
+from boragetrail.policy.crashrecords import is_request_key
+
 __all__ = ["CrashEvidence"]
 
 
@@ -64,7 +66,9 @@
     def convict(self, is_known):
         """Return the parts that explain the crashes.
 
-        The crashes that a convicted part explains count against no other.
+        The crashes that a convicted part explains count against no other,
+        unless another whole request explains the same ones: nothing tells
+        which of the two is the cause.
 
         :param is_known: function that returns whether servers recently
             survived a part
@@ -73,11 +77,28 @@
         convicted = []
         part = self._strongest(is_known)
         while part is not None:
-            convicted.append(part)
+            convicted.extend(self._indistinguishable(part, convicted))
             self.explained.update(self.times_by_part[part])
             part = self._strongest(is_known)
         return convicted
 
+    def _indistinguishable(self, part, convicted):
+        """Return a part and the whole requests with the same evidence."""
+        if not is_request_key(part):
+            return [part]
+        weight, servers = self._weight(part), self._unexplained(part)
+        return [
+            other
+            for other in self.times_by_part
+            if is_request_key(other)
+            and other not in convicted
+            and self._unexplained(other) >= servers
+            and self._weight(other) >= weight
+        ]
+
+    def _unexplained(self, part):
+        return self.times_by_part[part].keys() - self.explained
+
     def _strongest(self, is_known):
         """Return the part that explains most crashes, or ``None``."""
         best, best_rating = None, ()
@@ -99,9 +120,11 @@
         """Return the weight of the unexplained crashes of a part.
 
         A request whose response had not begun does not count if another one
-        at the server had.
+        at the server had. It counts in full against the request as a whole,
+        since few come again.
         """
         total, last_s = 0.0, -math.inf
+        is_request = is_request_key(part)
         crashes = sorted(
             (crashed_s, weight)
             for server, (crashed_s, weight) in self.times_by_part[part].items()
@@ -112,6 +135,6 @@
         )
         for crashed_s, weight in crashes:
             if crashed_s - last_s > self.COMMON_CAUSE_S:
-                total += weight
+                total += self.BEGUN_WEIGHT if is_request else weight
             last_s = crashed_s
         return total
--- a/boragetrail/policy/crashrecords.py
+++ b/boragetrail/policy/crashrecords.py
@@ -2,7 +2,25 @@
 
 import dataclasses
 
-__all__ = ["CrashReport", "Survival", "Trial"]
+__all__ = [
+    "REQUEST_PREFIX",
+    "CrashReport",
+    "Survival",
+    "Trial",
+    "is_request_key",
+]
+
+# Begin of the id that stands for a request as a whole. It is reported as the
+# last of the request's parts.
+REQUEST_PREFIX = "request:"
+
+
+def is_request_key(part):
+    """Return whether an id stands for a whole request.
+
+    :param part: id of a part of a request
+    """
+    return part.startswith(REQUEST_PREFIX)
 
 
 @dataclasses.dataclass(slots=True, frozen=True)
@@ -10,7 +28,8 @@
     """Describe a request whose response was ended by a server's crash.
 
     :param server: key of one run of the server
-    :param parts: ids of the shared parts of the prompt, in order
+    :param parts: ids of the shared parts of the prompt, in order, then the
+        one of the request as a whole
     :param begun: whether the head of the response had arrived
     :param crashed_s: monotonic time of the crash
     """
--- a/boragetrail/policy/quarantine.py
+++ b/boragetrail/policy/quarantine.py
@@ -5,6 +5,10 @@
 contain as well. The quarantine finds that part from reports of crashes and of
 responses, by any router, and keeps the part from the servers.
 
+A request as a whole may be the cause as well; it counts as one more part,
+which no other request contains, and is known by the same body, path and
+customer when it comes again.
+
 A report of a crash lists the parts of a request whose response the crash
 ended. A part is suspect unless a server has survived the begin of a response
 to it, about at that time or later. Common parts, such as system prompts, are
@@ -20,7 +24,12 @@
 import math
 
 from boragetrail.policy.crashevidence import CrashEvidence
-from boragetrail.policy.crashrecords import CrashReport, Survival, Trial
+from boragetrail.policy.crashrecords import (
+    CrashReport,
+    Survival,
+    Trial,
+    is_request_key,
+)
 
 __all__ = ["Admission", "PromptQuarantine"]
 
@@ -53,6 +62,8 @@
         that were quarantined and of those that left the quarantine
     :ivar reports_by_key: :class:`CrashReport` by server and parts
     :ivar survived_s_by_part: time of the last known survival of each part
+    :ivar survived_s_by_request: the same of whole requests, which must not
+        push out the parts
     :ivar trial_s_by_part: time of the last known trial of each part
     :ivar held_until_s_by_part: time until which each convicted part is kept
         from all servers; then it may be tried
@@ -93,8 +104,8 @@
     # The same survival is told once in this time at most.
     TELL_INTERVAL_S = 1.0
     REPORT_TTL_S = 600.0
-    MAX_REPORTS = 128
-    MAX_REPORTS_PER_SERVER = 8
+    MAX_REPORTS = 256
+    MAX_REPORTS_PER_SERVER = 32
     MAX_PARTS_PER_REPORT = 16
     MAX_SURVIVALS = 4096
 
@@ -104,6 +115,7 @@
         self.on_change = on_change
         self.reports_by_key = collections.OrderedDict()
         self.survived_s_by_part = collections.OrderedDict()
+        self.survived_s_by_request = collections.OrderedDict()
         self.trial_s_by_part = {}
         self.held_until_s_by_part = {}
         self.suspect_parts = frozenset()
@@ -156,10 +168,11 @@
         part = survival.part
         if survival.survived_s <= self._survived_s(part):
             return False
-        self.survived_s_by_part[part] = survival.survived_s
-        self.survived_s_by_part.move_to_end(part)
-        if len(self.survived_s_by_part) > self.MAX_SURVIVALS:
-            self.survived_s_by_part.popitem(last=False)
+        survived_s = self._survivals(part)
+        survived_s[part] = survival.survived_s
+        survived_s.move_to_end(part)
+        if len(survived_s) > self.MAX_SURVIVALS:
+            survived_s.popitem(last=False)
         if part not in self.suspect_parts:
             return False
         self.untold_parts.add(part)
@@ -259,8 +272,13 @@
         if self._remove_expired():
             self._update()
 
+    def _survivals(self, part):
+        if is_request_key(part):
+            return self.survived_s_by_request
+        return self.survived_s_by_part
+
     def _survived_s(self, part):
-        return self.survived_s_by_part.get(part, -math.inf)
+        return self._survivals(part).get(part, -math.inf)
 
     def _is_known(self, part):
         return self._survived_s(part) >= self.clock() - self.KNOWN_S
