Save reports of crashes, so that all routers may be killed

After a kill of all routers a deadly request ended four to five more servers.

Change: each router saves the reports of the crashes that it saw, without the parts that servers have survived since, in a row of the platform's store when they change, and reads all rows at its start; requests wait for that 0.6 s at the most, and not at the first start of the system. Rows that cannot be read are skipped; rows that a return from a copy has lost are written again.

--- a/boragetrail/direct/crashes.py
+++ b/boragetrail/direct/crashes.py
@@ -28,6 +28,8 @@
     :param metrics: :class:`~boragetrail.direct.metrics.DirectMetrics`
     :param tasks: :class:`~boragetrail.utils.BackgroundTasks`
     :ivar checks_by_address: running checks by the server's address
+    :ivar on_report: function that gets each report of this router
+    :ivar loaded: set when requests need not wait for saved reports
     """
 
     # Longest time that a retry waits for the check.
@@ -40,6 +42,13 @@
         self.metrics = metrics
         self.tasks = tasks
         self.checks_by_address = {}
+        self.on_report = lambda report: None
+        self.loaded = asyncio.Event()
+        self.loaded.set()
+
+    async def wait_until_loaded(self):
+        """Wait until the crashes before this router's start are known."""
+        await self.loaded.wait()
 
     def admit(self, request, parts):
         """Decide whether a request may be sent to a server.
@@ -129,6 +138,7 @@
         )
         if report is not None and self.quarantine.add_crash(report):
             self.gossip.send_now(report)
+            self.on_report(report)
 
     def _check(self, server):
         """Return the task that checks a server; one at a time for each.
--- a/boragetrail/direct/daemon.py
+++ b/boragetrail/direct/daemon.py
@@ -19,7 +19,7 @@
 from boragetrail.direct.fleet import Fleet
 from boragetrail.direct.frontend import Frontend
 from boragetrail.direct.interfaces import Table
-from boragetrail.direct.knowledge import ServerKnowledge
+from boragetrail.direct.knowledge import CrashArchive, ServerKnowledge
 from boragetrail.direct.liveness import StoreLiveness
 from boragetrail.direct.messagebuilder import MessageBuilder
 from boragetrail.direct.metrics import DirectMetrics
@@ -27,6 +27,7 @@
 from boragetrail.direct.peersocket import PeerSocket
 from boragetrail.direct.readers import reader_role
 from boragetrail.direct.recordgossip import RecordGossip
+from boragetrail.direct.recordmessages import pack_records, unpack_records
 from boragetrail.direct.relay import PeerSource, PeerFetcher, RelayServer
 from boragetrail.direct.resumption import StreamVersions
 from boragetrail.direct.selector import ServerSelector
@@ -96,6 +97,13 @@
         self.selector = ServerSelector(
             self.fleet, names, bounds, self.clock, self.random
         )
+        self.crash_monitor = CrashMonitor(
+            self.directory,
+            self.quarantine,
+            self.record_gossip,
+            self.metrics,
+            self.tasks,
+        )
         self.dispatcher = Dispatcher(
             self.fleet,
             self.selector,
@@ -103,13 +111,7 @@
             bounds,
             self.clock,
             self.random,
-            CrashMonitor(
-                self.directory,
-                self.quarantine,
-                self.record_gossip,
-                self.metrics,
-                self.tasks,
-            ),
+            self.crash_monitor,
             StreamVersions(
                 self.fleet, names, self.liveness_by_table[Table.SERVERS].age_s
             ),
@@ -210,6 +212,7 @@
         self.tasks.start(self.socket.run_updates(), "news")
         self.tasks.start(self._join(), "join")
         self.tasks.start(self._announce_again(), "announce again")
+        self._archive_crashes()
         ledger = VersionLedger(self.directory, self.store, self._reader_role)
         self.tasks.start(
             ledger.run(self.settings.first_start), "versions in service"
@@ -357,6 +360,19 @@
         if host != own_host:
             self.socket.request_digest((host, port))
 
+    def _archive_crashes(self):
+        """Start to read the saved reports of crashes, and to save new ones."""
+        archive = CrashArchive(
+            self.quarantine,
+            self.store,
+            split_address(self.settings.gossip)[0],
+            (pack_records, unpack_records),
+            self.clock,
+        )
+        self.crash_monitor.on_report = archive.add
+        self.crash_monitor.loaded = archive.loaded
+        self.tasks.start(archive.run(self.settings.first_start), "crashes")
+
     async def _archive_streams(self, ledger):
         """Read the saved origins of streams, then save new ones."""
         archive = StreamArchive(
--- a/boragetrail/direct/dispatch.py
+++ b/boragetrail/direct/dispatch.py
@@ -108,6 +108,7 @@
         return failure
 
     async def _serve(self, request, caller, progress):
+        await self.crash_monitor.wait_until_loaded()
         refusal = await self.stream_versions.require(request, progress)
         if refusal is not None:
             return refusal
--- a/boragetrail/direct/interfaces.py
+++ b/boragetrail/direct/interfaces.py
@@ -12,6 +12,7 @@
 __all__ = [
     "CacheContent",
     "ChangeSet",
+    "CrashRegistry",
     "EngineClient",
     "HeaderNames",
     "MemberRegistry",
@@ -190,6 +191,30 @@
         """
 
 
+class CrashRegistry(abc.ABC):
+    """Save reports of crashes.
+
+    :ivar epoch: as in a :class:`MemberRegistry`
+    """
+
+    @abc.abstractmethod
+    async def read_crashes(self):
+        """Return the reports of all routers.
+
+        :returns: list of (bytes, seconds since they were saved), or
+            :class:`SourceFailure`
+        """
+
+    @abc.abstractmethod
+    async def save_crashes(self, name, data):
+        """Replace the reports of a router.
+
+        :param name: name of the row
+        :param data: bytes
+        :returns: whether they were saved
+        """
+
+
 @dataclasses.dataclass(slots=True)
 class CacheContent:
     """Hold the response of an engine to a query of its cache.
--- a/boragetrail/direct/recordmessages.py
+++ b/boragetrail/direct/recordmessages.py
@@ -17,7 +17,13 @@
 from boragetrail.policy.crashrecords import CrashReport, Survival, Trial
 from boragetrail.policy.serverlimits import MAX_RATE_PER_S, LimitReport
 
-__all__ = ["RecordMessage", "decode_records", "encode_records"]
+__all__ = [
+    "RecordMessage",
+    "decode_records",
+    "encode_records",
+    "pack_records",
+    "unpack_records",
+]
 
 MAX_RECORDS = 32
 MAX_PARTS = 16
@@ -76,6 +82,25 @@
     ]
 
 
+def pack_records(records, now_s):
+    """Encode records as basic values, to be saved.
+
+    :param records: list of records
+    :param now_s: current monotonic time
+    """
+    return encode_records(records, now_s).lists_by_type
+
+
+def unpack_records(value, now_s):
+    """Decode the result of :func:`pack_records`.
+
+    :param now_s: monotonic time at which they were encoded
+    :returns: list of records
+    :raises ValueError: if the value is invalid
+    """
+    return decode_records(RecordMessage("records", check_lists(value)), now_s)
+
+
 def check_kind(value):
     """Return the kind of a :class:`RecordMessage`."""
     if value != "records":
--- a/boragetrail/direct/tests/test_deadlyrequest.py
+++ b/boragetrail/direct/tests/test_deadlyrequest.py
@@ -11,7 +11,7 @@
 from boragetrail.direct.tests.conftest import configuration, route
 from boragetrail.direct.tests.test_crash import background
 from boragetrail.direct.tests.test_trouble import chunk, stream_head
-from boragetrail.platform.names import HEADER_NAMES
+from boragetrail.platform.names import CRASHES_TABLE, HEADER_NAMES
 from standins.httpserver import whole_answer
 
 DEADLY_BODY = b"deadly"
@@ -137,6 +137,33 @@
         assert servers.arrivals <= MAX_ARRIVALS // 2
         assert set(callers.sound_statuses) == {200}
 
+    # Guards against routers that forget the request when all are killed.
+    async def test_it_is_known_after_all_routers_were_killed(
+        self, cluster, servers
+    ):
+        callers = Callers(cluster)
+        for _ in range(3):
+            await callers.send("/order/1", DEADLY_BODY)
+            await asyncio.sleep(PAUSE_S)
+        arrivals = servers.arrivals
+        await cluster.until(
+            lambda: [
+                row
+                for table, row in cluster.store.rows_by_key
+                if table == CRASHES_TABLE
+            ]
+        )
+        await asyncio.sleep(2 * PAUSE_S)
+        await asyncio.gather(*[daemon.close() for daemon in cluster.daemons])
+        cluster.daemons.clear()
+        daemon = cluster.make_router()
+        await daemon.open()
+        await cluster.until(daemon.is_ready)
+        callers.daemons = itertools.repeat(daemon)
+        assert await callers.send("/order/1", DEADLY_BODY) == 503
+        assert await callers.send("/order/1", b"another") == 200
+        assert servers.arrivals == arrivals
+
     # Guards against a refusal of the neighbours of a deadly request.
     async def test_other_requests_of_the_path_are_served(
         self, cluster, servers
--- a/boragetrail/platform/names.py
+++ b/boragetrail/platform/names.py
@@ -5,6 +5,7 @@
 
 __all__ = [
     "CONFIGURATION_KEY",
+    "CRASHES_TABLE",
     "EPOCH_HEADER",
     "EVACUATION_PREFIX",
     "HEADER_NAMES",
@@ -71,6 +72,7 @@
 EPOCH_HEADER = "Store-Era"
 TABLE_NAMES = {Table.OPERATORS: "op", Table.SERVERS: "servers"}
 MEMBERS_TABLE = "routers"
+CRASHES_TABLE = "crashes"
 VERSIONS_TABLE = "versions"
 STREAMS_TABLE = "streams"
 CONFIGURATION_KEY = "config"
--- a/boragetrail/platform/store.py
+++ b/boragetrail/platform/store.py
@@ -6,11 +6,13 @@
 import json
 import math
 import struct
+import time
 
 import aiohttp
 
 from boragetrail.direct.interfaces import (
     ChangeSet,
+    CrashRegistry,
     MemberRegistry,
     Row,
     RowSource,
@@ -22,6 +24,7 @@
 from boragetrail.events import Event, log_event
 from boragetrail.platform.decode import DECODE_ERRORS
 from boragetrail.platform.names import (
+    CRASHES_TABLE,
     EPOCH_HEADER,
     MEMBERS_TABLE,
     STREAMS_TABLE,
@@ -38,12 +41,15 @@
 HISTORY_LOST_STATUS = 410
 MAX_PAGE_ROWS = 500
 MAX_EPOCH = MAX_VERSION = 2**62
+MAX_TIME_MS = 2.0**53
+# Time of the store at which a row was saved, in front of its content.
+TIME = struct.Struct(">d")
 MAX_LOGGED_LENGTH = 80
 MAX_ERROR_LENGTH = 80
 
 
 class PlatformStoreClient(
-    RowSource, MemberRegistry, VersionRegistry, StreamRegistry
+    RowSource, MemberRegistry, VersionRegistry, StreamRegistry, CrashRegistry
 ):
     """Client that reads tables and saves what outlives routers in the store.
 
@@ -51,6 +57,8 @@
     :param address: ``host:port`` of the store
     :ivar calls: number of HTTP requests since the start
     :ivar epoch: latest epoch of the store, 0 if its responses name none
+    :ivar store_time: (store's time in ms, monotonic time at which a response
+        named it), or ``None``
     """
 
     def __init__(self, session, address):
@@ -58,6 +66,7 @@
         self.base = f"http://{address}"
         self.calls = 0
         self.epoch = 0
+        self.store_time = None
 
     async def read(self, table):
         """Return all rows of a table; see the base class."""
@@ -143,6 +152,36 @@
         data = json.dumps(content).encode()
         return await self._write_row(STREAMS_TABLE, name, data)
 
+    async def read_crashes(self):
+        """Return the saved reports of crashes; see the base class."""
+        rows = await self._read_table(CRASHES_TABLE)
+        if isinstance(rows, SourceFailure):
+            return rows
+        now_ms = self._now_ms()
+        return [
+            (row.data[TIME.size :], _age_s(row.data, now_ms))
+            for row in rows.rows
+            if len(row.data) >= TIME.size
+        ]
+
+    async def save_crashes(self, name, data):
+        """Replace a row of reports of crashes; see the base class."""
+        data = TIME.pack(self._now_ms()) + data
+        return await self._write_row(CRASHES_TABLE, name, data)
+
+    def _now_ms(self):
+        """Return the store's time, or 0 if no response has named it."""
+        if self.store_time is None:
+            return 0.0
+        store_ms, at_s = self.store_time
+        return store_ms + 1000.0 * (time.monotonic() - at_s)
+
+    def _record_time(self, content):
+        """Record the store's time that the body of a response names."""
+        now_ms = content.get("nowMs") if isinstance(content, dict) else None
+        if type(now_ms) in (int, float) and 0 <= now_ms < MAX_TIME_MS:
+            self.store_time = (float(now_ms), time.monotonic())
+
     async def _write_row(self, table, key, data, expected_version=None):
         """Write a row, under a condition if a version is expected.
 
@@ -212,7 +251,9 @@
                 detail, response.status == HISTORY_LOST_STATUS
             )
         try:
-            return _Response(json.loads(body), epoch)
+            content = json.loads(body)
+            self._record_time(content)
+            return _Response(content, epoch)
         except DECODE_ERRORS as exc:
             return SourceFailure(f"{method} {path}: {exc!r}")
 
@@ -278,6 +319,13 @@
     return value
 
 
+def _age_s(data, now_ms):
+    """Return the seconds since a row was saved, 0 if that is not known."""
+    (saved_ms,) = TIME.unpack_from(data)
+    age_s = (now_ms - saved_ms) / 1000.0
+    return age_s if saved_ms > 0 and age_s > 0 else 0.0
+
+
 def _time_ms(value):
     """Return a time of the store in milliseconds."""
     time_ms = float(value)
--- a/boragetrail/platform/tests/test_saved.py
+++ b/boragetrail/platform/tests/test_saved.py
@@ -8,14 +8,22 @@
 
 from boragetrail.direct.directory import Directory
 from boragetrail.direct.interfaces import ChangeSet, Row, SavedVersions, Table
+from boragetrail.direct.knowledge.crasharchive import CrashArchive
 from boragetrail.direct.knowledge.streams import StreamOrigins, stream_key
 from boragetrail.direct.peers import PeerTable
 from boragetrail.direct.readers import ReaderRole
+from boragetrail.direct.recordmessages import pack_records, unpack_records
 from boragetrail.direct.streamarchive import StreamArchive
 from boragetrail.direct.tests.conftest import configuration
 from boragetrail.direct.versionledger import VersionLedger
 from boragetrail.platform import PlatformRowDecoder, PlatformStoreClient
-from boragetrail.platform.names import STREAMS_TABLE, VERSIONS_TABLE
+from boragetrail.platform.names import (
+    CRASHES_TABLE,
+    STREAMS_TABLE,
+    VERSIONS_TABLE,
+)
+from boragetrail.policy.crashrecords import CrashReport
+from boragetrail.policy.quarantine import PromptQuarantine
 from standins.clock import ManualClock
 from standins.rowstore import RowStore
 
@@ -149,3 +157,59 @@
     row = Row("i-1", row_version, json.dumps(entry).encode())
     rows = ChangeSet([row], row_version, row_version == 1)
     directory.apply(Table.SERVERS, rows)
+
+
+class TestSavedCrashes:
+    """Reports of crashes are read as they were saved."""
+
+    def archive(self, client, clock):
+        """Return (archive, quarantine) of a router."""
+        quarantine = PromptQuarantine(
+            clock, random.Random(1), lambda held, released: None
+        )
+        codec = (pack_records, unpack_records)
+        archive = CrashArchive(quarantine, client, "10.0.0.1", codec, clock)
+        return archive, quarantine
+
+    def crash(self, archive, quarantine, server):
+        """Record a crash under a request."""
+        report = CrashReport(
+            server, ("base", "request:a"), True, quarantine.clock()
+        )
+        quarantine.add_crash(report)
+        archive.add(report)
+
+    async def test_verdict_outlives_all_routers(self, store):
+        _, client = store
+        clock = ManualClock(100.0)
+        archive, quarantine = self.archive(client, clock)
+        for server in (1, 2):
+            clock.now_s += 1.0
+            self.crash(archive, quarantine, server)
+        clock.now_s += 2.0
+        quarantine.survived(["base"])
+        assert await archive.save_changes()
+        later, started = self.archive(client, ManualClock(5.0))
+        assert await later.load()
+        assert list(started.held_until_s_by_part) == ["request:a"]
+
+    async def test_saved_again_after_a_return_from_a_copy(self, store):
+        rows, client = store
+        archive, quarantine = self.archive(client, ManualClock(100.0))
+        rows.save_copy()
+        self.crash(archive, quarantine, 1)
+        assert await archive.save_changes()
+        rows.return_from_copy()
+        assert await client.read_crashes() == []
+        assert await archive.save_changes()
+        assert len(await client.read_crashes()) == 1
+
+    @pytest.mark.parametrize(
+        "data", [b"", b"junk", b"0" * 8 + b"\xff", b"\x7f\xf0" + b"\0" * 6]
+    )
+    async def test_invalid_row_is_skipped(self, store, data):
+        rows, client = store
+        rows._write(CRASHES_TABLE, "10.0.0.9", data)
+        archive, quarantine = self.archive(client, ManualClock(100.0))
+        assert await archive.load()
+        assert not quarantine.reports_by_key
--- a/boragetrail/policy/crashevidence.py
+++ b/boragetrail/policy/crashevidence.py
@@ -33,6 +33,9 @@
     # Servers that crash within this time may have a common cause, such as a
     # loss of power, and count as one.
     COMMON_CAUSE_S = 0.05
+    # The same for a whole request, which is at two servers only if it was
+    # sent again.
+    REQUEST_COMMON_CAUSE_S = 0.02
 
     def __init__(self):
         self.times_by_part = {}
@@ -125,6 +128,9 @@
         """
         total, last_s = 0.0, -math.inf
         is_request = is_request_key(part)
+        common_cause_s = (
+            self.REQUEST_COMMON_CAUSE_S if is_request else self.COMMON_CAUSE_S
+        )
         crashes = sorted(
             (crashed_s, weight)
             for server, (crashed_s, weight) in self.times_by_part[part].items()
@@ -134,7 +140,7 @@
             )
         )
         for crashed_s, weight in crashes:
-            if crashed_s - last_s > self.COMMON_CAUSE_S:
+            if crashed_s - last_s > common_cause_s:
                 total += self.BEGUN_WEIGHT if is_request else weight
             last_s = crashed_s
         return total
--- a/boragetrail/policy/quarantine.py
+++ b/boragetrail/policy/quarantine.py
@@ -252,6 +252,18 @@
         self.told_at_s_by_survival = recent
         return untold
 
+    def suspected(self, report):
+        """Return a report without the parts that it does not count against.
+
+        :returns: :class:`CrashReport`, or ``None`` if no part is suspect or
+            the report has expired
+        """
+        parts = tuple(self._suspects(report))
+        is_old = report.crashed_s < self.clock() - self.REPORT_TTL_S
+        if not parts or is_old:
+            return None
+        return dataclasses.replace(report, parts=parts)
+
     def active_reports(self):
         """Return the reports that count against a part, as a list."""
         return [
