Convict requests with equal evidence together

A request that had been held was released, and ended a sixth server.

Cause: crashes that one convicted request explains counted against no other, so a later verdict on a request with as many crashes took the first one back.

Whole requests with equally many unexplained crashes are now convicted together. test_verdict_stays_beside_another_one fails before.

--- a/boragetrail/policy/crashevidence.py
+++ b/boragetrail/policy/crashevidence.py
@@ -69,9 +69,9 @@
     def convict(self, is_known):
         """Return the parts that explain the crashes.
 
-        The crashes that a convicted part explains count against no other,
-        unless another whole request explains the same ones: nothing tells
-        which of the two is the cause.
+        The crashes that a convicted part explains count against no other.
+        Whole requests with equally many crashes are convicted together, since
+        nothing tells which of them is the cause.
 
         :param is_known: function that returns whether servers recently
             survived a part
@@ -80,28 +80,26 @@
         convicted = []
         part = self._strongest(is_known)
         while part is not None:
-            convicted.extend(self._indistinguishable(part, convicted))
-            self.explained.update(self.times_by_part[part])
+            causes = [part]
+            if is_request_key(part):
+                causes = self._equal_requests(part, is_known)
+            convicted.extend(causes)
+            for cause in causes:
+                self.explained.update(self.times_by_part[cause])
             part = self._strongest(is_known)
         return convicted
 
-    def _indistinguishable(self, part, convicted):
-        """Return a part and the whole requests with the same evidence."""
-        if not is_request_key(part):
-            return [part]
-        weight, servers = self._weight(part), self._unexplained(part)
+    def _equal_requests(self, part, is_known):
+        """Return the whole requests that crashed as many servers as one."""
+        weight = self._weight(part)
         return [
             other
             for other in self.times_by_part
             if is_request_key(other)
-            and other not in convicted
-            and self._unexplained(other) >= servers
-            and self._weight(other) >= weight
+            and is_known(other) == is_known(part)
+            and self._weight(other) == weight
         ]
 
-    def _unexplained(self, part):
-        return self.times_by_part[part].keys() - self.explained
-
     def _strongest(self, is_known):
         """Return the part that explains most crashes, or ``None``."""
         best, best_rating = None, ()
--- a/boragetrail/policy/tests/test_quarantine.py
+++ b/boragetrail/policy/tests/test_quarantine.py
@@ -143,6 +143,73 @@
         assert (fixture.held, fixture.released) == ([ODD], [ODD])
 
 
+class TestWholeRequests:
+    """Requests that crash servers by themselves."""
+
+    DEADLY, OTHER, THIRD = "request:d", "request:o", "request:t"
+
+    def test_request_that_comes_again(self, fixture):
+        for server in (1, 2):
+            fixture.crash(server, "base", self.DEADLY)
+            fixture.wait(SINCE_CRASH_S)
+            fixture.quarantine.survived(["base"])
+        assert fixture.convicted() == [self.DEADLY]
+
+    def test_request_without_a_head_counts_in_full(self, fixture):
+        for server in (1, 2):
+            fixture.crash(server, self.DEADLY, begun=False)
+            fixture.wait(SINCE_CRASH_S)
+        assert fixture.convicted() == [self.DEADLY]
+
+    def test_requests_of_one_crash_are_innocent(self, fixture):
+        fixture.crash(1, self.DEADLY)
+        fixture.crash(1, self.OTHER)
+        assert fixture.convicted() == []
+
+    # Guards against a verdict that another request's evidence takes back.
+    def test_verdict_stays_beside_another_one(self, fixture):
+        fixture.crash(1, self.DEADLY)
+        fixture.wait(SINCE_CRASH_S)
+        fixture.crash(2, self.DEADLY)
+        fixture.crash(2, self.OTHER)
+        assert fixture.convicted() == [self.DEADLY]
+        fixture.wait(SINCE_CRASH_S)
+        fixture.crash(3, self.OTHER, begun=False)
+        assert fixture.convicted() == [self.DEADLY, self.OTHER]
+        assert fixture.released == []
+
+    def test_request_beside_one_with_more_crashes(self, fixture):
+        for server in (1, 2, 3):
+            fixture.crash(server, self.DEADLY)
+            if server > 1:
+                fixture.crash(server, self.OTHER)
+            fixture.wait(SINCE_CRASH_S)
+        assert fixture.convicted() == [self.DEADLY]
+
+    def test_deadly_part_explains_its_requests(self, fixture):
+        for server, request in ((1, self.DEADLY), (2, self.OTHER)):
+            fixture.crash(server, "base", ODD, request)
+            fixture.wait(SINCE_CRASH_S)
+            fixture.quarantine.survived(["base"])
+        assert fixture.convicted() == [ODD]
+
+    def test_sound_request_is_released_by_its_survival(self, fixture):
+        for server in (1, 2):
+            fixture.crash(server, self.DEADLY)
+            fixture.crash(server, self.OTHER)
+            fixture.wait(SINCE_CRASH_S)
+        assert fixture.convicted() == [self.DEADLY, self.OTHER]
+        fixture.wait(SINCE_CRASH_S)
+        fixture.quarantine.survived([self.OTHER])
+        assert fixture.convicted() == [self.DEADLY]
+
+    def test_survivals_of_requests_push_out_no_part(self, fixture):
+        fixture.quarantine.survived(["base"])
+        for number in range(2 * PromptQuarantine.MAX_SURVIVALS):
+            fixture.quarantine.survived([f"request:{number}"])
+        assert fixture.quarantine.are_known(["base"])
+
+
 class TestTrials:
     """A quarantined part is tried by one request at a time."""
 
