Attribute no response without an id on a kept connection

A request that a server ran was told 503, not run, or ran at a second server.

Cause: a server that writes an earlier refusal once more on a kept connection may leave out its id; a response without an id was taken for that of the request that waits. Such a response now says nothing of the request, unless its connection has had no other one: the attempt fails as unknown. Refusals with the id of an earlier request were skipped before, too.

--- a/boragetrail/direct/attempt.py
+++ b/boragetrail/direct/attempt.py
@@ -202,9 +202,10 @@
             return ExchangeOutcome.UNREACHABLE
         self.state = AttemptState.SENT
         self.sent_s = self.waiting_since_s = self.clock()
+        is_first = not self.connection.used
         try:
             self.connection.send_request(data)
-            self.response = await self._read_response()
+            self.response = await self._read_response(is_first)
         except CONNECTION_ERRORS as exc:
             self.connection_lost = True
             return self._fail(f"waiting for the response: {exc!r}")
@@ -286,12 +287,15 @@
             self.connection.abort()
             self.connection = None
 
-    async def _read_response(self):
+    async def _read_response(self, is_first):
         """Return the response that carries the request's id, or ``None``.
 
         A server may send late copies of earlier responses first. If the
         first ``MAX_STRAY_RESPONSES`` responses are copies or informational,
-        the result is ``None``.
+        the result is ``None``. A response without an id may be a copy as well
+        unless the connection has had no other request.
+
+        :param is_first: whether the request is the first of its connection
         """
         for _ in range(MAX_STRAY_RESPONSES):
             message, payload = await self.connection.read()
@@ -303,7 +307,9 @@
             if response.status == UNAVAILABLE_STATUS:
                 self._record_pause(response.headers)
             response_id = response.headers.get(self.names.request_id)
-            if response_id is None or response_id == self.request_id:
+            if response_id is None and not is_first:
+                return None
+            if response_id in (None, self.request_id):
                 self._record_limit(response)
                 return response
             if not await _skip(payload):
