Go on with a stream only in the same type of content

Callers found an error's text in the middle of their stream, which then ended as if it were complete.

Cause: a stream that broke off was resumed at the next server, and any success of that server was taken for the rest of it, also one of JSON or plain text with a length.

--- a/boragetrail/direct/attempt.py
+++ b/boragetrail/direct/attempt.py
@@ -118,6 +118,12 @@
         """Return whether the status is a success."""
         return self.status in STATUS_OK
 
+    @property
+    def media_type(self):
+        """Return the type of the content without its parameters."""
+        content_type = self.headers.get("Content-Type", "")
+        return content_type.partition(";")[0].strip().lower()
+
 
 class Attempt:
     """Send a request to one server and read its response.
--- a/boragetrail/direct/dispatch.py
+++ b/boragetrail/direct/dispatch.py
@@ -40,6 +40,7 @@
 # A server returns this status after the deadline of a request. It does not
 # count as a failure of the server.
 GATEWAY_TIMEOUT = 504
+OTHER_CONTENT = "the stream does not go on with the same type of content"
 ENDED_WITHIN_EVENT = "the connection ended within an event"
 EVENT_TOO_LONG = f"event larger than {MAX_EVENT_BYTES} bytes"
 
@@ -244,6 +245,9 @@
     async def _forward_response(self, request, caller, progress, attempt):
         response = attempt.response
         if request.route.kind is RequestKind.STREAM and response.ok:
+            if caller.started and response.media_type != progress.media_type:
+                self._record_failure(attempt)
+                return Failure(Reason.BACKEND_FAILED, OTHER_CONTENT)
             return await self._forward_stream(
                 request, caller, progress, attempt
             )
@@ -284,6 +288,7 @@
         response = attempt.response
         if not caller.started:
             fields = self.rewriter.response_fields(response.raw_headers)
+            progress.media_type = response.media_type
             await caller.start(response.status, fields)
         splitter = progress.splitter
         splitter.remainder = b""
--- a/boragetrail/direct/progress.py
+++ b/boragetrail/direct/progress.py
@@ -19,6 +19,7 @@
     :ivar mean_load: mean known number of requests of the service's ready
         servers when the last one was selected
     :ivar left_out_count: number of these that could not be selected
+    :ivar media_type: type of the content of the stream that has started
     :ivar stream_begun: whether the caller got an event
     :ivar version: software version at which its stream must go on, or
         ``None`` if any will do
@@ -46,6 +47,7 @@
         "wait_s",
         "mean_load",
         "left_out_count",
+        "media_type",
         "stream_begun",
         "version",
         "tried_ids",
@@ -66,6 +68,7 @@
         self.wait_s = 0.0
         self.mean_load = 0.0
         self.left_out_count = 0
+        self.media_type = ""
         self.stream_begun = False
         self.version = None
         self.tried_ids = set()
