--- a/boragetrail/direct/daemon.py
+++ b/boragetrail/direct/daemon.py
@@ -14,6 +14,7 @@
 from boragetrail.direct.directory import Directory
 from boragetrail.direct.discovery import CacheDiscovery
 from boragetrail.direct.dispatch import Dispatcher
+from boragetrail.direct.dump import dump_state
 from boragetrail.direct.feed import Feed
 from boragetrail.direct.filters import FilterChain
 from boragetrail.direct.fleet import Fleet
@@ -259,36 +260,7 @@
 
     def dump(self):
         """Return the state of the process."""
-        configuration = self.directory.configuration
-        return {
-            "name": self.settings.name,
-            "incarnation": self.incarnation,
-            "ready": self.is_ready(),
-            "active": self.frontend.active,
-            "configuration": configuration and configuration.version,
-            "evacuated_zones": sorted(self.directory.evacuated_zones),
-            "tables": {
-                feed.table.value: {
-                    "version": self.directory.mirrors[feed.table].version,
-                    "age_s": feed.liveness.age_s(),
-                    "lost": feed.lost,
-                }
-                for feed in self.feeds_by_table.values()
-            },
-            "servers": {
-                key: {
-                    "service": listed.record.service,
-                    "zone": listed.record.zone,
-                    "ready": listed.record.ready,
-                }
-                for key, listed in self.directory.servers_by_id.items()
-            },
-            "loads": self.fleet.loads_by_id(),
-            "routers": self.peers.size(),
-            "datagrams_refused": self.socket.datagrams_refused,
-            "store_calls": self.store.calls,
-            "quarantined_parts": sorted(self.quarantine.held_until_s_by_part),
-        }
+        return dump_state(self)
 
     def _quarantine_changed(self, held, released):
         log_quarantine(held, released)
--- a/boragetrail/direct/dispatch.py
+++ b/boragetrail/direct/dispatch.py
@@ -2,23 +2,17 @@
 
 import asyncio
 
-from boragetrail.direct.attempt import (
-    Attempt,
-    AttemptState,
-    BufferBudget,
-    ExchangeOutcome,
-)
+from boragetrail.direct.attempt import Attempt, ExchangeOutcome
 from boragetrail.direct.crashes import shared_parts
-from boragetrail.direct.eventstream import MAX_EVENT_BYTES
 from boragetrail.direct.failures import (
     RETRY_AFTER_S,
     deadline_failure,
     no_server_failure,
     overall_failure,
 )
+from boragetrail.direct.forwarding import ResponseForwarder, record_failure
 from boragetrail.direct.headers import HeaderRewriter
 from boragetrail.direct.knowledge.requests import request_key
-from boragetrail.direct.model import RequestKind
 from boragetrail.direct.progress import PendingWork, RequestProgress
 from boragetrail.direct.reports import parse_load
 from boragetrail.direct.requestlog import RequestLog
@@ -37,12 +31,6 @@
 MAX_REUSE_IDLE_NOT_RETRYABLE_S = 1.0
 # With less time to the deadline a request is not retried.
 MIN_RETRY_TIME_S = 0.02
-# A server returns this status after the deadline of a request. It does not
-# count as a failure of the server.
-GATEWAY_TIMEOUT = 504
-OTHER_CONTENT = "the stream does not go on with the same type of content"
-ENDED_WITHIN_EVENT = "the connection ended within an event"
-EVENT_TOO_LONG = f"event larger than {MAX_EVENT_BYTES} bytes"
 
 
 class Dispatcher:
@@ -79,9 +67,11 @@
         self.clock = clock
         self.random = random
         self.rewriter = HeaderRewriter(names)
-        self.buffer_budget = BufferBudget()
         self.retry_quotas_by_service = {}
         self.request_log = RequestLog(fleet.peers, names, clock)
+        self.forwarder = ResponseForwarder(
+            names, crash_monitor, stream_versions, self.request_log
+        )
 
     async def run(self, request, caller):
         """Serve a request.
@@ -190,7 +180,7 @@
             MAX_REUSE_IDLE_S if retryable else MAX_REUSE_IDLE_NOT_RETRYABLE_S
         )
         if not await attempt.open(max_idle_s):
-            self._record_failure(attempt)
+            record_failure(attempt)
             return Refusal(Reason.UNREACHABLE, attempt.error)
         if not state.accepts_requests():
             # The server may have said so since it was selected.
@@ -217,7 +207,7 @@
         if outcome is ExchangeOutcome.RESPONSE:
             progress.possible_executions += 1
             self._record_server_state(state, attempt.response)
-            return await self._forward_response(
+            return await self.forwarder.forward(
                 request, caller, progress, attempt
             )
         return self._exchange_failure(progress, attempt, outcome)
@@ -235,93 +225,13 @@
             return Refusal(
                 Reason.OVERLOADED, detail, Executed.NO, RETRY_AFTER_S
             )
-        self._record_failure(attempt)
+        record_failure(attempt)
         if outcome is ExchangeOutcome.UNREACHABLE:
             progress.attempts_sent -= 1
             return Refusal(Reason.UNREACHABLE, attempt.error)
         progress.possible_executions += 1
         return Failure(Reason.BACKEND_FAILED, attempt.error)
 
-    async def _forward_response(self, request, caller, progress, attempt):
-        response = attempt.response
-        if request.route.kind is RequestKind.STREAM and response.ok:
-            if caller.started and response.media_type != progress.media_type:
-                self._record_failure(attempt)
-                return Failure(Reason.BACKEND_FAILED, OTHER_CONTENT)
-            return await self._forward_stream(
-                request, caller, progress, attempt
-            )
-        body = await attempt.body(self.buffer_budget)
-        if body is None:
-            self._record_failure(attempt)
-            return Failure(Reason.TRUNCATED, attempt.error)
-        fields = self.rewriter.response_fields(response.raw_headers)
-        if response.ok:
-            self.crash_monitor.response_progressed(progress.parts)
-            attempt.server.record_response()
-            caller.set_response(response.status, fields, body)
-            return None
-        error = (response.status, fields, body)
-        return self._record_server_error(
-            caller, progress, attempt.server, error
-        )
-
-    def _record_server_error(self, caller, progress, server, error):
-        """Record an error response; it is sent later if no retry succeeds.
-
-        :param error: (status, fields, body)
-        :returns: :class:`~boragetrail.errors.Failure`
-        """
-        status = error[0]
-        server.record_response(
-            failed=status >= 500 and status != GATEWAY_TIMEOUT
-        )
-        if caller.started:
-            return Failure(
-                Reason.BACKEND_FAILED, f"the server returned status {status}"
-            )
-        progress.server_error = error
-        detail = f"the server answered {status}"
-        return Failure(Reason.BACKEND_FAILED, detail, Executed.YES)
-
-    async def _forward_stream(self, request, caller, progress, attempt):
-        response = attempt.response
-        if not caller.started:
-            fields = self.rewriter.response_fields(response.raw_headers)
-            progress.media_type = response.media_type
-            await caller.start(response.status, fields)
-        splitter = progress.splitter
-        splitter.remainder = b""
-        stream_started = False
-        async for data in attempt.chunks():
-            complete = splitter.feed(data)
-            if splitter.exceeds_limit():
-                self._record_failure(attempt)
-                return Failure(Reason.TRUNCATED, EVENT_TOO_LONG)
-            if complete and not progress.stream_begun:
-                progress.stream_begun = True
-                record = attempt.server.record
-                self.stream_versions.begun(request, progress, record)
-            if complete:
-                await caller.write(complete)
-            if complete and not stream_started:
-                stream_started = True
-                attempt.progressed = True
-                self.crash_monitor.response_progressed(progress.parts)
-                self.request_log.stream_started(request, attempt)
-        if not response.is_framed and not (
-            stream_started and splitter.at_event_end()
-        ):
-            attempt.fail_truncated(ENDED_WITHIN_EVENT)
-        if attempt.state is not AttemptState.COMPLETE:
-            self._record_failure(attempt)
-            return Failure(Reason.TRUNCATED, attempt.error)
-        if splitter.remainder:
-            await caller.write(splitter.remainder)
-        attempt.server.record_response()
-        await caller.finish()
-        return None
-
     def _may_retry(self, request, progress, failure):
         if progress.attempt_count >= MAX_TOTAL_ATTEMPTS:
             return False
@@ -339,12 +249,6 @@
         routers = self.fleet.peers.size()
         return self._retry_quota(request.service).try_acquire(routers)
 
-    @staticmethod
-    def _record_failure(attempt):
-        """Record a failure of the server, unless this router caused it."""
-        if not attempt.was_reset:
-            attempt.server.record_failure()
-
     def _record_server_state(self, state, response):
         load = parse_load(response.headers.get(self.names.load, ""))
         if load is not None:
--- /dev/null
+++ b/boragetrail/direct/forwarding.py
@@ -0,0 +1,134 @@
+"""Forwarding of the responses of servers to callers."""
+
+from boragetrail.direct.attempt import AttemptState, BufferBudget
+from boragetrail.direct.eventstream import MAX_EVENT_BYTES
+from boragetrail.direct.headers import HeaderRewriter
+from boragetrail.direct.model import RequestKind
+from boragetrail.errors import Failure
+from boragetrail.reasons import Executed, Reason
+
+__all__ = ["ResponseForwarder", "record_failure"]
+
+# A server returns this status after the deadline of a request. It does not
+# count as a failure of the server.
+GATEWAY_TIMEOUT = 504
+OTHER_CONTENT = "the stream does not go on with the same type of content"
+ENDED_WITHIN_EVENT = "the connection ended within an event"
+EVENT_TOO_LONG = f"event larger than {MAX_EVENT_BYTES} bytes"
+
+
+def record_failure(attempt):
+    """Record a failure of the server, unless this router caused it.
+
+    :param attempt: :class:`~boragetrail.direct.attempt.Attempt`
+    """
+    if not attempt.was_reset:
+        attempt.server.record_failure()
+
+
+class ResponseForwarder:
+    """Forward responses, as a whole or event by event.
+
+    :param names: :class:`~boragetrail.direct.interfaces.HeaderNames`
+    :param crash_monitor: :class:`~boragetrail.direct.crashes.CrashMonitor`
+    :param stream_versions:
+        :class:`~boragetrail.direct.resumption.StreamVersions`
+    :param request_log: :class:`~boragetrail.direct.requestlog.RequestLog`
+    """
+
+    def __init__(self, names, crash_monitor, stream_versions, request_log):
+        self.rewriter = HeaderRewriter(names)
+        self.crash_monitor = crash_monitor
+        self.stream_versions = stream_versions
+        self.request_log = request_log
+        self.buffer_budget = BufferBudget()
+
+    async def forward(self, request, caller, progress, attempt):
+        """Forward the response of an attempt.
+
+        :param request: :class:`~boragetrail.direct.request.DirectRequest`
+        :param caller: :class:`~boragetrail.direct.response.CallerResponse`
+        :param progress:
+            :class:`~boragetrail.direct.progress.RequestProgress`
+        :param attempt: :class:`~boragetrail.direct.attempt.Attempt`
+        :returns: :class:`~boragetrail.errors.Failure`, or ``None`` if the
+            caller has its response
+        """
+        response = attempt.response
+        if request.route.kind is RequestKind.STREAM and response.ok:
+            if caller.started and response.media_type != progress.media_type:
+                record_failure(attempt)
+                return Failure(Reason.BACKEND_FAILED, OTHER_CONTENT)
+            return await self._forward_stream(
+                request, caller, progress, attempt
+            )
+        body = await attempt.body(self.buffer_budget)
+        if body is None:
+            record_failure(attempt)
+            return Failure(Reason.TRUNCATED, attempt.error)
+        fields = self.rewriter.response_fields(response.raw_headers)
+        if response.ok:
+            self.crash_monitor.response_progressed(progress.parts)
+            attempt.server.record_response()
+            caller.set_response(response.status, fields, body)
+            return None
+        error = (response.status, fields, body)
+        return self._record_server_error(
+            caller, progress, attempt.server, error
+        )
+
+    def _record_server_error(self, caller, progress, server, error):
+        """Record an error response; it is sent later if no retry succeeds.
+
+        :param error: (status, fields, body)
+        :returns: :class:`~boragetrail.errors.Failure`
+        """
+        status = error[0]
+        server.record_response(
+            failed=status >= 500 and status != GATEWAY_TIMEOUT
+        )
+        if caller.started:
+            return Failure(
+                Reason.BACKEND_FAILED, f"the server returned status {status}"
+            )
+        progress.server_error = error
+        detail = f"the server answered {status}"
+        return Failure(Reason.BACKEND_FAILED, detail, Executed.YES)
+
+    async def _forward_stream(self, request, caller, progress, attempt):
+        response = attempt.response
+        if not caller.started:
+            fields = self.rewriter.response_fields(response.raw_headers)
+            progress.media_type = response.media_type
+            await caller.start(response.status, fields)
+        splitter = progress.splitter
+        splitter.remainder = b""
+        stream_started = False
+        async for data in attempt.chunks():
+            complete = splitter.feed(data)
+            if splitter.exceeds_limit():
+                record_failure(attempt)
+                return Failure(Reason.TRUNCATED, EVENT_TOO_LONG)
+            if complete and not progress.stream_begun:
+                progress.stream_begun = True
+                record = attempt.server.record
+                self.stream_versions.begun(request, progress, record)
+            if complete:
+                await caller.write(complete)
+            if complete and not stream_started:
+                stream_started = True
+                attempt.progressed = True
+                self.crash_monitor.response_progressed(progress.parts)
+                self.request_log.stream_started(request, attempt)
+        if not response.is_framed and not (
+            stream_started and splitter.at_event_end()
+        ):
+            attempt.fail_truncated(ENDED_WITHIN_EVENT)
+        if attempt.state is not AttemptState.COMPLETE:
+            record_failure(attempt)
+            return Failure(Reason.TRUNCATED, attempt.error)
+        if splitter.remainder:
+            await caller.write(splitter.remainder)
+        attempt.server.record_response()
+        await caller.finish()
+        return None
--- a/boragetrail/direct/tests/test_crash.py
+++ b/boragetrail/direct/tests/test_crash.py
@@ -8,6 +8,7 @@
 import pytest
 
 from boragetrail.direct.tests.conftest import configuration, route
+from boragetrail.direct.tests.crashingservers import CrashingServers
 from boragetrail.direct.tests.test_trouble import chunk, stream_head
 from boragetrail.platform.names import HEADER_NAMES
 
@@ -22,8 +23,6 @@
 # Enough requests for more than two engines to get one.
 SLOW_REQUESTS = 16
 PAUSE_S = 0.15
-# Time from a crash until the platform removes the server's entry.
-UNLISTED_AFTER_S = 0.5
 SOUND_INTERVAL_S = 0.03
 ROUTES = [
     route("stream", "streaming", sticky=True),
@@ -31,33 +30,20 @@
 ]
 
 
-class Engines:
-    """Own engines that crash when they begin to respond to a part.
+class Engines(CrashingServers):
+    """Engines that crash when they begin to respond to a part.
 
-    :ivar crashes: number of crashes so far
     :ivar deadly_requests: number of requests with the part that arrived
     :ivar deadly_part: id of the part
     """
 
     def __init__(self, cluster):
-        self.cluster = cluster
-        self.crashes = 0
+        super().__init__(cluster)
         self.deadly_requests = 0
         self.deadly_part = DEADLY_PART
-        self.tasks = set()
-
-    def open(self):
-        """Let the servers of the cluster behave as engines."""
-        for server in self.cluster.servers:
-            self._prepare(server)
-
-    def _prepare(self, server):
-        async def respond(request):
-            return await self._respond(server, request)
-
-        server.default = respond
 
-    async def _respond(self, server, request):
+    async def respond(self, server, request):
+        """Respond to a request, or crash."""
         prompt = request.headers[HEADER_NAMES.prompt_parts.lower()]
         deadly = self.deadly_part in prompt
         self.deadly_requests += deadly
@@ -67,17 +53,7 @@
             return b""
         if not deadly:
             return chunk(b"id: 1\ndata: e\n\n") + chunk(b"")
-        self.crashes += 1
-        server.crash()
-        task = asyncio.ensure_future(self._replace(server))
-        self.tasks.add(task)
-        await asyncio.sleep(1.0)
-        return b""
-
-    async def _replace(self, server):
-        self._prepare(await self.cluster.add_server())
-        await asyncio.sleep(UNLISTED_AFTER_S)
-        self.cluster.unlist_server(server)
+        return await self.crash(server)
 
 
 async def _sender_leaves(request, within_s):
--- a/boragetrail/direct/tests/test_deadlyrequest.py
+++ b/boragetrail/direct/tests/test_deadlyrequest.py
@@ -9,6 +9,7 @@
 
 from boragetrail.direct.knowledge.requests import request_key
 from boragetrail.direct.tests.conftest import configuration, route
+from boragetrail.direct.tests.crashingservers import CrashingServers
 from boragetrail.direct.tests.test_crash import background
 from boragetrail.direct.tests.test_trouble import chunk, stream_head
 from boragetrail.platform.names import CRASHES_TABLE, HEADER_NAMES
@@ -18,53 +19,26 @@
 RUN_S = 0.03
 PAUSE_S = 0.15
 SOUND_INTERVAL_S = 0.03
-UNLISTED_AFTER_S = 0.5
-# After the third crash a request may reach servers three times more.
-MAX_ARRIVALS = 6
+# After the third crash a request may reach servers three times more. Two
+# crashes tell that it is the cause.
+MAX_CRASHES = 3
 PROMPT = ("base", "shared", "own")
 
 
-class Servers:
-    """Own servers that crash when they begin to run the deadly request.
+class Servers(CrashingServers):
+    """Servers that crash when they begin to run the deadly request."""
 
-    :ivar arrivals: number of deadly requests that arrived
-    """
-
-    def __init__(self, cluster):
-        self.cluster = cluster
-        self.arrivals = 0
-        self.tasks = set()
-
-    def open(self):
-        """Let the servers of the cluster behave so."""
-        for server in self.cluster.servers:
-            self._prepare(server)
-
-    def _prepare(self, server):
-        async def respond(request):
-            return await self._respond(server, request)
-
-        server.default = respond
-
-    async def _respond(self, server, request):
+    async def respond(self, server, request):
+        """Respond to a request, or crash."""
         is_stream = " /stream" in request.line
         if is_stream:
             request.writer.write(stream_head(request))
         await asyncio.sleep(RUN_S)
-        if request.body != DEADLY_BODY:
-            if is_stream:
-                return chunk(b"id: 1\ndata: e\n\n") + chunk(b"")
-            return whole_answer(request)
-        self.arrivals += 1
-        server.crash()
-        self.tasks.add(asyncio.ensure_future(self._replace(server)))
-        await asyncio.sleep(1.0)
-        return b""
-
-    async def _replace(self, server):
-        self._prepare(await self.cluster.add_server())
-        await asyncio.sleep(UNLISTED_AFTER_S)
-        self.cluster.unlist_server(server)
+        if request.body == DEADLY_BODY:
+            return await self.crash(server)
+        if is_stream:
+            return chunk(b"id: 1\ndata: e\n\n") + chunk(b"")
+        return whole_answer(request)
 
 
 class Callers:
@@ -134,7 +108,7 @@
                 await asyncio.sleep(PAUSE_S)
             callers.sound_statuses.clear()
             await asyncio.sleep(4 * PAUSE_S)
-        assert servers.arrivals <= MAX_ARRIVALS // 2
+        assert servers.crashes <= MAX_CRASHES
         assert set(callers.sound_statuses) == {200}
 
     # Guards against routers that forget the request when all are killed.
@@ -145,7 +119,7 @@
         for _ in range(3):
             await callers.send("/order/1", DEADLY_BODY)
             await asyncio.sleep(PAUSE_S)
-        arrivals = servers.arrivals
+        crashes = servers.crashes
         await cluster.until(
             lambda: [
                 row
@@ -162,7 +136,7 @@
         callers.daemons = itertools.repeat(daemon)
         assert await callers.send("/order/1", DEADLY_BODY) == 503
         assert await callers.send("/order/1", b"another") == 200
-        assert servers.arrivals == arrivals
+        assert servers.crashes == crashes
 
     # Guards against a refusal of the neighbours of a deadly request.
     async def test_other_requests_of_the_path_are_served(
--- a/boragetrail/direct/tests/test_hostile.py
+++ b/boragetrail/direct/tests/test_hostile.py
@@ -10,7 +10,7 @@
 from boragetrail.direct.knowledge.epochs import RetainedRow
 from boragetrail.direct.mirror import Mirror
 from boragetrail.direct.relay import decode_changes, encode_changes
-from boragetrail.platform.store import _change_set
+from boragetrail.platform.rows import decode_change_set
 from boragetrail.policy.prefix import PrefixCacheIndex
 from standins.clock import ManualClock
 
@@ -101,7 +101,7 @@
         ],
     )
     def test_malformed_response_is_a_failure(self, value):
-        assert isinstance(_change_set(value, True), SourceFailure)
+        assert isinstance(decode_change_set(value, True), SourceFailure)
 
     @pytest.mark.parametrize(
         "row",
@@ -116,6 +116,6 @@
     def test_malformed_row_is_never_applied(self, row):
         mirror = Mirror()
         mirror.apply(ChangeSet([Row("a", 3, b"1")], 3, True))
-        changes = _change_set({"rows": [row], "ver": 4}, False)
+        changes = decode_change_set({"rows": [row], "ver": 4}, False)
         assert mirror.apply(changes) == []
         assert mirror.rows_by_key["a"].data == b"1"
--- a/boragetrail/platform/store.py
+++ b/boragetrail/platform/store.py
@@ -4,7 +4,6 @@
 import base64
 import dataclasses
 import json
-import math
 import struct
 import time
 
@@ -14,9 +13,7 @@
     ChangeSet,
     CrashRegistry,
     MemberRegistry,
-    Row,
     RowSource,
-    SavedVersions,
     SourceFailure,
     StreamRegistry,
     VersionRegistry,
@@ -31,6 +28,14 @@
     TABLE_NAMES,
     VERSIONS_TABLE,
 )
+from boragetrail.platform.rows import (
+    TIME,
+    decode_change_set,
+    decode_saved_versions,
+    decode_streams,
+    decode_time_ms,
+    saved_age_s,
+)
 
 __all__ = ["PlatformStoreClient"]
 
@@ -40,12 +45,9 @@
 # HTTP status if the store no longer keeps the changes that were asked for.
 HISTORY_LOST_STATUS = 410
 MAX_PAGE_ROWS = 500
-MAX_EPOCH = MAX_VERSION = 2**62
+MAX_EPOCH = 2**62
 MAX_TIME_MS = 2.0**53
-# Time of the store at which a row was saved, in front of its content.
-TIME = struct.Struct(">d")
 MAX_LOGGED_LENGTH = 80
-MAX_ERROR_LENGTH = 80
 
 
 class PlatformStoreClient(
@@ -84,7 +86,7 @@
         )
         if isinstance(response, SourceFailure):
             return response
-        return _change_set(response.content, False, response.epoch)
+        return decode_change_set(response.content, False, response.epoch)
 
     async def announce(self, host):
         """Write a router's row to the table of routers; see the base class."""
@@ -107,17 +109,18 @@
         response = await self._call("GET", "/-/rows-get", 0.0, params=query)
         if isinstance(response, SourceFailure):
             return response
-        rows = _change_set(response.content, True, response.epoch)
+        rows = decode_change_set(response.content, True, response.epoch)
         if isinstance(rows, SourceFailure):
             return rows
         try:
-            now_ms = _time_ms(response.content.get("nowMs"))
+            now_ms = decode_time_ms(response.content.get("nowMs"))
         except DECODE_ERRORS:
             return SourceFailure("rows without the time of the store")
         return {
             row.key: saved
             for row in rows.rows
-            if (saved := _saved_versions(row, now_ms, rows.epoch)) is not None
+            if (saved := decode_saved_versions(row, now_ms, rows.epoch))
+            is not None
         }
 
     async def save_versions(self, service, saved):
@@ -139,7 +142,9 @@
         rows = await self._read_table(STREAMS_TABLE)
         if isinstance(rows, SourceFailure):
             return rows
-        return [stream for row in rows.rows for stream in _streams(row.data)]
+        return [
+            stream for row in rows.rows for stream in decode_streams(row.data)
+        ]
 
     async def save_streams(self, name, streams_by_version):
         """Replace a row of saved streams; see the base class."""
@@ -159,7 +164,7 @@
             return rows
         now_ms = self._now_ms()
         return [
-            (row.data[TIME.size :], _age_s(row.data, now_ms))
+            (row.data[TIME.size :], saved_age_s(row.data, now_ms))
             for row in rows.rows
             if len(row.data) >= TIME.size
         ]
@@ -210,7 +215,7 @@
             )
             if isinstance(response, SourceFailure):
                 return response
-            page = _change_set(response.content, True, response.epoch)
+            page = decode_change_set(response.content, True, response.epoch)
             if isinstance(page, SourceFailure):
                 return page
             rows.extend(page.rows)
@@ -288,84 +293,3 @@
 def _is_epoch(text):
     is_number = text.isascii() and text.isdigit()
     return is_number and len(text) < 20 and int(text) <= MAX_EPOCH
-
-
-def _change_set(content, is_snapshot, epoch=None):
-    """Return the rows of a response.
-
-    A row that cannot be read costs no other row.
-    """
-    try:
-        version = _version(content["ver"])
-        encoded = content["rows"]
-        if not isinstance(encoded, list):
-            raise TypeError("no list of rows")
-    except DECODE_ERRORS as exc:
-        return SourceFailure(f"invalid rows in the store's response: {exc!r}")
-    changes = ChangeSet([], version, is_snapshot, epoch)
-    for each in encoded:
-        try:
-            changes.rows.append(_row(each))
-        except DECODE_ERRORS as exc:
-            key = each.get("key") if isinstance(each, dict) else None
-            changes.unreadable.append((key, repr(exc)))
-    return changes
-
-
-def _version(value):
-    """Return a row version."""
-    if type(value) is not int or not 0 <= value <= MAX_VERSION:
-        raise ValueError(f"{value!r} is not a row version"[:MAX_ERROR_LENGTH])
-    return value
-
-
-def _age_s(data, now_ms):
-    """Return the seconds since a row was saved, 0 if that is not known."""
-    (saved_ms,) = TIME.unpack_from(data)
-    age_s = (now_ms - saved_ms) / 1000.0
-    return age_s if saved_ms > 0 and age_s > 0 else 0.0
-
-
-def _time_ms(value):
-    """Return a time of the store in milliseconds."""
-    time_ms = float(value)
-    if not math.isfinite(time_ms):
-        raise ValueError("not a time")
-    return time_ms
-
-
-def _saved_versions(row, now_ms, epoch):
-    """Return the decoded row of a service, or ``None`` if it is invalid."""
-    try:
-        content = json.loads(row.data)
-        listed = [str(each) for each in content["listed"]]
-        gone_ms = {
-            str(version): _time_ms(at_ms)
-            for version, at_ms in content["gone"].items()
-        }
-    except DECODE_ERRORS:
-        return None
-    return SavedVersions(listed, gone_ms, now_ms, row.version, epoch)
-
-
-def _streams(data):
-    """Return the streams of a row as (key, version); none if invalid."""
-    try:
-        return [
-            (stream, str(version))
-            for version, packed in json.loads(data).items()
-            for (stream,) in struct.iter_unpack(">Q", base64.b64decode(packed))
-        ]
-    except (*DECODE_ERRORS, struct.error):
-        return []
-
-
-def _row(data):
-    key = data["key"]
-    if not isinstance(key, str):
-        raise TypeError("the key is not a string")
-    version = _version(data["ver"])
-    if data.get("deleted"):
-        return Row(key, version, None)
-    content = base64.b64decode(data.get("data") or "", validate=True)
-    return Row(key, version, content)
--- a/boragetrail/platform/tests/test_oddrows.py
+++ b/boragetrail/platform/tests/test_oddrows.py
@@ -2,16 +2,14 @@
 
 import json
 
-import aiohttp
 import pytest
 
 from boragetrail.direct.directory import Directory
 from boragetrail.direct.interfaces import ChangeSet, Row, SourceFailure, Table
-from boragetrail.platform import PlatformRowDecoder, PlatformStoreClient
+from boragetrail.platform import PlatformRowDecoder
 from boragetrail.platform.names import STREAMS_TABLE, VERSIONS_TABLE
-from boragetrail.platform.store import _change_set
+from boragetrail.platform.rows import decode_change_set
 from standins.clock import ManualClock
-from standins.rowstore import RowStore
 
 NESTED = b"[" * 200_000
 LARGE_NUMBER = b"9" * 400
@@ -68,7 +66,7 @@
     def change_set(self, row):
         """Return the decoded rows of a response with an odd row."""
         good = {"key": "good", "ver": 3, "data": "e30="}
-        return _change_set({"rows": [row, good], "ver": 9}, True)
+        return decode_change_set({"rows": [row, good], "ver": 9}, True)
 
     # One odd row stopped a table: none of its rows was read any more.
     @pytest.mark.parametrize(
@@ -101,20 +99,10 @@
 
     @pytest.mark.parametrize("version", [None, "9", -1, 1e999, 10**400])
     def test_odd_version_of_a_response(self, version):
-        changes = _change_set({"rows": [], "ver": version}, True)
+        changes = decode_change_set({"rows": [], "ver": version}, True)
         assert isinstance(changes, SourceFailure)
 
 
-@pytest.fixture
-async def store():
-    """A store and its client."""
-    rows = RowStore()
-    await rows.open()
-    async with aiohttp.ClientSession() as session:
-        yield rows, PlatformStoreClient(session, rows.address)
-    await rows.close()
-
-
 class TestOddSavedRows:
     """Rows that routers save, overwritten by another writer."""
 
--- a/boragetrail/platform/tests/test_saved.py
+++ b/boragetrail/platform/tests/test_saved.py
@@ -3,7 +3,6 @@
 import json
 import random
 
-import aiohttp
 import pytest
 
 from boragetrail.direct.directory import Directory
@@ -16,7 +15,7 @@
 from boragetrail.direct.streamarchive import StreamArchive
 from boragetrail.direct.tests.conftest import configuration
 from boragetrail.direct.versionledger import VersionLedger
-from boragetrail.platform import PlatformRowDecoder, PlatformStoreClient
+from boragetrail.platform import PlatformRowDecoder
 from boragetrail.platform.names import (
     CRASHES_TABLE,
     STREAMS_TABLE,
@@ -25,17 +24,6 @@
 from boragetrail.policy.crashrecords import CrashReport
 from boragetrail.policy.quarantine import PromptQuarantine
 from standins.clock import ManualClock
-from standins.rowstore import RowStore
-
-
-@pytest.fixture
-async def store():
-    """A store, its client and no rows."""
-    rows = RowStore()
-    await rows.open()
-    async with aiohttp.ClientSession() as session:
-        yield rows, PlatformStoreClient(session, rows.address)
-    await rows.close()
 
 
 class TestSavedVersions:
