Let the soak's store return from a copy, twice in each run

The store loses what was written for two seconds, is away for 0.3 s, and the operators and servers write their rows again 0.4 s later; then a new version of the configuration has to be applied by all routers within 4 s.

--- a/standins/rowstore.py
+++ b/standins/rowstore.py
@@ -79,13 +79,32 @@
         self.copy = (dict(self.rows_by_key), self.version)
 
     def return_from_copy(self):
-        """Lose all that was written since the copy; a new epoch begins."""
+        """Lose all that was written since the copy; a new epoch begins.
+
+        :returns: values of the rows that were lost, by (table, key)
+        """
+        before = self.rows_by_key
         rows_by_key, self.version = self.copy
         self.rows_by_key = dict(rows_by_key)
         self.oldest_version = min(self.oldest_version, self.version)
         self.epoch += 1
         self.changed.set()
         self.changed = asyncio.Event()
+        return {
+            key: row[1]
+            for key, row in before.items()
+            if self.rows_by_key.get(key) != row
+        }
+
+    def write_again(self, lost, tables):
+        """Write rows of some tables that a return from a copy has lost.
+
+        :param lost: result of :meth:`return_from_copy`
+        :param tables: names of the tables
+        """
+        for (table, key), data in lost.items():
+            if table in tables:
+                self._write(table, key, data)
 
     def _write(self, table, key, data):
         self.version += 1
--- a/tools/directfaults.py
+++ b/tools/directfaults.py
@@ -12,7 +12,13 @@
 from tools.serverfaults import SERVER_FAULTS
 from tools.sums import Span
 
-__all__ = ["ABORTING_FAULTS", "CLOSING_FAULTS", "FAULTS", "PlannedStop"]
+__all__ = [
+    "ABORTING_FAULTS",
+    "CLOSING_FAULTS",
+    "FAULTS",
+    "PlannedStop",
+    "store_returns_from_a_copy",
+]
 
 BALANCER_DELAY_S = 3.0
 PAUSE_S = 1.2
@@ -31,7 +37,13 @@
     )
 )
 # Faults during which routers cannot read changes from the store.
-UNREADABLE_STORE_FAULTS = frozenset(("store_refuses", "store_is_silent"))
+UNREADABLE_STORE_FAULTS = frozenset(
+    ("store_refuses", "store_is_silent", "store_returns_from_a_copy")
+)
+# Time for which the store is away before it returns from a copy, and from
+# then until the operators and the servers have written their rows again.
+COPY_OUTAGE_S = 0.3
+WRITTEN_AGAIN_S = 0.4
 # Time after which a change has taken effect at every router.
 CONFIGURATION_DELAY_S = 4.0
 # Time for which a key stays withdrawn after that delay.
@@ -145,6 +157,24 @@
     soak.cluster.store.drop_history()
 
 
+async def store_returns_from_a_copy(soak):
+    """Let the store lose what is written from now on, then write it again."""
+    store = soak.cluster.store
+    store.save_copy()
+
+    async def undo():
+        store.status = 503
+        await asyncio.sleep(COPY_OUTAGE_S)
+        lost = store.return_from_copy()
+        store.status = 0
+        await asyncio.sleep(WRITTEN_AGAIN_S)
+        store.write_again(lost, ("op", "servers"))
+        soak.write_configuration()
+        await soak.check_configuration(CONFIGURATION_DELAY_S)
+
+    return undo
+
+
 async def configuration_changes(soak):
     """Write versions of the configuration in quick succession."""
     for _ in range(3):
@@ -271,6 +301,7 @@
     store_refuses,
     store_is_silent,
     store_forgets,
+    store_returns_from_a_copy,
     configuration_changes,
     key_is_withdrawn,
     servers_return_cold,
--- a/tools/directsoak.py
+++ b/tools/directsoak.py
@@ -24,7 +24,7 @@
 from standins.proxy import FaultProxy
 from tools.directchecks import BOUNDS, COLD_PER_S, NOT_EXECUTED_STATUSES
 from tools.directchecks import describe, find_violations
-from tools.directfaults import FAULTS
+from tools.directfaults import FAULTS, store_returns_from_a_copy
 from tools.serverchecks import is_leaving
 from tools.serverfaults import ServerBehaviour
 from tools.soakcalls import CALL_KINDS, Call, expected_body
@@ -39,6 +39,9 @@
 DEADLINE_MS = "3000"
 FAULT_S = 2.0
 RECOVERY_S = 1.0
+# Pairs of faults in which the store returns from a copy in any case.
+COPY_PAIRS = (1, 3)
+VERSION_STEP = 10
 START_TIMEOUT_S = 20.0
 # Ratio of the requests that come from the second customer.
 SECOND_KEY_RATIO = 0.2
@@ -82,6 +85,7 @@
         self.disturbances = []
         self.violations = []
         self.call_count = 0
+        self.configuration_version = 0
 
     async def start(self):
         """Start the store, the servers and the routers."""
@@ -112,14 +116,43 @@
             {"name": "customer-1", "apiKeys": [KEY]},
             {"name": "customer-2", "apiKeys": self.second_keys},
         ]
+        self.configuration_version += VERSION_STEP
         value = configuration(
-            self.cluster.store.version + 10,
+            self.configuration_version,
             tenants=tenants,
             services=[service("apps", coldPerS=COLD_PER_S)],
             routes=[*configuration()["routes"], CHAT_ROUTE],
         )
         self.cluster.store.put("op", "config", value)
 
+    async def check_configuration(self, within_s):
+        """Check that all routers apply the newest configuration in time."""
+        written_s = time.monotonic()
+        version = self.configuration_version
+        behind = set(self.open_to_callers)
+        while behind and time.monotonic() < written_s + within_s:
+            await asyncio.sleep(0.1)
+            for number in sorted(behind):
+                if await self.applied_version(number) in (None, version):
+                    behind.discard(number)
+        for number in sorted(behind & self.open_to_callers):
+            self.record_violation(
+                f"router {number} has not applied configuration {version}, "
+                f"written {within_s} s ago"
+            )
+
+    async def applied_version(self, number):
+        """Return the version that a router applies; ``None`` if it is down."""
+        url = f"http://{self.routers[number][0]['relay']}/dump"
+        timeout = aiohttp.ClientTimeout(total=1.0)
+        try:
+            async with self.cluster.session.get(
+                url, timeout=timeout
+            ) as response:
+                return (await response.json())["configuration"]
+        except (aiohttp.ClientConnectorError, asyncio.TimeoutError):
+            return None
+
     def withdraw_key(self, withdrawn):
         """Withdraw the key of the second customer, or restore it."""
         self.second_keys = [] if withdrawn else [self.SECOND_KEY]
@@ -244,6 +277,8 @@
         ]
         while time.monotonic() < end_s:
             pair = self.random.sample(FAULTS, 2)
+            if len(self.fault_names) in COPY_PAIRS:
+                pair = [store_returns_from_a_copy, pair[1]]
             self.fault_names.append([fault.__name__ for fault in pair])
             began_s = time.monotonic()
             undos = [await fault(self) for fault in pair]
