--- a/tools/fuzz.py
+++ b/tools/fuzz.py
@@ -8,7 +8,10 @@
 
 __all__ = ["fuzz"]
 
-PROPERTIES = "boragetrail/direct/tests/test_fuzz.py"
+PROPERTIES = (
+    "boragetrail/direct/tests/test_fuzz.py",
+    "boragetrail/direct/tests/test_fuzzepochs.py",
+)
 
 
 def fuzz(minutes=5.0, seed=None, clock=time.monotonic):
@@ -28,7 +31,7 @@
     while not status and (clock() < end_s or not runs):
         options = ["-p", "no:cacheprovider", "--hypothesis-profile=fuzz"]
         options.append(f"--hypothesis-seed={first + runs}")
-        status = _run_pytest([*options, PROPERTIES])
+        status = _run_pytest([*options, *PROPERTIES])
         runs += 1
     print(f"seeds {first} to {first + runs - 1}: exit status {status}")
     return status
