Take an invalid epoch for none, and log the mean load for free

A response whose epoch cannot be read was refused, so a proxy that garbles the header would have hidden the store; it now belongs to the latest epoch and each text is logged once.

--- a/boragetrail/direct/progress.py
+++ b/boragetrail/direct/progress.py
@@ -16,9 +16,10 @@
         against the limit of its server
     :ivar wait_s: seconds until the first server of the service takes a
         request, when one was last selected
-    :ivar mean_load: mean known number of requests of the service's ready
-        servers when the last one was selected
-    :ivar left_out_count: number of these that could not be selected
+    :ivar mean_load: mean known number of requests of the engines among which
+        the last one was selected
+    :ivar left_out_count: number of the service's ready servers that could
+        not be selected then
     :ivar media_type: type of the content of the stream that has started
     :ivar stream_begun: whether the caller got an event
     :ivar version: software version at which its stream must go on, or
--- a/boragetrail/direct/selector.py
+++ b/boragetrail/direct/selector.py
@@ -68,17 +68,11 @@
             and progress.version in (None, state.record.version)
         ]
         progress.left_out_count = len(ready) - len(usable)
-        progress.mean_load = self._mean_load(ready)
         chosen = self._choose(request, progress, usable)
         if chosen is not None:
             progress.counted_s = limiter.try_acquire(chosen.record)
         return chosen
 
-    def _mean_load(self, states):
-        """Return the mean known number of requests of some servers."""
-        loads = [self.fleet.engine_view(each).running for each in states]
-        return sum(loads) / len(loads) if loads else 0.0
-
     def _choose(self, request, progress, usable):
         has_cold_limit = request.service.cold_rate_per_s > 0
         cold = [
@@ -116,6 +110,7 @@
         by_id = {state.record.id: state for state in states}
         if progress.prompt:
             engines = [self.fleet.engine_view(state) for state in states]
+            progress.mean_load = mean_running(engines) if engines else 0.0
             ordered = self.prefix_placement.order(progress.prompt, engines)
         else:
             views = [self.fleet.server_view(state) for state in states]
--- a/boragetrail/platform/store.py
+++ b/boragetrail/platform/store.py
@@ -45,7 +45,9 @@
 # HTTP status if the store no longer keeps the changes that were asked for.
 HISTORY_LOST_STATUS = 410
 MAX_PAGE_ROWS = 500
-MAX_EPOCH = 2**62
+MAX_EPOCH_DIGITS = 18
+# Different epochs that are logged as invalid, each once.
+MAX_ODD_EPOCHS = 100
 MAX_TIME_MS = 2.0**53
 MAX_LOGGED_LENGTH = 80
 
@@ -59,6 +61,7 @@
     :param address: ``host:port`` of the store
     :ivar calls: number of HTTP requests since the start
     :ivar epoch: latest epoch of the store, 0 if its responses name none
+    :ivar odd_epochs: texts that named an invalid or earlier epoch
     :ivar store_time: (store's time in ms, monotonic time at which a response
         named it), or ``None``
     """
@@ -68,6 +71,7 @@
         self.base = f"http://{address}"
         self.calls = 0
         self.epoch = 0
+        self.odd_epochs = set()
         self.store_time = None
 
     async def read(self, table):
@@ -265,22 +269,32 @@
     def _record_epoch(self, text):
         """Record the epoch that a response names.
 
+        An epoch that is invalid says nothing, as if it were missing.
+
         :param text: value of the header field, or ``None`` without it
-        :returns: epoch, or the latest one if the response names none; -1 if
-            it is invalid
+        :returns: epoch, or the latest one if the response names none
         """
         if text is None:
             return self.epoch
-        epoch = int(text) if _is_epoch(text) else -1
-        if epoch < self.epoch:
-            log_event(
-                Event.STORE_EPOCH_INVALID,
-                value=text[:MAX_LOGGED_LENGTH],
-                epoch=self.epoch,
-            )
+        epoch = _parse_epoch(text)
+        if epoch is None or epoch < self.epoch:
+            self._log_odd_epoch(text)
+        if epoch is None:
+            return self.epoch
         self.epoch = max(self.epoch, epoch)
         return epoch
 
+    def _log_odd_epoch(self, text):
+        """Log an invalid or earlier epoch, each text once."""
+        if text in self.odd_epochs or len(self.odd_epochs) >= MAX_ODD_EPOCHS:
+            return
+        self.odd_epochs.add(text)
+        log_event(
+            Event.STORE_EPOCH_INVALID,
+            value=text[:MAX_LOGGED_LENGTH],
+            epoch=self.epoch,
+        )
+
 
 @dataclasses.dataclass(slots=True)
 class _Response:
@@ -290,6 +304,10 @@
     epoch: int
 
 
-def _is_epoch(text):
-    is_number = text.isascii() and text.isdigit()
-    return is_number and len(text) < 20 and int(text) <= MAX_EPOCH
+def _parse_epoch(text):
+    """Return the epoch that a text names, or ``None`` if it names none."""
+    if text is None or not (text.isascii() and text.isdigit()):
+        return None
+    if len(text) > MAX_EPOCH_DIGITS:
+        return None
+    return int(text)
