--- a/boragetrail/direct/tests/test_epochs.py
+++ b/boragetrail/direct/tests/test_epochs.py
@@ -1,5 +1,6 @@
 """Tests of routers while the store returns from a copy of its rows."""
 
+import asyncio
 import json
 import random
 
@@ -296,3 +297,68 @@
         await cluster.until(
             lambda: ("routers", host) in cluster.store.rows_by_key
         )
+
+    async def test_two_returns_in_a_row(self, cluster):
+        daemon = await cluster.add_router()
+        cluster.store.save_copy()
+        for version in (2, 3):
+            for number in range(9):
+                cluster.store.put("op", f"note-{number}", {})
+            await asyncio.sleep(0.1)
+            cluster.store.return_from_copy()
+            cluster.store.put("op", "config", configuration(version))
+        await cluster.until(
+            lambda: daemon.directory.configuration.version == 3
+        )
+        assert daemon.directory.epoch(Table.OPERATORS) == 3
+
+    async def test_return_while_all_routers_restart(self, cluster):
+        daemon = await cluster.add_router()
+        cluster.store.save_copy()
+        cluster.store.put("op", "config", configuration(2))
+        await cluster.until(
+            lambda: daemon.directory.configuration.version == 2
+        )
+        await daemon.close()
+        cluster.daemons.clear()
+        cluster.store.return_from_copy()
+        started = await cluster.add_router()
+        assert started.directory.configuration.version == 1
+        cluster.store.put("op", "config", configuration(2))
+        await cluster.until(
+            lambda: started.directory.configuration.version == 2
+        )
+
+    async def test_return_while_the_store_is_away_and_forgets(self, cluster):
+        daemon = await cluster.add_router()
+        cluster.store.save_copy()
+        for number in range(9):
+            cluster.store.put("op", f"note-{number}", {})
+        cluster.store.status = 503
+        await asyncio.sleep(0.2)
+        cluster.store.return_from_copy()
+        cluster.store.drop_history()
+        cluster.store.put("op", "config", configuration(2))
+        cluster.store.status = 0
+        await cluster.until(
+            lambda: daemon.directory.configuration.version == 2
+        )
+        usable = daemon.fleet.usable_servers("apps")
+        assert len(usable) == len(cluster.servers)
+
+    async def test_starting_router_learns_what_others_retain(self, cluster):
+        await cluster.add_router()
+        cluster.store.save_copy()
+        cluster.store.put("op", "config", configuration(2))
+        cluster.take_zone_out("z9")
+        first = cluster.daemons[0]
+        await cluster.until(lambda: first.directory.evacuated_zones == {"z9"})
+        cluster.store.return_from_copy()
+        await cluster.until(
+            lambda: first.directory.epoch(Table.OPERATORS) == 2
+        )
+        second = await cluster.add_router()
+        await cluster.until(
+            lambda: second.directory.configuration.version == 2
+        )
+        assert second.directory.evacuated_zones == {"z9"}
