--- a/boragetrail/direct/directory.py
+++ b/boragetrail/direct/directory.py
@@ -3,10 +3,7 @@
 import dataclasses
 
 from boragetrail.direct.interfaces import Table
-from boragetrail.direct.knowledge.epochs import (
-    EPOCH_SUFFIX,
-    RETAINED_SUFFIX,
-)
+from boragetrail.direct.knowledge.epochs import told_numbers
 from boragetrail.direct.mirror import Mirror
 from boragetrail.events import Event, log_event
 from boragetrail.policy.versionhistory import VersionHistory
@@ -182,16 +179,11 @@
     def versions(self):
         """Return the numbers that tell other routers which rows are known.
 
-        :returns: for each table the version of the newest row, its epoch, and
-            the number of the rows that are retained, by name
+        See :func:`~boragetrail.direct.knowledge.epochs.told_numbers`.
         """
-        numbers = {}
-        for table, mirror in self.mirrors.items():
-            name = table.value
-            numbers[name] = mirror.newest_row_version
-            numbers[name + EPOCH_SUFFIX] = mirror.epoch
-            numbers[name + RETAINED_SUFFIX] = len(mirror.retained)
-        return numbers
+        return told_numbers(
+            {table.value: mirror for table, mirror in self.mirrors.items()}
+        )
 
     def is_complete(self):
         """Return whether the configuration and the servers are known."""
--- a/boragetrail/direct/knowledge/epochs.py
+++ b/boragetrail/direct/knowledge/epochs.py
@@ -13,16 +13,17 @@
 import xxhash
 
 __all__ = [
-    "EPOCH_SUFFIX",
-    "RETAINED_SUFFIX",
     "RetainedRow",
     "RetainedRows",
     "RowHistory",
     "RowPosition",
+    "told_numbers",
 ]
 
-# Names under which routers tell each other, beside the version of the newest
-# row of a table, its epoch and the number of the rows that they retain.
+# Names under which routers tell each other, beside the versions of the newest
+# rows of the tables, the epoch of all tables, that of a table that differs,
+# and the number of the rows of a table that they retain.
+EPOCH_NAME = "epoch"
 EPOCH_SUFFIX = "/epoch"
 RETAINED_SUFFIX = "/retained"
 # Version of a row that does not exist.
@@ -67,7 +68,8 @@
         :param versions: numbers that it told, by name
         :param table: name of the table
         """
-        epoch = versions.get(table + EPOCH_SUFFIX, self.first_epoch)
+        epoch = versions.get(EPOCH_NAME, self.first_epoch)
+        epoch = versions.get(table + EPOCH_SUFFIX, epoch)
         return epoch, versions.get(table, NO_VERSION)
 
 
@@ -87,6 +89,26 @@
     copied_version: int
 
 
+def told_numbers(mirrors_by_name):
+    """Return the numbers that tell other routers which rows are known.
+
+    They are sent in each datagram, so what goes without saying is left out.
+
+    :param mirrors_by_name: :class:`~boragetrail.direct.mirror.Mirror` by the
+        name of its table
+    :returns: dictionary of numbers by name
+    """
+    epoch = max(mirror.epoch for mirror in mirrors_by_name.values())
+    numbers = {EPOCH_NAME: epoch}
+    for name, mirror in mirrors_by_name.items():
+        numbers[name] = mirror.newest_row_version
+        if mirror.epoch != epoch:
+            numbers[name + EPOCH_SUFFIX] = mirror.epoch
+        if mirror.retained:
+            numbers[name + RETAINED_SUFFIX] = len(mirror.retained)
+    return numbers
+
+
 class RowHistory:
     """Hold the recent versions of rows, to recognize them in a copy.
 
--- a/boragetrail/direct/tests/test_epochs.py
+++ b/boragetrail/direct/tests/test_epochs.py
@@ -8,7 +8,7 @@
 
 from boragetrail.direct.directory import Directory
 from boragetrail.direct.interfaces import ChangeSet, Row, Table
-from boragetrail.direct.knowledge.epochs import RowPosition
+from boragetrail.direct.knowledge.epochs import RowPosition, told_numbers
 from boragetrail.direct.mirror import Mirror
 from boragetrail.direct.relay import decode_changes, encode_changes
 from boragetrail.direct.tests.conftest import configuration, route
@@ -186,6 +186,19 @@
         assert not position.is_behind({"op": 90}, "op")
         assert RowPosition(50, 2, 2).is_behind({"op": 90}, "op")
 
+    def test_what_routers_tell_each_other(self):
+        ahead, other = Mirror(), Mirror()
+        for mirror in (ahead, other):
+            mirror.apply(rows_of(1, 9, Row("a", 9, b"1")))
+        mirrors = {"op": ahead, "servers": other}
+        assert told_numbers(mirrors) == {"epoch": 1, "op": 9, "servers": 9}
+        ahead.apply(rows_of(2, 3, Row("b", 3, b"1")))
+        told = told_numbers(mirrors)
+        position = RowPosition(9, 1, 1)
+        assert position.of_peer(told, "op") == (2, 3)
+        assert position.of_peer(told, "servers") == (1, 9)
+        assert told["op/retained"] == 1 and "servers/retained" not in told
+
     def test_older_router_reads_rows_without_epochs(self):
         mirror = Mirror()
         mirror.apply(rows_of(2, 9, Row("a", 4, b"1")))
