--- a/boragetrail/direct/knowledge/crasharchive.py
+++ b/boragetrail/direct/knowledge/crasharchive.py
@@ -18,7 +18,7 @@
     is still suspect, which is once or twice for each crash.
 
     :param quarantine: :class:`~boragetrail.policy.quarantine.PromptQuarantine`
-    :param registry: :class:`~boragetrail.direct.interfaces.CrashRegistry`
+    :param registry: :class:`~boragetrail.direct.registries.CrashRegistry`
     :param name: name of this router's row
     :param codec: pair of functions that encode a list of records as basic
         values, given the current time, and decode them
--- a/boragetrail/direct/streamarchive.py
+++ b/boragetrail/direct/streamarchive.py
@@ -18,7 +18,7 @@
 
     :param origins:
         :class:`~boragetrail.direct.knowledge.streams.StreamOrigins`
-    :param registry: :class:`~boragetrail.direct.interfaces.StreamRegistry`
+    :param registry: :class:`~boragetrail.direct.registries.StreamRegistry`
     :param are_mixed: function that returns whether a service has, or
         recently had, several versions
     :param peers: :class:`~boragetrail.direct.peers.PeerTable`
--- a/boragetrail/direct/versionledger.py
+++ b/boragetrail/direct/versionledger.py
@@ -3,8 +3,13 @@
 import asyncio
 import dataclasses
 
-from boragetrail.direct.interfaces import SavedVersions, SourceFailure
+from boragetrail.direct.interfaces import (
+    SourceFailure,
+)
 from boragetrail.direct.readers import ReaderRole
+from boragetrail.direct.registries import (
+    SavedVersions,
+)
 from boragetrail.events import Event, log_event
 
 __all__ = ["VersionLedger"]
@@ -18,7 +23,7 @@
     fleet. Versions that are gone stay in it for the life of a stream.
 
     :param directory: :class:`~boragetrail.direct.directory.Directory`
-    :param registry: :class:`~boragetrail.direct.interfaces.VersionRegistry`
+    :param registry: :class:`~boragetrail.direct.registries.VersionRegistry`
     :param role: function that returns the router's
         :class:`~boragetrail.direct.readers.ReaderRole`
     :ivar epoch: epoch of the registry in which the versions were read
--- a/boragetrail/platform/rows.py
+++ b/boragetrail/platform/rows.py
@@ -11,9 +11,11 @@
 from boragetrail.direct.interfaces import (
     ChangeSet,
     Row,
-    SavedVersions,
     SourceFailure,
 )
+from boragetrail.direct.registries import (
+    SavedVersions,
+)
 from boragetrail.platform.decode import DECODE_ERRORS
 
 __all__ = [
@@ -64,7 +66,7 @@
     :param row: :class:`~boragetrail.direct.interfaces.Row` as it was read
     :param now_ms: time of the store at the read, in milliseconds
     :param epoch: epoch of the store at the read
-    :returns: :class:`~boragetrail.direct.interfaces.SavedVersions`, or
+    :returns: :class:`~boragetrail.direct.registries.SavedVersions`, or
         ``None`` if the row is invalid
     """
     try:
--- a/boragetrail/platform/store.py
+++ b/boragetrail/platform/store.py
@@ -11,10 +11,12 @@
 
 from boragetrail.direct.interfaces import (
     ChangeSet,
-    CrashRegistry,
-    MemberRegistry,
     RowSource,
     SourceFailure,
+)
+from boragetrail.direct.registries import (
+    CrashRegistry,
+    MemberRegistry,
     StreamRegistry,
     VersionRegistry,
 )
--- a/boragetrail/platform/tests/test_saved.py
+++ b/boragetrail/platform/tests/test_saved.py
@@ -6,12 +6,19 @@
 import pytest
 
 from boragetrail.direct.directory import Directory
-from boragetrail.direct.interfaces import ChangeSet, Row, SavedVersions, Table
+from boragetrail.direct.interfaces import (
+    ChangeSet,
+    Row,
+    Table,
+)
 from boragetrail.direct.knowledge.crasharchive import CrashArchive
 from boragetrail.direct.knowledge.streams import StreamOrigins, stream_key
 from boragetrail.direct.peers import PeerTable
 from boragetrail.direct.readers import ReaderRole
 from boragetrail.direct.recordmessages import pack_records, unpack_records
+from boragetrail.direct.registries import (
+    SavedVersions,
+)
 from boragetrail.direct.streamarchive import StreamArchive
 from boragetrail.direct.tests.conftest import configuration
 from boragetrail.direct.versionledger import VersionLedger
