Count a request that runs at most once only once

It was counted with its connection and as a task that outlives it, so the log and the dump of a stopping router named twice as many requests. It counts as a task only once its caller has left.

--- a/boragetrail/direct/frontend.py
+++ b/boragetrail/direct/frontend.py
@@ -35,8 +35,8 @@
     :param metrics: :class:`~boragetrail.direct.metrics.DirectMetrics`
     :param clock: function that returns monotonic seconds
     :ivar busy_connections: connections whose request has no complete response
-    :ivar detached_tasks: tasks of requests that continue if their callers
-        disconnect
+    :ivar detached_tasks: tasks of requests that continue after their callers
+        have disconnected
     :ivar stopping: whether connections close after their next response
     """
 
@@ -157,9 +157,12 @@
     async def _serve_detached(self, request, caller):
         """Serve a request that continues if its caller disconnects."""
         task = asyncio.ensure_future(self.dispatcher.run(request, caller))
-        self.detached_tasks.add(task)
-        task.add_done_callback(self.detached_tasks.discard)
-        return await asyncio.shield(task)
+        try:
+            return await asyncio.shield(task)
+        except asyncio.CancelledError:
+            self.detached_tasks.add(task)
+            task.add_done_callback(self.detached_tasks.discard)
+            raise
 
     def _finish(self, request, caller, failure):
         """Log and count the result of a request.
--- a/boragetrail/direct/tests/test_rules.py
+++ b/boragetrail/direct/tests/test_rules.py
@@ -418,6 +418,28 @@
         async with asyncio.timeout(0.5):
             await disconnected.wait()
 
+    # Guards against a stop that waits for a request that is counted twice.
+    async def test_request_that_runs_at_most_once_counts_once(self, cluster):
+        daemon = await cluster.add_router()
+        reached, may_end = asyncio.Event(), asyncio.Event()
+
+        async def handle(request):
+            reached.set()
+            await may_end.wait()
+            return whole_answer(request)
+
+        for server in cluster.servers:
+            server.default = handle
+        _, writer = await connect(daemon)
+        writer.write(request_head("/order/1", "kept", "Content-Length: 0"))
+        await reached.wait()
+        assert daemon.frontend.active == 1
+        writer.transport.abort()
+        await cluster.until(lambda: not daemon.frontend.busy_connections)
+        assert daemon.frontend.active == 1
+        may_end.set()
+        await cluster.until(lambda: not daemon.frontend.active)
+
     async def test_during_a_retry(self, cluster):
         daemon = await cluster.add_router()
         reached, disconnected = asyncio.Event(), asyncio.Event()
