Write no row of crashes before there was a crash

Each router wrote an empty row at its start, since the epoch of the first response looked like a new one. test_nothing_is_written_without_a_crash fails before. The delays between tries have names.

--- a/boragetrail/direct/knowledge/crasharchive.py
+++ b/boragetrail/direct/knowledge/crasharchive.py
@@ -28,7 +28,8 @@
     """
 
     CHECK_INTERVAL_S = 0.1
-    RETRY_INTERVAL_S = 0.5
+    SAVE_RETRY_S = 0.5
+    LOAD_RETRY_S = 0.05
     # Requests of a router that starts wait for the reports at most so long.
     MAX_WAIT_S = 0.6
     MAX_REPORTS = 32
@@ -67,7 +68,7 @@
         while True:
             await asyncio.sleep(self.CHECK_INTERVAL_S)
             if not await self.save_changes():
-                await asyncio.sleep(self.RETRY_INTERVAL_S)
+                await asyncio.sleep(self.SAVE_RETRY_S)
 
     async def load(self):
         """Read the reports of all routers; returns whether they were read."""
@@ -88,7 +89,8 @@
         suspected = [self.quarantine.suspected(each) for each in self.reports]
         reports = [each for each in suspected if each is not None]
         epoch = self.registry.epoch
-        if reports == self.saved and epoch == self.epoch:
+        is_lost = self.saved and epoch != self.epoch
+        if reports == self.saved and not is_lost:
             return True
         data = cbor2.dumps(self.encode(reports, self.clock()))
         if not await self.registry.save_crashes(self.name, data):
@@ -98,7 +100,7 @@
 
     async def _load_until_read(self):
         while not await self.load():
-            await asyncio.sleep(self.RETRY_INTERVAL_S / 10)
+            await asyncio.sleep(self.LOAD_RETRY_S)
 
     def _decoded(self, data, age_s):
         try:
--- a/boragetrail/platform/tests/test_saved.py
+++ b/boragetrail/platform/tests/test_saved.py
@@ -188,6 +188,14 @@
         assert await later.load()
         assert list(started.held_until_s_by_part) == ["request:a"]
 
+    async def test_nothing_is_written_without_a_crash(self, store):
+        rows, client = store
+        archive, _ = self.archive(client, ManualClock(100.0))
+        assert await archive.load()
+        assert await archive.save_changes()
+        assert await client.read_crashes() == []
+        assert rows.version == 0
+
     async def test_saved_again_after_a_return_from_a_copy(self, store):
         rows, client = store
         archive, quarantine = self.archive(client, ManualClock(100.0))
