Keep the reports of crashes of a router's earlier run

Cause: a router that starts again writes its next report over the row of its earlier run, and what that row held is gone from the store. Ruled out: a store that could not be read (all reads after 17.0 s succeed).

Change: reports that are read from the own row are reports of the router. test_later_run_keeps_the_reports_of_the_one_before fails before.

--- a/boragetrail/direct/knowledge/crasharchive.py
+++ b/boragetrail/direct/knowledge/crasharchive.py
@@ -75,12 +75,22 @@
         rows = await self.registry.read_crashes()
         if isinstance(rows, SourceFailure):
             return False
-        for data, age_s in rows:
+        for name, data, age_s in rows:
             if age_s < self.quarantine.REPORT_TTL_S:
                 for report in self._decoded(data, age_s):
-                    self.quarantine.add_crash(report)
+                    self._add_saved(name, report)
         return True
 
+    def _add_saved(self, name, report):
+        """Add a report that was read.
+
+        This router replaces the row of its earlier run, so it goes on with
+        what that row holds.
+        """
+        self.quarantine.add_crash(report)
+        if name == self.name:
+            self.add(report)
+
     async def save_changes(self):
         """Save the reports if they changed, or if the store has lost them.
 
--- a/boragetrail/direct/registries.py
+++ b/boragetrail/direct/registries.py
@@ -109,7 +109,8 @@
     async def read_crashes(self):
         """Return the reports of all routers.
 
-        :returns: list of (bytes, seconds since they were saved), or
+        :returns: list of (name of the row, bytes, seconds since they were
+            saved), or
             :class:`~boragetrail.direct.interfaces.SourceFailure`
         """
 
--- a/boragetrail/platform/store.py
+++ b/boragetrail/platform/store.py
@@ -170,7 +170,7 @@
             return rows
         now_ms = self._now_ms()
         return [
-            (row.data[TIME.size :], saved_age_s(row.data, now_ms))
+            (row.key, row.data[TIME.size :], saved_age_s(row.data, now_ms))
             for row in rows.rows
             if len(row.data) >= TIME.size
         ]
--- a/boragetrail/platform/tests/test_saved.py
+++ b/boragetrail/platform/tests/test_saved.py
@@ -188,6 +188,24 @@
         assert await later.load()
         assert list(started.held_until_s_by_part) == ["request:a"]
 
+    # Guards against a router that replaces the reports of its earlier run.
+    async def test_later_run_keeps_the_reports_of_the_one_before(self, store):
+        _, client = store
+        first, quarantine = self.archive(client, ManualClock(100.0))
+        for server in (1, 2):
+            quarantine.clock.now_s += 1.0
+            self.crash(first, quarantine, server)
+        assert await first.save_changes()
+        second, quarantine = self.archive(client, ManualClock(5.0))
+        assert await second.load()
+        other = CrashReport(3, ("request:b",), True, 5.0)
+        quarantine.add_crash(other)
+        second.add(other)
+        assert await second.save_changes()
+        third, quarantine = self.archive(client, ManualClock(9.0))
+        assert await third.load()
+        assert {server for server, _ in quarantine.reports_by_key} == {1, 2, 3}
+
     async def test_nothing_is_written_without_a_crash(self, store):
         rows, client = store
         archive, _ = self.archive(client, ManualClock(100.0))
