--- a/review/2/case.py
+++ b/review/2/case.py
@@ -1,6 +1,7 @@
-"""Channels to the store go silent while the configuration changes."""
+"""A part of a prompt crashes each engine that begins to write an answer."""
 
 import asyncio
+import os
 import pathlib
 import sys
 import time
@@ -10,128 +11,169 @@
 import harness  # noqa: E402
 
 ROUTERS = 4
-# Traffic starts 12 s after the machines do.
-UPTIME_S = 13.0
-CHANGE_AFTER_S = 0.5
-OBSERVED_S = 10.0
-CALL_GAP_S = 0.1
-BUDGET_MS = 1000
-# Allowed beside the bounds for the clocks of clients and engines.
-SLACK_S = 0.1
-
-
-async def work(engine, request_id, path, body, writer):
-    """Answer after a moment."""
-    await asyncio.sleep(0.0225)
-    writer.write(harness.whole_answer(request_id, b"x" * 800))
-
-
-def configuration(version, export_service):
-    """Return a configuration that sends exports to a service."""
-    return harness.configuration(
-        version,
-        [
-            harness.route(
-                "export", "non_idempotent", export_service, BUDGET_MS
-            ),
-            harness.route("status", "idempotent", "order-desk", BUDGET_MS),
-        ],
-        ["order-desk", "new-desk"],
-    )
+BAD_PART = "bad0bad0"
+BACK_AFTER_S = 2.0
+OBSERVED_S = 30.0
+BAD_GAP_S = 0.5
+SOUND_GAP_S = 0.1
+EVENTS = 4
+EVENT_S = 0.05
+BUDGET_MS = 4000
+# Requests that may still come when the count begins.
+ALLOWED = 3
+# How much an engine writes before it crashes: nothing, the head, half an event or one.
+WRITES = os.environ.get("WRITES", "event")
+# What is bad: a part of many prompts, or one request that comes again.
+KIND = os.environ.get("KIND", "part")
+BAD_BODY = b"bad-body"
+CRASHES_BY_KIND = {"part": 5, "request": 3}
+
+
+class LlmEngine(harness.Engine):
+    """Stream events; crash on a bad part of a prompt and come back."""
+
+    def __init__(self, record, name, deployment):
+        super().__init__(record, name, "caption-llm", self._stream)
+        self.deployment = deployment
+        self.crashes = []
+        self.bad_arrivals = []
+        self.down = False
+
+    async def _stream(self, engine, request_id, path, body, writer):
+        parts = self.headers.get("x-boragetrail-prefix-hash", "")
+        bad = BAD_PART in parts or body == BAD_BODY
+        if bad:
+            self.bad_arrivals.append(time.monotonic())
+        await asyncio.sleep(0.02)
+        if not bad or WRITES != "nothing":
+            writer.write(harness.stream_head(request_id))
+        event = b"id: 1\ndata: x\n\n"
+        if bad:
+            if WRITES == "event":
+                writer.write(harness.chunk(event))
+            elif WRITES == "half":
+                writer.write(harness.chunk(event[:8]))
+            await writer.drain()
+            await asyncio.sleep(0.005)
+            self.crash()
+            return
+        for number in range(1, EVENTS + 1):
+            writer.write(harness.chunk(b"id: %d\ndata: x\n\n" % number))
+            await writer.drain()
+            await asyncio.sleep(EVENT_S)
+        writer.write(harness.chunk(b""))
+
+    def crash(self):
+        """Close the port and all channels; come back later."""
+        if self.down:
+            return
+        self.down = True
+        self.crashes.append(time.monotonic())
+        self.record.add(f"{self.name} crashes")
+        self.server.close()
+        for writer in list(self.writers):
+            writer.transport.abort()
+        asyncio.get_running_loop().call_later(
+            BACK_AFTER_S, lambda: asyncio.ensure_future(self._come_back())
+        )
+
+    async def _come_back(self):
+        host, _, port = self.address.partition(":")
+        self.server = await asyncio.start_server(
+            self._serve, host, int(port), reuse_address=True
+        )
+        self.born_ms = int(time.time() * 1000)
+        self.down = False
+        self.deployment.list(self)
 
 
-class Client:
-    """Send requests to one router and note where they ran."""
-
-    def __init__(self, record, router, engines):
-        self.record = record
-        self.router = router
-        self.engines = engines
-        self.calls = []
-
-    async def run(self, until_s):
-        """Send requests until a time."""
-        while time.monotonic() < until_s:
-            await self.call("POST", "/export/1")
-            await self.call("GET", "/status/1")
-            await asyncio.sleep(CALL_GAP_S)
-
-    async def call(self, method, path):
-        """Send one request."""
-        request_id = harness.token()
-        channel = await harness.Channel(self.record).open(self.router.callers)
-        sent_s = time.monotonic()
-        self.record.add(f"send {request_id} {path} to {self.router.name}")
-        await channel.send(channel.head(method, path, request_id, BUDGET_MS))
+async def call(record, router, parts, body, results):
+    """Send a request and read its stream."""
+    request_id = harness.token()
+    try:
+        channel = await harness.Channel(record).open(router.callers)
+        head = channel.head("POST", "/deck/1", request_id, BUDGET_MS, 8)
+        fields = (
+            f"X-Boragetrail-Model: m\r\n"
+            f"X-Boragetrail-Token-Count: 900,40\r\n"
+            f"X-Boragetrail-Prefix-Hash: {parts}\r\n\r\n"
+        ).encode()
+        record.add(f"send {request_id} {parts} to {router.name}")
+        await channel.send(head[:-2] + fields + body)
         got = await channel.answer()
         channel.close()
-        self.record.add(f"answer {request_id} status {got.status}")
-        self.calls.append((sent_s, request_id, path))
+    except OSError as exc:
+        record.add(f"answer {request_id} none, {exc!r}")
+        return
+    record.add(
+        f"answer {request_id} status {got.status}, "
+        f"{got.body.count(b'data:')} events "
+        f"{'complete' if got.complete else got.error}"
+    )
+    results.append((body, parts, got))
 
 
 async def play(record, folder):
-    """Silence the channels, change what the store holds, watch the runs."""
+    """Send sound and bad requests; count what reaches the engines."""
     deployment = harness.Deployment(record, folder, ROUTERS)
-    old = [
-        harness.Engine(record, f"i-old-{n}", "order-desk", work)
-        for n in range(3)
-    ]
-    new = [
-        harness.Engine(record, f"i-new-{n}", "new-desk", work)
-        for n in range(3)
-    ]
+    engines = [LlmEngine(record, f"i-{n}", deployment) for n in range(5)]
+    config = harness.configuration(
+        1,
+        [
+            harness.route(
+                "deck", "streaming", "caption-llm", BUDGET_MS, sticky=True
+            )
+        ],
+        ["caption-llm"],
+    )
     try:
-        await deployment.open(configuration(1, "order-desk"), [*old, *new])
-        await asyncio.sleep(UPTIME_S)
-        silent_s = time.monotonic()
-        if harness.TROUBLE:
-            count = deployment.store_proxy.forget()
-            record.add(f"{count} open channels to the store go silent")
-        clients = [
-            Client(record, router, old) for router in deployment.routers
+        await deployment.open(config, engines)
+        await asyncio.sleep(harness.CONTACT_S + 1.0)
+        results = []
+        calls = set()
+        started_s = time.monotonic()
+        bad_due_s = started_s + 2.0
+        number = 0
+        while time.monotonic() < started_s + OBSERVED_S:
+            number += 1
+            router = deployment.routers[number % ROUTERS]
+            shared = f"5c1e07a{number % 4}:400"
+            own = harness.token()[:8]
+            parts = f"{shared},{own}:100"
+            body = os.urandom(4).hex().encode()
+            if harness.TROUBLE and time.monotonic() >= bad_due_s:
+                bad_due_s += BAD_GAP_S
+                if KIND == "part":
+                    parts = f"{shared},{BAD_PART}:300,{own}:100"
+                else:
+                    body = BAD_BODY
+            calls.add(
+                asyncio.ensure_future(
+                    call(record, router, parts, body, results)
+                )
+            )
+            await asyncio.sleep(SOUND_GAP_S)
+        await asyncio.gather(*calls)
+        crashes = sorted(at for each in engines for at in each.crashes)
+        arrivals = sorted(at for each in engines for at in each.bad_arrivals)
+        late = []
+        if len(crashes) >= CRASHES_BY_KIND[KIND]:
+            bound_s = crashes[CRASHES_BY_KIND[KIND] - 1] + harness.CONTACT_S
+            late = [at for at in arrivals if at > bound_s]
+        sound = [
+            got
+            for body, parts, got in results
+            if BAD_PART not in parts and body != BAD_BODY
         ]
-        runs = [
-            asyncio.ensure_future(client.run(silent_s + OBSERVED_S))
-            for client in clients
-        ]
-        await asyncio.sleep(CHANGE_AFTER_S)
-        change_s = deployment.configure(configuration(2, "new-desk"))
-        drain_s = deployment.list(old[0], state="draining")
-        await asyncio.gather(*runs)
-        in_touch_s = silent_s
-        if harness.TROUBLE:
-            in_touch_s += harness.CONTACT_S
-        config = _late_exports(
-            clients, old, max(in_touch_s, change_s + harness.CONFIG_APPLY_S)
-        )
-        drain = _late_arrivals(
-            old[0], max(in_touch_s, drain_s + harness.DRAIN_S)
+        whole = sum(got.complete and got.status == 200 for got in sound)
+        record.add(
+            f"{len(crashes)} crashes, {len(arrivals)} bad requests reached "
+            f"engines, {len(late)} of them too late; {whole} of {len(sound)} "
+            "sound requests were answered"
         )
-        for name, late in (("CONFIG", config), ("DRAIN", drain)):
-            last = max(late, default=0.0)
-            after = f", the last {last - silent_s:.2f} s after the silence"
-            record.add(f"{name}: {len(late)} late{after if late else ''}")
-        return not config and not drain
+        return len(late) <= ALLOWED
     finally:
         await deployment.close()
 
 
-def _late_exports(clients, old, bound_s):
-    """Return when exports were sent that ran by the old version too late."""
-    ran_old = {each[1] for engine in old for each in engine.runs}
-    return [
-        sent_s
-        for client in clients
-        for sent_s, request_id, path in client.calls
-        if path.startswith("/export/")
-        and request_id in ran_old
-        and sent_s > bound_s + SLACK_S
-    ]
-
-
-def _late_arrivals(engine, bound_s):
-    """Return when requests arrived too late at an engine that drains."""
-    return [each[0] for each in engine.runs if each[0] > bound_s + SLACK_S]
-
-
 harness.main(play)
--- a/review/lib/harness.py
+++ b/review/lib/harness.py
@@ -141,6 +141,7 @@
         self.server = None
         self.address = ""
         self.writers = set()
+        self.headers = {}
         self.born_ms = int(time.time() * 1000)
 
     async def open(self, host="127.0.0.1"):
@@ -186,6 +187,7 @@
                 path = line.split(" ")[1]
                 self.runs.append((time.monotonic(), request_id, path))
                 self.record.add(f"run {request_id} {path} at {self.name}")
+                self.headers = headers
                 await self.work(self, request_id, path, body, writer)
         except (asyncio.IncompleteReadError, ConnectionError):
             pass
