--- a/review/lib/harness.py
+++ b/review/lib/harness.py
@@ -145,10 +145,21 @@
         self.born_ms = int(time.time() * 1000)
 
     async def open(self, host="127.0.0.1"):
-        """Listen on a free port."""
-        self.server = await asyncio.start_server(self._serve, host, 0)
-        port = self.server.sockets[0].getsockname()[1]
-        self.address = f"{host}:{port}"
+        """Listen on a free port.
+
+        It is no ephemeral one, so that an engine that starts again gets it.
+        """
+        for _ in range(20):
+            port = free_port(host)
+            try:
+                self.server = await asyncio.start_server(
+                    self._serve, host, port
+                )
+            except OSError:
+                continue
+            self.address = f"{host}:{port}"
+            return
+        raise NotRunnable("no port for an engine")
 
     async def close(self):
         """Stop listening and close all channels."""
