Log which connections calls to the store without response use

The logs could not tell silent pooled connections from a store that does not answer. E518 names each call without a response, its duration and whether its connection was reused; a counter in the metrics does the same.

--- a/boragetrail/direct/daemon.py
+++ b/boragetrail/direct/daemon.py
@@ -6,9 +6,9 @@
 import signal
 import time
 
-import aiohttp
 import aiohttp.web
 
+from boragetrail.direct.calls import make_session
 from boragetrail.direct.crashes import CrashMonitor, log_quarantine
 from boragetrail.direct.datagrams import Update
 from boragetrail.direct.directory import Directory
@@ -178,9 +178,11 @@
     async def open(self):
         """Open the sockets and start the tasks."""
         settings = self.settings
-        self.session = aiohttp.ClientSession()
+        self.session = make_session()
         self.store = self.platform.PlatformStoreClient(
-            self.session, settings.store
+            self.session,
+            settings.store,
+            self.metrics.record_unanswered_store_call,
         )
         self.feeds_by_table = {
             table: Feed(
--- a/boragetrail/direct/metrics.py
+++ b/boragetrail/direct/metrics.py
@@ -8,7 +8,7 @@
 
 
 class DirectMetrics:
-    """Holds the metrics of finished requests and of lost responses."""
+    """Holds the metrics of requests, lost responses and store calls."""
 
     def __init__(self):
         self.registry = aioprometheus.Registry()
@@ -24,6 +24,11 @@
             registry=self.registry,
         )
 
+        self.unanswered_store_calls = aioprometheus.Counter(
+            "boragetrail_unanswered_store_calls_total",
+            "Calls to the store without a response, by their connection.",
+            registry=self.registry,
+        )
         self.lost_responses = aioprometheus.Counter(
             "boragetrail_lost_responses_total",
             "Responses whose connection was lost, by how far they had come.",
@@ -39,6 +44,13 @@
         labels = {"phase": phase.value, "crashed": str(crashed).lower()}
         self.lost_responses.inc(labels)
 
+    def record_unanswered_store_call(self, connection):
+        """Record a call to the store that got no response.
+
+        :param connection: :class:`~boragetrail.direct.calls.ConnectionUse`
+        """
+        self.unanswered_store_calls.inc({"connection": connection.value})
+
     def record_request(self, code, service, took_s):
         """Record one finished request.
 
--- a/boragetrail/events.py
+++ b/boragetrail/events.py
@@ -91,6 +91,11 @@
         "WARNING",
         "A response names an invalid or earlier epoch of the store.",
     )
+    STORE_CALL_UNANSWERED = (
+        518,
+        "WARNING",
+        "A call to the store got no response.",
+    )
     ORDER_UNKNOWN = (600, "ERROR", "An order's outcome is unknown.")
     ORDER_FENCED = (601, "WARNING", "An order has a stale fencing token.")
     LEASE_ACQUIRED = (602, "INFO", "A lease on model loading was acquired.")
--- a/boragetrail/platform/store.py
+++ b/boragetrail/platform/store.py
@@ -9,6 +9,7 @@
 
 import aiohttp
 
+from boragetrail.direct.calls import CallTrace
 from boragetrail.direct.interfaces import (
     ChangeSet,
     RowSource,
@@ -61,6 +62,9 @@
 
     :param session: ``aiohttp.ClientSession``
     :param address: ``host:port`` of the store
+    :param record_unanswered: function that gets the
+        :class:`~boragetrail.direct.calls.ConnectionUse` of each call that
+        got no response
     :ivar calls: number of HTTP requests since the start
     :ivar epoch: latest epoch of the store, 0 if its responses name none
     :ivar odd_epochs: texts that named an invalid or earlier epoch
@@ -68,9 +72,10 @@
         named it), or ``None``
     """
 
-    def __init__(self, session, address):
+    def __init__(self, session, address, record_unanswered=lambda use: None):
         self.session = session
         self.base = f"http://{address}"
+        self.record_unanswered = record_unanswered
         self.calls = 0
         self.epoch = 0
         self.odd_epochs = set()
@@ -246,12 +251,26 @@
             sock_read=wait_s + CONNECT_AND_READ_TIMEOUT_S,
         )
         self.calls += 1
+        trace = CallTrace()
+        started_s = time.monotonic()
         try:
             async with self.session.request(
-                method, url, timeout=timeout, **options
+                method,
+                url,
+                timeout=timeout,
+                trace_request_ctx=trace,
+                **options,
             ) as response:
                 body = await response.read()
         except (aiohttp.ClientError, asyncio.TimeoutError, OSError) as exc:
+            self.record_unanswered(trace.connection)
+            log_event(
+                Event.STORE_CALL_UNANSWERED,
+                call=f"{method} {path}",
+                connection=trace.connection.value,
+                took_s=round(time.monotonic() - started_s, 3),
+                error=repr(exc),
+            )
             return SourceFailure(f"{method} {path}: {exc!r}")
         epoch = self._record_epoch(response.headers.get(EPOCH_HEADER))
         if epoch < self.epoch:
