Test changes that are confirmed while store connections are silent

Four routers, and ten with followers, each behind a proxy that silences all their open connections to the store; 0.3 s later a change is confirmed. Allowed are 3 s, the shortest time of the deployments after which a router has to act on confirmed changes.

--- a/boragetrail/direct/tests/conftest.py
+++ b/boragetrail/direct/tests/conftest.py
@@ -192,15 +192,18 @@
         await self.until(lambda: len(daemon.directory.servers_by_id) == count)
         return daemon
 
-    def make_router(self, grace_s=8.0):
-        """Return a router with an address of its own, not yet started."""
+    def make_router(self, grace_s=8.0, store=None):
+        """Return a router with an address of its own, not yet started.
+
+        :param store: address of the store, if it is reached through a proxy
+        """
         host = f"127.0.0.{len(self.daemons) + 1}"
         address = f"{host}:{self.gossip_port}"
         data = router_settings(
             f"router-{len(self.daemons)}",
             host,
             address,
-            self.store.address,
+            store or self.store.address,
             seeds=[daemon.settings.gossip for daemon in self.daemons],
             grace_s=grace_s,
         )
