Use no connection to other processes that may have gone silent

Cause: a timeout was taken as a statement about one call. The session kept idle connections for 15 s and handed out the one that was idle longest, so a repeated poll waited on the next silent one, 2.5 s each; long polls waited for 11 s; a router whose long poll was silent gave the store another second before it fetched what another router knew.

Change: a session uses no connection again after 0.5 s of idleness, less than any timeout; readers poll each 0.6 s instead of 1.5; a long poll ends once no router has had a response for 2 s, or another router had the change first; a fetch waits for 0.25 s instead of 1. The same session serves the rows of routers and the queries of engines. A silence of one call is now shorter than an outage, so removed servers are not kept after it.

--- a/boragetrail/direct/calls.py
+++ b/boragetrail/direct/calls.py
@@ -1,14 +1,21 @@
 """Sessions for calls to other processes, and traces of single calls.
 
-A call says something of the connection that it uses only. A trace therefore
-records whether that connection was opened for the call.
+Connections may go silent for good while new ones work. A call without a
+response says something of its own connection only, so a session uses no
+connection again that has been idle for as long as a call may wait, and a trace
+records whether the connection of a call was opened for it.
 """
 
 import enum
 
 import aiohttp
 
-__all__ = ["CallTrace", "ConnectionUse", "make_session"]
+__all__ = ["MAX_IDLE_S", "CallTrace", "ConnectionUse", "make_session"]
+
+# Longest idle time of a connection that is used again. It is shorter than the
+# timeout of any call, so that a call that is repeated after a timeout uses no
+# connection from before.
+MAX_IDLE_S = 0.5
 
 
 class ConnectionUse(str, enum.Enum):
@@ -40,7 +47,8 @@
     config = aiohttp.TraceConfig()
     config.on_connection_create_end.append(_record_new)
     config.on_connection_reuseconn.append(_record_reused)
-    return aiohttp.ClientSession(trace_configs=[config])
+    connector = aiohttp.TCPConnector(keepalive_timeout=MAX_IDLE_S)
+    return aiohttp.ClientSession(connector=connector, trace_configs=[config])
 
 
 async def _record_new(session, context, params):
--- a/boragetrail/direct/feed.py
+++ b/boragetrail/direct/feed.py
@@ -2,7 +2,7 @@
 
 import asyncio
 
-from boragetrail.direct.interfaces import SourceFailure
+from boragetrail.direct.interfaces import ChangeSet, SourceFailure
 from boragetrail.direct.readers import ReaderRole
 from boragetrail.events import Event, log_event
 
@@ -28,15 +28,18 @@
     :ivar lost: whether the table is reported as lost
     :ivar polling: whether a poll is in progress
     :ivar needs_full_read: whether the next poll reads all rows
+    :ivar poll_timeout: timeout of the poll in progress that may be given up,
+        or ``None``
     """
 
     # Longest time that a poll waits for a change.
-    MAX_READER_WAIT_S = 1.5
+    MAX_READER_WAIT_S = 0.6
     # The same for long pollers.
     MAX_LONG_POLL_WAIT_S = 10.0
     # Time for which a long poller does not poll after it received changes.
     LONG_POLL_PAUSE_S = 0.8
-    # Followers poll the store once its last known response is this old.
+    # Followers poll the store, and long polls are given up, once the last
+    # known response of the store is this old.
     MAX_READER_SILENCE_S = 2.0
     FOLLOWER_CHECK_INTERVAL_S = 0.1
     # Delays before a failed poll is repeated, without jitter.
@@ -61,6 +64,7 @@
         self.failing = False
         self.polling = False
         self.needs_full_read = True
+        self.poll_timeout = None
 
     async def run(self):
         """Follow the table until the task is cancelled."""
@@ -71,6 +75,8 @@
             self.polling = True
             result = await self._poll()
             self.polling = False
+            if result is None:
+                continue
             if isinstance(result, SourceFailure):
                 await self._poll_failed(result)
                 continue
@@ -93,13 +99,28 @@
         self._record_outage_end(
             self.liveness.record_peer_report(age_s, uptime_s)
         )
+        self._extend_poll()
+
+    def give_up_poll(self):
+        """End a long poll in progress, since another router knew more.
+
+        Its connection may have gone silent. The next poll uses another one.
+        """
+        self._end_poll_after(0.0)
+        self.poll_timeout = None
 
     def _is_left_to_readers(self):
         if self.role() is not ReaderRole.FOLLOWER:
             return False
-        return self.liveness.age_s() < self.MAX_READER_SILENCE_S
+        return not self._is_store_silent()
 
     async def _poll(self):
+        """Read all rows or wait for changes.
+
+        :returns: :class:`~boragetrail.direct.interfaces.ChangeSet`,
+            :class:`~boragetrail.direct.interfaces.SourceFailure`, or ``None``
+            if the poll was given up
+        """
         mirror = self.directory.mirrors[self.table]
         if self.needs_full_read:
             result = await self.source.read(self.table)
@@ -114,14 +135,8 @@
             self.needs_full_read = False
             return result
         position = mirror.position()
-        is_long_poller = self.role() is ReaderRole.LONG_POLLER
-        wait_s = (
-            self.MAX_LONG_POLL_WAIT_S
-            if is_long_poller
-            else self.MAX_READER_WAIT_S
-        )
-        result = await self.source.changes(self.table, position, wait_s)
-        if isinstance(result, SourceFailure) or result.epoch is None:
+        result = await self._wait_for_changes(position)
+        if not isinstance(result, ChangeSet) or result.epoch is None:
             return result
         if result.epoch != position.epoch:
             # The version that was asked for has another meaning now.
@@ -131,6 +146,38 @@
             )
         return result
 
+    async def _wait_for_changes(self, position):
+        """Poll for the changes after a position; see :meth:`_poll`."""
+        if not self._may_wait_long():
+            wait_s = self.MAX_READER_WAIT_S
+            return await self.source.changes(self.table, position, wait_s)
+        wait_s = self.MAX_LONG_POLL_WAIT_S
+        try:
+            async with asyncio.timeout(None) as self.poll_timeout:
+                self._extend_poll()
+                return await self.source.changes(self.table, position, wait_s)
+        except TimeoutError:
+            return None
+        finally:
+            self.poll_timeout = None
+
+    def _may_wait_long(self):
+        is_long_poller = self.role() is ReaderRole.LONG_POLLER
+        return is_long_poller and not self._is_store_silent()
+
+    def _is_store_silent(self):
+        """Return whether no router is known to have had a response lately."""
+        return self.liveness.age_s() >= self.MAX_READER_SILENCE_S
+
+    def _extend_poll(self):
+        """Let a long poll go on until the store counts as silent."""
+        self._end_poll_after(self.MAX_READER_SILENCE_S - self.liveness.age_s())
+
+    def _end_poll_after(self, left_s):
+        timeout = self.poll_timeout
+        if timeout is not None and not timeout.expired():
+            timeout.reschedule(asyncio.get_running_loop().time() + left_s)
+
     def _poll_succeeded(self):
         outage_s = self.liveness.record_response(
             uninterrupted=not self.failing
--- a/boragetrail/direct/relay.py
+++ b/boragetrail/direct/relay.py
@@ -212,7 +212,7 @@
 
     # Delay before a fetch while this router polls the store. The store itself
     # usually reports the change in this time.
-    FETCH_DELAY_S = 1.0
+    FETCH_DELAY_S = 0.25
     # The same while this router does not poll the store.
     IDLE_FETCH_DELAY_S = 0.1
 
@@ -267,7 +267,8 @@
         if self.feeds_by_table[table].liveness.is_down():
             # Entries of running servers may have expired in the outage.
             self.directory.start_peer_expiry_grace()
-        self.directory.apply(table, result)
+        if self.directory.apply(table, result):
+            self.feeds_by_table[table].give_up_poll()
 
     def _choose_peer(self, ahead, table, position):
         """Return the peer to fetch a table from."""
--- a/boragetrail/direct/tests/test_silentstore.py
+++ b/boragetrail/direct/tests/test_silentstore.py
@@ -5,12 +5,18 @@
 
 import pytest
 
+from boragetrail.direct.calls import MAX_IDLE_S
+from boragetrail.direct.feed import Feed
+from boragetrail.direct.liveness import StoreLiveness
+from boragetrail.direct.peersocket import PeerSocket
 from boragetrail.direct.readers import ReaderRole, reader_role
+from boragetrail.direct.relay import READ_TIMEOUT_S, PeerFetcher
 from boragetrail.direct.tests.conftest import (
     Cluster,
     configuration,
     free_port,
 )
+from boragetrail.platform.store import CONNECT_AND_READ_TIMEOUT_S
 from standins.proxy import FaultProxy
 
 # Time after a disruption until a router has to act on confirmed changes: the
@@ -176,3 +182,41 @@
                 await asyncio.sleep(0.01)
         took_s = time.monotonic() - removed_s + CHANGE_DELAY_S
         assert took_s < CONTACT_S
+
+
+class TestSilenceBudget:
+    """Sum of the delays between a silence and a change that is in force."""
+
+    # Factor of the random part of a delay, and of a digest's interval.
+    MAX_JITTER = 1.3
+    MAX_DIGEST_JITTER = 1.2
+    # Time for connections, responses and busy processes, for all steps.
+    PROCESSING_S = 0.2
+
+    def reader_s(self):
+        """Return the longest delay of a reader."""
+        return (
+            Feed.MAX_READER_WAIT_S
+            + CONNECT_AND_READ_TIMEOUT_S
+            + self.MAX_JITTER * Feed.MIN_RETRY_DELAY_S
+        )
+
+    def test_long_poller_that_misses_an_update_and_learns_by_a_digest(self):
+        total_s = (
+            self.reader_s()
+            + PeerSocket.UPDATE_INTERVAL_S
+            + self.MAX_DIGEST_JITTER * PeerSocket.DIGEST_INTERVAL_S
+            + self.MAX_JITTER * PeerFetcher.FETCH_DELAY_S
+            + self.PROCESSING_S
+        )
+        assert total_s < CONTACT_S
+
+    def test_router_that_hears_from_no_reader(self):
+        total_s = Feed.MAX_READER_SILENCE_S + self.PROCESSING_S
+        assert total_s < CONTACT_S
+
+    def test_one_silent_call_is_no_outage(self):
+        assert self.reader_s() + self.PROCESSING_S < StoreLiveness.MIN_OUTAGE_S
+
+    def test_a_repeated_call_uses_no_connection_from_before(self):
+        assert MAX_IDLE_S < min(READ_TIMEOUT_S, CONNECT_AND_READ_TIMEOUT_S)
