Read on what is on its way when a router stops

What callers saw: a request whose body was on its way 3.2 s after SIGTERM was read to its last byte, never passed on and never answered; its connection closed at the end of the grace period.

Cause: stop_accepting called pre_shutdown of the HTTP server, which closes all connections, the busy ones too, and drops what still arrives on them. Now only connections without a request are closed; the others are read on and close after their response, as they did anyway.

--- a/boragetrail/direct/daemon.py
+++ b/boragetrail/direct/daemon.py
@@ -171,8 +171,7 @@
             name=self.settings.name,
             active=self.frontend.active,
         )
-        await self.drain()
-        await self.close()
+        await self.stop()
         log_event(Event.STOPPED, name=self.settings.name)
 
     async def open(self):
@@ -238,6 +237,11 @@
         await self.health_runner.cleanup()
         await self.session.close()
 
+    async def stop(self):
+        """Stop gracefully."""
+        await self.drain()
+        await self.close()
+
     async def drain(self):
         """Serve until the load balancer stops sending and all requests end.
 
--- a/boragetrail/direct/frontend.py
+++ b/boragetrail/direct/frontend.py
@@ -87,13 +87,14 @@
             each.force_close()
 
     async def stop_accepting(self):
-        """Stop listening and close connections without a request."""
+        """Stop listening and close connections without a request.
+
+        The others are still read, since a body may be on its way.
+        """
         self.listener.close()
-        self.server.pre_shutdown()
         # Let requests that were already read start their handlers.
         for _ in range(HANDLER_START_ITERATIONS):
             await asyncio.sleep(0)
-        # pre_shutdown leaves idle connections open without reading them.
         for connection in self.server.connections:
             if connection not in self.busy_connections:
                 connection.force_close()
