Refuse requests that may outlast a router that stops

What callers saw: requests that came late in the grace period were passed on and cut at its end without an answer, among them requests that may not be repeated.

Cause: a router that stops had no account of what can still end. It passed on whatever it had read, until the end. Now a request that is ready to be passed on from 3 s after the signal, when the balancer sends to others, is refused at once if its deadline is past the end of the grace period: 503 stopping, not executed, Retry-After 0.1, connection closed. One whose body never comes is refused at the end. What is open 0.4 s before the end gets its last answer, 504 if it may have run, rather than a cut; a stream that has begun is cut.

Weighed: refusing everything from the signal on would send callers back to the same router while the balancer still selects it; waiting for the predicted length of a request would be a guess, and a wrong one loses it.

The logic of stopping leaves the daemon for a module of its own.

--- a/boragetrail/direct/daemon.py
+++ b/boragetrail/direct/daemon.py
@@ -32,6 +32,7 @@
 from boragetrail.direct.relay import PeerSource, PeerFetcher, RelayServer
 from boragetrail.direct.resumption import StreamVersions
 from boragetrail.direct.selector import ServerSelector
+from boragetrail.direct.shutdown import Shutdown
 from boragetrail.direct.streamarchive import StreamArchive
 from boragetrail.direct.versionledger import VersionLedger
 from boragetrail.events import Event, log_event
@@ -40,10 +41,6 @@
 
 __all__ = ["DirectDaemon"]
 
-# Time after the stop signal for which the load balancer still sends requests.
-BALANCER_LAG_S = 3.2
-# Time before the end of the grace period at which open requests are aborted.
-ABORT_MARGIN_S = 0.25
 POLL_INTERVAL_S = 0.05
 CLOSE_TIMEOUT_S = 0.1
 UNLISTED_REMOVAL_INTERVAL_S = 5.0
@@ -120,8 +117,13 @@
         filter_chain = FilterChain(
             self.directory, platform.HEADER_NAMES, self.random
         )
+        self.shutdown = Shutdown(self.clock)
         self.frontend = Frontend(
-            filter_chain, self.dispatcher, self.metrics, self.clock
+            filter_chain,
+            self.dispatcher,
+            self.metrics,
+            self.clock,
+            self.shutdown,
         )
         self.relay = RelayServer(
             self.directory,
@@ -245,16 +247,10 @@
     async def drain(self):
         """Serve until the load balancer stops sending and all requests end.
 
-        Requests that are open shortly before the end of the grace period are
-        aborted by :meth:`close`.
+        See :meth:`~boragetrail.direct.shutdown.Shutdown.drain`.
         """
-        started_s = self.clock()
-        self.frontend.stopping = True
-        await asyncio.sleep(BALANCER_LAG_S)
-        await self.frontend.stop_accepting()
-        end_s = started_s + self.settings.grace_s - ABORT_MARGIN_S
-        while self.frontend.active and self.clock() < end_s:
-            await asyncio.sleep(POLL_INTERVAL_S)
+        self.shutdown.begin(self.settings.grace_s)
+        await self.shutdown.drain(self.frontend)
 
     async def wait_for_discovery(self):
         """Wait until the discovery of cached prompt parts has ended."""
@@ -262,7 +258,7 @@
 
     def is_ready(self):
         """Return whether the load balancer may open new connections."""
-        return not self.frontend.stopping and self.directory.is_complete()
+        return not self.shutdown.begun and self.directory.is_complete()
 
     def dump(self):
         """Return the state of the process."""
@@ -277,7 +273,7 @@
             feed.failing for feed in self.feeds_by_table.values()
         )
         return self.message_builder.digest(
-            store_unreachable, self.frontend.stopping
+            store_unreachable, self.shutdown.begun
         )
 
     def _apply_message(self, message):
--- a/boragetrail/direct/dispatch.py
+++ b/boragetrail/direct/dispatch.py
@@ -1,7 +1,5 @@
 """Dispatch of requests to servers, with retries."""
 
-import asyncio
-
 from boragetrail.direct.attempt import Attempt, ExchangeOutcome
 from boragetrail.direct.crashes import shared_parts
 from boragetrail.direct.failures import (
@@ -85,7 +83,7 @@
         progress = RequestProgress(prompt, parts)
         self._retry_quota(request.service).record_request()
         try:
-            async with asyncio.timeout_at(request.deadline_s):
+            async with request.until_deadline():
                 failure = await self._serve(request, caller, progress)
             failure = overall_failure(failure, progress)
         except TimeoutError:
--- a/boragetrail/direct/filters.py
+++ b/boragetrail/direct/filters.py
@@ -1,7 +1,6 @@
 """Filters that check a request before it is dispatched."""
 
-import asyncio
-
+from boragetrail.direct.request import STOP
 from boragetrail.errors import Refusal
 from boragetrail.reasons import Reason
 
@@ -126,7 +125,7 @@
         chunks = []
         size = 0
         try:
-            async with asyncio.timeout_at(request.deadline_s):
+            async with request.until_deadline():
                 async for chunk in http_request.content.iter_any():
                     chunks.append(chunk)
                     size += len(chunk)
@@ -134,6 +133,8 @@
                         detail = f"{limit} bytes allowed"
                         return Refusal(Reason.BODY_TOO_LARGE, detail)
         except TimeoutError:
-            return Refusal(Reason.BODY_LATE, retry_after_s=BODY_RETRY_AFTER_S)
+            stops = request.deadline_source == STOP
+            reason = Reason.STOPPING if stops else Reason.BODY_LATE
+            return Refusal(reason, retry_after_s=BODY_RETRY_AFTER_S)
         request.body = b"".join(chunks)
         return None
--- a/boragetrail/direct/frontend.py
+++ b/boragetrail/direct/frontend.py
@@ -34,19 +34,22 @@
     :param dispatcher: :class:`~boragetrail.direct.dispatch.Dispatcher`
     :param metrics: :class:`~boragetrail.direct.metrics.DirectMetrics`
     :param clock: function that returns monotonic seconds
+    :param shutdown: :class:`~boragetrail.direct.shutdown.Shutdown`
     :ivar busy_connections: connections whose request has no complete response
     :ivar detached_tasks: tasks of requests that continue after their callers
         have disconnected
-    :ivar stopping: whether connections close after their next response
+    :ivar requests: :class:`~boragetrail.direct.request.DirectRequest` in
+        progress
     """
 
-    def __init__(self, filter_chain, dispatcher, metrics, clock):
+    def __init__(self, filter_chain, dispatcher, metrics, clock, shutdown):
         self.filter_chain = filter_chain
         self.dispatcher = dispatcher
         self.metrics = metrics
         self.clock = clock
+        self.shutdown = shutdown
         self.busy_connections = set()
-        self.stopping = False
+        self.requests = set()
         self.server = None
         self.listener = None
         self.detached_tasks = set()
@@ -99,6 +102,11 @@
             if connection not in self.busy_connections:
                 connection.force_close()
 
+    def end_requests(self):
+        """Give all requests in progress their last answer."""
+        for request in self.requests:
+            request.end()
+
     async def close(self):
         """Close all connections."""
         if self.server is not None:
@@ -115,10 +123,12 @@
         self.busy_connections.add(connection)
         self.idle_tracker.mark_used(connection)
         request = DirectRequest(http_request, self.clock())
-        caller = CallerResponse(http_request, self.stopping)
+        caller = CallerResponse(http_request, self.shutdown)
+        self.requests.add(request)
         try:
             return await self._respond(request, caller)
         finally:
+            self.requests.discard(request)
             self.busy_connections.discard(connection)
 
     async def _respond(self, request, caller):
@@ -146,6 +156,8 @@
         ):
             http_request.transport.write(CONTINUE)
         failure = await self.filter_chain.run(request)
+        if failure is None:
+            failure = self.shutdown.refusal(request.deadline_s)
         if failure is not None:
             return failure
         if self._survives_disconnect(request):
--- a/boragetrail/direct/request.py
+++ b/boragetrail/direct/request.py
@@ -1,6 +1,12 @@
 """A caller's request and the data that filters and dispatcher add."""
 
-__all__ = ["DirectRequest"]
+import asyncio
+import contextlib
+
+__all__ = ["STOP", "DirectRequest"]
+
+# Source of a deadline that is the end of the grace period of a stop.
+STOP = "stop"
 
 
 class DirectRequest:
@@ -15,8 +21,9 @@
     :ivar customer: :class:`~boragetrail.direct.model.Customer` or ``None``
     :ivar selection: log fields of the last selection of a server
     :ivar deadline_s: monotonic time at which the response must be complete
-    :ivar deadline_source: whose limit the deadline is: ``"route"`` or
-        ``"caller"``
+    :ivar deadline_source: whose limit the deadline is: ``"route"``,
+        ``"caller"`` or ``STOP``
+    :ivar timeout: ``asyncio.Timeout`` of the work in progress, or ``None``
     """
 
     __slots__ = (
@@ -30,6 +37,7 @@
         "body",
         "deadline_s",
         "deadline_source",
+        "timeout",
         "selection",
     )
 
@@ -44,4 +52,27 @@
         self.body = b""
         self.deadline_s = 0.0
         self.deadline_source = ""
+        self.timeout = None
         self.selection = {}
+
+    @contextlib.asynccontextmanager
+    async def until_deadline(self):
+        """Limit the work of a block by the deadline, as it is at any time.
+
+        :raises TimeoutError: once the deadline has passed
+        """
+        try:
+            async with asyncio.timeout_at(self.deadline_s) as self.timeout:
+                yield
+        finally:
+            self.timeout = None
+
+    def end(self):
+        """Let the deadline pass now, since the router stops."""
+        now_s = asyncio.get_running_loop().time()
+        if self.deadline_s <= now_s:
+            return
+        self.deadline_source = STOP
+        self.deadline_s = now_s
+        if self.timeout is not None and not self.timeout.expired():
+            self.timeout.reschedule(now_s)
--- a/boragetrail/direct/response.py
+++ b/boragetrail/direct/response.py
@@ -14,14 +14,15 @@
     """Write the response to one caller, as a whole or as a stream.
 
     :param http_request: ``aiohttp.web.BaseRequest`` of the caller
-    :param closing: whether the connection closes after the response
+    :param shutdown: :class:`~boragetrail.direct.shutdown.Shutdown`; once it
+        has begun, the connection closes after the response
     :ivar started: whether the head of a stream was written
     :ivar response: the ``aiohttp`` response, or ``None``
     """
 
-    def __init__(self, http_request, closing):
+    def __init__(self, http_request, shutdown):
         self.http_request = http_request
-        self.closing = closing
+        self.shutdown = shutdown
         self.started = False
         self.response = None
 
@@ -77,5 +78,5 @@
 
     def _finish_head(self):
         self.response.headers.setdefault("Server", SERVER_NAME)
-        if self.closing:
+        if self.shutdown.begun:
             self.response.force_close()
--- a/boragetrail/direct/tests/test_path.py
+++ b/boragetrail/direct/tests/test_path.py
@@ -491,7 +491,7 @@
 
     async def test_connections_close_after_their_response(self, cluster):
         daemon = await cluster.add_router()
-        daemon.frontend.stopping = True
+        daemon.shutdown.begin(grace_s=8.0)
         assert not daemon.is_ready()
         _, headers, _ = await cluster.call(daemon, "/order/1")
         assert headers["Connection"] == "close"
--- a/boragetrail/direct/tests/test_plannedstop.py
+++ b/boragetrail/direct/tests/test_plannedstop.py
@@ -13,6 +13,7 @@
     route,
 )
 from boragetrail.platform.names import HEADER_NAMES
+from standins.httpserver import whole_answer
 
 GRACE_S = 5.0
 # Time after the signal from which the balancer sends no requests.
@@ -77,3 +78,95 @@
         async with asyncio.timeout(0.5):
             assert (await reader.read(12)) == b"HTTP/1.1 200"
         writer.close()
+
+    async def test_body_that_comes_too_late_to_be_served(
+        self, cluster, stopping
+    ):
+        # The caller gets a refusal that is true, and may go elsewhere.
+        daemon, stop = stopping
+        reader, writer = await connect(daemon)
+        stop()
+        await asyncio.sleep(BALANCER_S - 0.1)
+        writer.write(head("/order/1", "late", len(BODY)))
+        await asyncio.sleep(0.5)
+        writer.write(BODY)
+        async with asyncio.timeout(0.5):
+            response = await reader.read(1000)
+        assert response.startswith(b"HTTP/1.1 503")
+        assert b"Retry-After" in response
+        assert b'"stopping"' in response
+        assert not ran(cluster)
+        writer.close()
+
+    async def test_body_that_never_comes(self, cluster, stopping):
+        daemon, stop = stopping
+        reader, writer = await connect(daemon)
+        stop()
+        await asyncio.sleep(BALANCER_S - 0.1)
+        writer.write(head("/order/1", "late", len(BODY)))
+        async with asyncio.timeout(GRACE_S):
+            response = await reader.read(1000)
+        assert response.startswith(b"HTTP/1.1 503")
+        assert not ran(cluster)
+        writer.close()
+
+
+class TestLateRequests:
+    """LOST: requests that may last longer than the grace period."""
+
+    @pytest.mark.parametrize("after_s", [0.1, 2.0, 3.05])
+    async def test_request_that_the_router_can_finish(
+        self, cluster, stopping, after_s
+    ):
+        daemon, stop = stopping
+        reader, writer = await connect(daemon)
+        stop()
+        await asyncio.sleep(after_s)
+        writer.write(head("/order/1", "short", deadline_ms=1000))
+        assert (await reader.read(12)) == b"HTTP/1.1 200"
+        writer.close()
+
+    async def test_request_that_may_outlast_the_router(
+        self, cluster, stopping
+    ):
+        # Guards against late requests that are passed on and then cut.
+        daemon, stop = stopping
+        for server in cluster.servers:
+            server.default = answer_after(3.0)
+        reader, writer = await connect(daemon)
+        stop()
+        await asyncio.sleep(BALANCER_S + 0.05)
+        writer.write(head("/order/1", "long"))
+        async with asyncio.timeout(0.5):
+            response = await reader.read(1000)
+        assert response.startswith(b"HTTP/1.1 503")
+        assert b"Connection: close" in response
+        assert not ran(cluster)
+        writer.close()
+
+    async def test_request_under_way_at_the_end_gets_an_answer(
+        self, cluster, stopping
+    ):
+        # It was sent early in the grace period. Its caller is told that it
+        # may have run.
+        daemon, stop = stopping
+        for server in cluster.servers:
+            server.default = answer_after(8.0)
+        reader, writer = await connect(daemon)
+        stop()
+        writer.write(head("/order/1", "early"))
+        async with asyncio.timeout(GRACE_S):
+            response = await reader.read(1000)
+        assert response.startswith(b"HTTP/1.1 504")
+        assert ran(cluster) == ["early"]
+        writer.close()
+
+
+def answer_after(delay_s):
+    """Return a handler of a server that answers after some seconds."""
+
+    async def answer(request):
+        await asyncio.sleep(delay_s)
+        return whole_answer(request)
+
+    return answer
