Report a body without a length whose connection was reset as truncated

On the path with agents a caller got a short body as whole, with a digest over it, if the backend server's response had neither a length nor chunks and its connection was reset: aiohttp takes the reset for the end of the body. The direct path has ruled that out before; its handling now serves both.

--- a/boragetrail/agent/backend.py
+++ b/boragetrail/agent/backend.py
@@ -7,6 +7,7 @@
 
 from boragetrail.errors import BackendFailure
 from boragetrail.reasons import Executed, Reason
+from boragetrail.utils.responses import ResetAwareConnector
 
 __all__ = ["BackendClient", "StepTimeMeter"]
 
@@ -82,7 +83,7 @@
 
     async def open(self):
         """Open the client session."""
-        connector = aiohttp.TCPConnector(force_close=True, limit=0)
+        connector = ResetAwareConnector(force_close=True, limit=0)
         timeout = aiohttp.ClientTimeout(
             total=None,
             sock_connect=CONNECT_TIMEOUT_S,
--- /dev/null
+++ b/boragetrail/agent/tests/test_backend.py
@@ -0,0 +1,113 @@
+"""Responses of backend servers that end early, as their agent sees them."""
+
+import asyncio
+import socket
+import struct
+import types
+
+import pytest
+
+from boragetrail.agent.backend import BackendClient
+from boragetrail.agent.stream import AnswerStream
+from boragetrail.errors import BackendFailure
+
+BODY = b"the whole body of the server"
+HEAD = b"HTTP/1.1 200 OK\r\nContent-Type: text/plain\r\n"
+FRAMINGS = {
+    "length": (b"Content-Length: %d\r\n\r\n" % len(BODY), BODY),
+    "chunks": (
+        b"Transfer-Encoding: chunked\r\n\r\n",
+        b"%x\r\n%s\r\n0\r\n\r\n" % (len(BODY), BODY),
+    ),
+    "close": (b"\r\n", BODY),
+}
+MAX_BYTES = 10000
+
+
+class CutServer:
+    """Send the first bytes of a response and end the connection.
+
+    :ivar data: bytes to send
+    :ivar reset: whether the connection is reset, rather than closed
+    """
+
+    def __init__(self):
+        self.data = b""
+        self.reset = False
+        self.server = None
+        self.url = ""
+
+    async def open(self):
+        """Listen on a free port."""
+        self.server = await asyncio.start_server(self._serve, "127.0.0.1", 0)
+        port = self.server.sockets[0].getsockname()[1]
+        self.url = f"http://127.0.0.1:{port}"
+
+    async def _serve(self, reader, writer):
+        await reader.readuntil(b"\r\n\r\n")
+        writer.write(self.data)
+        await asyncio.sleep(0.002)
+        if self.reset:
+            # Closing a socket that does not linger sends a reset.
+            linger = struct.pack("ii", 1, 0)
+            connection = writer.get_extra_info("socket")
+            connection.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, linger)
+        writer.close()
+
+
+@pytest.fixture
+async def cut_server():
+    """A server that cuts its responses."""
+    made = CutServer()
+    await made.open()
+    yield made
+    made.server.close()
+
+
+@pytest.fixture
+async def client(cut_server):
+    """The agent's client of that server."""
+    made = BackendClient(cut_server.url)
+    await made.open()
+    yield made
+    await made.close()
+
+
+async def run(client):
+    """Return (failure or ``None``, bytes that the router would get)."""
+    dispatch = types.SimpleNamespace(
+        method="POST",
+        path="/order",
+        headers=[],
+        priority=1,
+        resume_events=0,
+        body=b"",
+    )
+    stream = AnswerStream(keep_whole=True)
+    failure = await client.run(dispatch, stream, None, MAX_BYTES)
+    return failure, bytes(stream.buffer)
+
+
+class TestCutResponses:
+    """MIXED: a response that was cut is reported as truncated."""
+
+    @pytest.mark.parametrize("framing", FRAMINGS)
+    @pytest.mark.parametrize("reset", [False, True])
+    async def test_each_byte(self, cut_server, client, framing, reset):
+        # Guards against a reset that is taken for the end of a body without
+        # a length, and against a head without its empty line.
+        rest, body = FRAMINGS[framing]
+        cut_server.reset = reset
+        size = len(HEAD + rest + body)
+        if framing == "close" and not reset:
+            size = len(HEAD + rest)
+        for cut in range(size):
+            cut_server.data = (HEAD + rest + body)[:cut]
+            failure, got = await run(client)
+            assert isinstance(failure, BackendFailure), (cut, got)
+
+    @pytest.mark.parametrize("framing", FRAMINGS)
+    async def test_whole_response(self, cut_server, client, framing):
+        rest, body = FRAMINGS[framing]
+        cut_server.data = HEAD + rest + body
+        assert await run(client) == (None, BODY)
--- a/boragetrail/direct/connection.py
+++ b/boragetrail/direct/connection.py
@@ -2,14 +2,14 @@
 
 Responses are parsed by ``aiohttp``. The ``ClientSession`` of ``aiohttp`` is
 not used, because it retries idempotent requests by itself after a connection
-was lost, treats bytes that arrive on an idle connection as the next response,
-and treats a reset as the end of a response without a length.
+was lost, and treats bytes that arrive on an idle connection as the next
+response.
 """
 
 import asyncio
 import collections
 
-from aiohttp.client_proto import ResponseHandler
+from boragetrail.utils.responses import ResetAwareHandler
 
 __all__ = ["ConnectionPool", "ServerConnection"]
 
@@ -21,7 +21,7 @@
 UNPRODUCTIVE_ERROR = f"over {MAX_UNPRODUCTIVE_BYTES} bytes without a body"
 
 
-class ServerConnection(ResponseHandler):
+class ServerConnection(ResetAwareHandler):
     """Hold one connection to a backend server.
 
     :ivar idle: whether it waits in a pool for its next request
@@ -51,13 +51,6 @@
         if self.unproductive_bytes > MAX_UNPRODUCTIVE_BYTES:
             self.reset(ConnectionResetError(UNPRODUCTIVE_ERROR))
 
-    def connection_lost(self, exc):
-        """Mark a response as truncated if the connection was reset."""
-        payload = self._payload
-        if exc is not None and payload is not None and not payload.is_eof():
-            payload.set_exception(exc)
-        super().connection_lost(exc)
-
     def _body_bytes(self):
         payload = self._payload
         return (id(payload), getattr(payload, "total_bytes", 0))
