Ask the store before a stream goes on at the only known version

What callers saw: a stream that began at a version which joined while one router was out of step went on, at that router, at the older version.

Cause: a router that does not know where a stream began takes the only version that it knows, if its list of servers is current. It took the list for current up to 3 s after the last response of the store, and for ever while it heard of any router; what joined since, it could not know.

Rejected: shorter ages, which only narrow the window; asking other routers for their lists, who may be cut off as well.

--- a/boragetrail/direct/daemon.py
+++ b/boragetrail/direct/daemon.py
@@ -21,6 +21,7 @@
 from boragetrail.direct.frontend import Frontend
 from boragetrail.direct.interfaces import Table
 from boragetrail.direct.knowledge import CrashArchive, ServerKnowledge
+from boragetrail.direct.listconfirmation import ListConfirmation
 from boragetrail.direct.liveness import StoreLiveness
 from boragetrail.direct.messagebuilder import MessageBuilder
 from boragetrail.direct.metrics import DirectMetrics
@@ -76,6 +77,12 @@
         self.liveness_by_table = {
             table: StoreLiveness(self.clock) for table in Table
         }
+        self.list_confirmation = ListConfirmation(
+            self.directory,
+            self.liveness_by_table[Table.SERVERS],
+            self.tasks,
+            self.clock,
+        )
         self.knowledge = ServerKnowledge(self.peers)
         self.fleet = Fleet(
             self.directory,
@@ -110,9 +117,7 @@
             self.clock,
             self.random,
             self.crash_monitor,
-            StreamVersions(
-                self.fleet, names, self.liveness_by_table[Table.SERVERS].age_s
-            ),
+            StreamVersions(self.fleet, names, self.list_confirmation),
         )
         filter_chain = FilterChain(
             self.directory, platform.HEADER_NAMES, self.random
@@ -185,6 +190,7 @@
             settings.store,
             self.metrics.record_unanswered_store_call,
         )
+        self.list_confirmation.source = self.store
         self.feeds_by_table = {
             table: Feed(
                 table,
@@ -196,6 +202,9 @@
             )
             for table in Table
         }
+        self.feeds_by_table[
+            Table.SERVERS
+        ].on_response = self.list_confirmation.advance
         self.fetcher = PeerFetcher(
             self.directory,
             self.peers,
@@ -286,6 +295,8 @@
                 feed.record_peer_report(age_ms / 1000.0, uptime_ms / 1000.0)
         if self.fetcher.is_behind():
             self.tasks.start(self.fetcher.fetch_if_behind(), "pull")
+        elif not self.fetcher.fetching:
+            self.list_confirmation.advance()
 
     def _peer_source(self, peer):
         return PeerSource(self.session, peer.address[0], peer.relay_port)
--- a/boragetrail/direct/directory.py
+++ b/boragetrail/direct/directory.py
@@ -171,6 +171,10 @@
         """Start the grace period after an outage of the store."""
         self.expiry_grace_until_s = self.clock() + self.EXPIRY_GRACE_S
 
+    def in_expiry_grace(self):
+        """Return whether servers may still write their entries again."""
+        return self.clock() < self.expiry_grace_until_s
+
     def start_peer_expiry_grace(self):
         """Start the grace period for rows from a peer during an outage."""
         until_s = self.clock() + self.PEER_EXPIRY_GRACE_S
@@ -270,7 +274,7 @@
             return
         self._record_version(known)
         now_s = self.clock()
-        kept = now_s < self.expiry_grace_until_s and known.record.ready
+        kept = self.in_expiry_grace() and known.record.ready
         if kept:
             max_kept_until_s = now_s + self.MAX_KEPT_S
             known.kept_until_s = min(
--- a/boragetrail/direct/feed.py
+++ b/boragetrail/direct/feed.py
@@ -28,6 +28,7 @@
     :ivar lost: whether the table is reported as lost
     :ivar polling: whether a poll is in progress
     :ivar needs_full_read: whether the next poll reads all rows
+    :ivar on_response: function that is called once a response was applied
     :ivar poll_timeout: timeout of the poll in progress that may be given up,
         or ``None``
     """
@@ -65,6 +66,7 @@
         self.polling = False
         self.needs_full_read = True
         self.poll_timeout = None
+        self.on_response = lambda: None
 
     async def run(self):
         """Follow the table until the task is cancelled."""
@@ -82,6 +84,7 @@
                 continue
             self._poll_succeeded()
             changed = self.directory.apply(self.table, result)
+            self.on_response()
             if changed and self.role() is ReaderRole.LONG_POLLER:
                 # Changes during the pause arrive through other routers.
                 await asyncio.sleep(self.LONG_POLL_PAUSE_S)
--- a/boragetrail/direct/resumption.py
+++ b/boragetrail/direct/resumption.py
@@ -1,6 +1,5 @@
 """Software versions at which streams may go on."""
 
-from boragetrail.direct.interfaces import Table
 from boragetrail.errors import Refusal
 from boragetrail.reasons import Reason
 
@@ -18,18 +17,14 @@
 
     :param fleet: :class:`~boragetrail.direct.fleet.Fleet`
     :param names: :class:`~boragetrail.direct.interfaces.HeaderNames`
-    :param list_age_s: function that returns the seconds since the store's
-        last response about servers to any router
+    :param confirmation:
+        :class:`~boragetrail.direct.listconfirmation.ListConfirmation`
     """
 
-    # Silence of the store after which a router without peers does not rely
-    # on its list of servers.
-    MAX_STORE_SILENCE_S = 3.0
-
-    def __init__(self, fleet, names, list_age_s):
+    def __init__(self, fleet, names, confirmation):
         self.fleet = fleet
         self.names = names
-        self.list_age_s = list_age_s
+        self.confirmation = confirmation
 
     async def require(self, request, progress):
         """Set the version at which a resumed stream must go on.
@@ -48,7 +43,7 @@
         if origin is not None:
             progress.version = origin.version
             return None
-        progress.version = self._only_version(request.service.name)
+        progress.version = await self._only_version(request.service.name)
         if progress.version is None:
             wait_s = self._wait_s(request.service.name)
             return Refusal(
@@ -86,9 +81,14 @@
             or self._header(request, self.names.resumed_request)
         )
 
-    def _only_version(self, service):
-        """Return the version of all streams of a service, or ``None``."""
-        if not self._list_is_current():
+    async def _only_version(self, service):
+        """Return the version of all streams of a service, or ``None``.
+
+        Servers of another version may have joined while this router was out
+        of step, so the list has to be current now.
+        """
+        now_s = self.fleet.clock()
+        if not await self.confirmation.is_current_since(now_s):
             return None
         history = self.fleet.directory.version_history
         return history.only_version(service, self._listed(service))
@@ -102,16 +102,6 @@
         servers = self.fleet.directory.servers_of(service)
         return {known.record.version for known in servers}
 
-    def _list_is_current(self):
-        """Return whether no newer list of servers can be known elsewhere."""
-        peers = self.fleet.peers
-        position = self.fleet.directory.mirrors[Table.SERVERS].position()
-        if peers.peers_ahead(Table.SERVERS.value, position):
-            return False
-        if self.list_age_s() <= self.MAX_STORE_SILENCE_S:
-            return True
-        return bool(peers.live_peers())
-
     @staticmethod
     def _header(request, name):
         return request.http_request.headers.get(name, "")
--- a/boragetrail/direct/versionledger.py
+++ b/boragetrail/direct/versionledger.py
@@ -12,7 +12,7 @@
 )
 from boragetrail.events import Event, log_event
 
-__all__ = ["VersionLedger"]
+__all__ = ["VersionLedger", "ages_s"]
 
 
 class VersionLedger:
@@ -83,7 +83,7 @@
                 self.history.load(service, {})
         for service, each in saved.items():
             self.saved_by_service[service] = each
-            self.history.load(service, _ages_s(each))
+            self.history.load(service, ages_s(each))
         self.epoch = self.registry.epoch
         return True
 
@@ -129,8 +129,12 @@
             )
 
 
-def _ages_s(saved):
-    """Return the seconds since each saved version was in service."""
+def ages_s(saved):
+    """Return the seconds since each saved version was in service.
+
+    :param saved: :class:`~boragetrail.direct.registries.SavedVersions`
+    :returns: dictionary of seconds by version
+    """
     ages_s = {
         version: (saved.now_ms - gone_ms) / 1000.0
         for version, gone_ms in saved.gone_ms_by_version.items()
