Bind the version of a stream to the run at the end of its connection

Cause: the version of a stream was that of the listed entry, which is of the run before. Neither the id that a request expects nor the address tells runs apart, and in an outage no entry is written.

Now a stream goes on at a server only if the list is confirmed from the moment on at which the connection was opened, and names the same run and version; the store is asked if need be. Where a stream begins is recorded under the same condition if the list is old, the store has just returned, or the server failed since; else it is unknown, and the stream is not resumed. A connection from before an outage proves its run, so streams go on there all the same.

Rejected: asking the server for its start on each new connection, a priced probe; refusing all resumptions in an outage.

--- a/boragetrail/direct/connection.py
+++ b/boragetrail/direct/connection.py
@@ -24,6 +24,7 @@
 class ServerConnection(ResetAwareHandler):
     """Hold one connection to a backend server.
 
+    :ivar opened_s: monotonic time at which it was opened
     :ivar idle: whether it waits in a pool for its next request
     :ivar idle_since_s: monotonic time at which it was put into the pool
     :ivar used: whether a request was sent on it
@@ -32,6 +33,7 @@
 
     def __init__(self, loop):
         super().__init__(loop)
+        self.opened_s = 0.0
         self.idle = False
         self.idle_since_s = 0.0
         self.used = False
@@ -135,10 +137,12 @@
         """
         loop = asyncio.get_running_loop()
         self.opened += 1
+        started_s = self.clock()
         async with asyncio.timeout(CONNECT_TIMEOUT_S):
             _, connection = await loop.create_connection(
                 lambda: ServerConnection(loop), *self.address
             )
+        connection.opened_s = started_s
         return connection
 
     def release(self, connection):
--- a/boragetrail/direct/dispatch.py
+++ b/boragetrail/direct/dispatch.py
@@ -184,6 +184,10 @@
             # The server may have said so since it was selected.
             reason = Reason.PAUSED if state.pause_left_s() else Reason.LEAVING
             return Refusal(reason, f"server {state.record.id}")
+        if progress.version is not None:
+            if not await self.stream_versions.may_go_on(progress, attempt):
+                detail = f"version of server {state.record.id}"
+                return Refusal(Reason.STREAM_UNKNOWN, detail)
         limiter = self.fleet.knowledge.limiter
         if not limiter.confirm(state.record, progress.counted_s):
             return Refusal(Reason.LIMITED, f"server {state.record.id}")
@@ -199,7 +203,7 @@
         )
         progress.attempts_sent += 1
         if not caller.started:
-            self.stream_versions.sent(request, state.record)
+            self.stream_versions.sent(request, attempt)
         outcome = await attempt.exchange(head + request.body)
         progress.pending_work.prefill_finished()
         if outcome is ExchangeOutcome.RESPONSE:
--- a/boragetrail/direct/fleet.py
+++ b/boragetrail/direct/fleet.py
@@ -9,7 +9,7 @@
 from boragetrail.policy.outcomes import failure_rate
 from boragetrail.policy.prefix import EngineView, PrefixCacheIndex
 
-__all__ = ["Fleet"]
+__all__ = ["Fleet", "is_same_run"]
 
 UNLISTED_SERVER_ERROR = "the server is no longer listed and sends nothing"
 QUARANTINED_PART_ERROR = "a part of the prompt was quarantined"
@@ -292,7 +292,7 @@
     def _state(self, known):
         record = known.record
         state = self.states_by_id.get(record.id)
-        if state is None or not _is_same_run(state.record, record):
+        if state is None or not is_same_run(state.record, record):
             self.prefix_index.remove_engine(record.id)
             if state is not None:
                 self.replaced_states.append(state)
@@ -302,6 +302,11 @@
         return state
 
 
-def _is_same_run(current, listed):
+def is_same_run(current, listed):
+    """Return whether two records are those of one run of a server.
+
+    :param current: :class:`~boragetrail.direct.model.ServerRecord`
+    :param listed: the same
+    """
     same_address = current.address == listed.address
     return same_address and current.started_ms == listed.started_ms
--- a/boragetrail/direct/forwarding.py
+++ b/boragetrail/direct/forwarding.py
@@ -111,8 +111,7 @@
                 return Failure(Reason.TRUNCATED, EVENT_TOO_LONG)
             if complete and not progress.stream_begun:
                 progress.stream_begun = True
-                record = attempt.server.record
-                self.stream_versions.begun(request, progress, record)
+                await self.stream_versions.begun(request, progress, attempt)
             if complete:
                 await caller.write(complete)
             if complete and not stream_started:
--- a/boragetrail/direct/progress.py
+++ b/boragetrail/direct/progress.py
@@ -1,8 +1,16 @@
 """Progress of a request, and the work of its attempts at servers."""
 
+import enum
+
 from boragetrail.direct.eventstream import EventSplitter
 
-__all__ = ["PendingWork", "RequestProgress"]
+__all__ = ["PendingWork", "RequestProgress", "StreamVersion"]
+
+
+class StreamVersion(enum.Enum):
+    """Stands for a software version that is no version of any server."""
+
+    UNKNOWN = "unknown"
 
 
 class RequestProgress:
@@ -22,8 +30,8 @@
         not be selected then
     :ivar media_type: type of the content of the stream that has started
     :ivar stream_begun: whether the caller got an event
-    :ivar version: software version at which its stream must go on, or
-        ``None`` if any will do
+    :ivar version: software version at which its stream must go on, ``None``
+        if any will do, or ``StreamVersion.UNKNOWN`` if none will
     :ivar tried_ids: ids of the servers that were tried
     :ivar attempt_count: number of attempts, also of those whose connection
         failed before the request was sent
--- a/boragetrail/direct/resumption.py
+++ b/boragetrail/direct/resumption.py
@@ -1,5 +1,7 @@
 """Software versions at which streams may go on."""
 
+from boragetrail.direct.fleet import is_same_run
+from boragetrail.direct.progress import StreamVersion
 from boragetrail.errors import Refusal
 from boragetrail.reasons import Reason
 
@@ -53,27 +55,84 @@
             )
         return None
 
-    def sent(self, request, record):
+    async def may_go_on(self, progress, attempt):
+        """Return whether a stream may go on at the server of an attempt.
+
+        What is listed of the server must hold for the run that accepted the
+        connection.
+
+        :param attempt: :class:`~boragetrail.direct.attempt.Attempt` with an
+            open connection
+        """
+        opened_s = attempt.connection.opened_s
+        if not await self.confirmation.is_current_since(opened_s):
+            return False
+        return self._listed_version(attempt.server) == progress.version
+
+    def sent(self, request, attempt):
         """Record that a request for a new stream is sent to a server.
 
-        :param record: :class:`~boragetrail.direct.model.ServerRecord`
+        :param attempt: :class:`~boragetrail.direct.attempt.Attempt` with an
+            open connection
         """
-        if request.route.resumable and not self._resumes(request):
-            self.fleet.knowledge.streams.expect(request.id, record.version)
+        if not request.route.resumable or self._resumes(request):
+            return
+        if not self._is_doubtful(attempt):
+            version = attempt.server.record.version
+            self.fleet.knowledge.streams.expect(request.id, version)
 
-    def begun(self, request, progress, record):
+    async def begun(self, request, progress, attempt):
         """Record that the first event of a stream is sent to the caller.
 
-        :param record: :class:`~boragetrail.direct.model.ServerRecord`
+        :param attempt: :class:`~boragetrail.direct.attempt.Attempt` that
+            brought it
         """
         if not request.route.resumable:
             return
-        progress.version = record.version
+        if progress.version is None:
+            progress.version = await self._version(attempt)
+        if progress.version is StreamVersion.UNKNOWN:
+            return
         resumed = self._header(request, self.names.resumed_request)
         if not self._resumes(request):
-            self.fleet.knowledge.streams.add(request.id, record.version)
+            self.fleet.knowledge.streams.add(request.id, progress.version)
         elif resumed:
-            self.fleet.knowledge.streams.add(resumed, record.version)
+            self.fleet.knowledge.streams.add(resumed, progress.version)
+
+    async def _version(self, attempt):
+        """Return the version of the server that responds to an attempt."""
+        connection, state = attempt.connection, attempt.server
+        if self._is_doubtful(attempt):
+            is_current = self.confirmation.is_current_since
+            if not await is_current(connection.opened_s):
+                return StreamVersion.UNKNOWN
+            if self._listed_version(state) != state.record.version:
+                return StreamVersion.UNKNOWN
+        return state.record.version
+
+    def _is_doubtful(self, attempt):
+        """Return whether another run may have accepted a connection.
+
+        The server may have started again since the list was confirmed, if a
+        failure was seen since, or if the list is old.
+        """
+        opened_s = attempt.connection.opened_s
+        state = attempt.server
+        if opened_s <= self.confirmation.confirmed_s:
+            return self._listed_version(state) != state.record.version
+        if state.last_failure_s > self.confirmation.confirmed_s:
+            return opened_s > state.last_failure_s
+        return not self.confirmation.is_recent()
+
+    def _listed_version(self, state):
+        """Return the version of the listed run of a server.
+
+        :returns: version, or ``None`` if another run is listed
+        """
+        known = self.fleet.directory.servers_by_id.get(state.record.id)
+        if known is None or not is_same_run(state.record, known.record):
+            return None
+        return known.record.version
 
     def _resumes(self, request):
         return bool(
--- a/boragetrail/direct/serverstate.py
+++ b/boragetrail/direct/serverstate.py
@@ -21,6 +21,7 @@
         server has not yet processed
     :ivar outcomes: :class:`~boragetrail.policy.outcomes.OutcomeWindow` of
         the recent requests
+    :ivar last_failure_s: monotonic time of the last failure
     :ivar consecutive_failures: number of failures since the last response
     :ivar suspect_until_s: monotonic time until which all other servers are
         preferred to this one
@@ -42,6 +43,7 @@
         self.in_flight = 0
         self.pending_tokens = 0
         self.outcomes = OutcomeWindow(clock)
+        self.last_failure_s = float("-inf")
         self.consecutive_failures = 0
         self.suspect_until_s = 0.0
         self.cold_until_s = 0.0
@@ -54,6 +56,7 @@
         failure.
         """
         self.outcomes.add(True)
+        self.last_failure_s = self.clock()
         self.consecutive_failures += 1
         suspect_s = self.MIN_SUSPECT_S * 2 ** (self.consecutive_failures - 1)
         suspect_s = min(self.MAX_SUSPECT_S, suspect_s)
--- a/boragetrail/direct/tests/test_versionruns.py
+++ b/boragetrail/direct/tests/test_versionruns.py
@@ -48,7 +48,7 @@
             server.born_ms = 1000
             cluster.list_server(server)
         daemon = await cluster.add_router()
-        for _ in range(4):
+        while not all(server.requests for server in cluster.servers):
             await stream(cluster, daemon)
         return daemon
 
@@ -89,8 +89,8 @@
         self, cluster, daemon
     ):
         # Guards against an outage that ends all streams which break.
-        await asyncio.sleep(0.5)
-        first, second = cluster.servers
+        await asyncio.sleep(1.5)
+        _, second = cluster.servers
         cluster.store.status = OUTAGE
         second.behaviours.append(streaming("v1", ends_after=2))
         for _ in range(STREAMS):
