Wait for what callers still read when a router stops

What callers saw: large answers that they read slowly were cut about 4.5 s after SIGTERM, 3 s before the grace period ended.

Cause: a request counted as done once its response was handed to the transport. The process ended with megabytes still in its buffers. Now a stop waits, within the grace period, until the buffers of all connections that were open when the port closed are empty.

The test failed before: the router had stopped while 3.9 MB were unread.

--- a/boragetrail/direct/frontend.py
+++ b/boragetrail/direct/frontend.py
@@ -38,6 +38,8 @@
     :ivar busy_connections: connections whose request has no complete response
     :ivar detached_tasks: tasks of requests that continue after their callers
         have disconnected
+    :ivar transports: transports of the connections that were open when the
+        port closed
     :ivar requests: :class:`~boragetrail.direct.request.DirectRequest` in
         progress
     """
@@ -50,6 +52,7 @@
         self.shutdown = shutdown
         self.busy_connections = set()
         self.requests = set()
+        self.transports = []
         self.server = None
         self.listener = None
         self.detached_tasks = set()
@@ -98,10 +101,20 @@
         # Let requests that were already read start their handlers.
         for _ in range(HANDLER_START_ITERATIONS):
             await asyncio.sleep(0)
-        for connection in self.server.connections:
+        connections = self.server.connections
+        self.transports = [
+            each.transport for each in connections if each.transport
+        ]
+        for connection in connections:
             if connection not in self.busy_connections:
                 connection.force_close()
 
+    def has_unsent_bytes(self):
+        """Return whether callers still have to read parts of responses."""
+        return any(
+            transport.get_write_buffer_size() for transport in self.transports
+        )
+
     def end_requests(self):
         """Give all requests in progress their last answer."""
         for request in self.requests:
--- a/boragetrail/direct/shutdown.py
+++ b/boragetrail/direct/shutdown.py
@@ -83,7 +83,7 @@
     async def drain(self, frontend):
         """Serve until the load balancer stops sending and all requests end.
 
-        Requests that are open near the end of the grace period get their last
+        A request has ended once its response has left the process. Requests that are open near the end of the grace period get their last
         answer. What is left then is aborted as the connections close.
 
         :param frontend: :class:`~boragetrail.direct.frontend.Frontend`
@@ -95,5 +95,7 @@
         await self._wait_until_idle(frontend, self.end_s + ANSWER_MARGIN_S)
 
     async def _wait_until_idle(self, frontend, until_s):
-        while frontend.active and self.clock() < until_s:
+        while self.clock() < until_s:
+            if not frontend.active and not frontend.has_unsent_bytes():
+                return
             await asyncio.sleep(POLL_INTERVAL_S)
--- a/boragetrail/direct/tests/test_plannedstop.py
+++ b/boragetrail/direct/tests/test_plannedstop.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import contextlib
+import socket
 
 import pytest
 
@@ -162,6 +163,36 @@
         writer.close()
 
 
+class TestUnsentAnswers:
+    """LOST: answers that callers still read when the router stops."""
+
+    async def test_answer_that_is_read_slowly(self, cluster, stopping):
+        # Guards against an exit that drops what the caller has not read.
+        daemon, stop = stopping
+        size = 3_900_000
+        for server in cluster.servers:
+            server.default = answer_of(b"y" * size)
+        reader, writer = await connect_with_small_buffer(daemon)
+        writer.write(head("/order/1", "large"))
+        await cluster.until(lambda: ran(cluster))
+        await asyncio.sleep(0.3)
+        task = stop()
+        await asyncio.sleep(BALANCER_S + 0.8)
+        assert not task.done()
+        assert len(await reader.read()) > size
+        await task
+        writer.close()
+
+
+async def connect_with_small_buffer(daemon):
+    """Open a connection that takes few bytes that are not read."""
+    host, _, port = daemon.settings.callers.partition(":")
+    client = socket.socket()
+    client.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, 4096)
+    client.connect((host, int(port)))
+    return await asyncio.open_connection(sock=client, limit=4096)
+
+
 def answer_after(delay_s):
     """Return a handler of a server that answers after some seconds."""
 
@@ -170,3 +201,12 @@
         return whole_answer(request)
 
     return answer
+
+
+def answer_of(body):
+    """Return a handler of a server that answers with a body."""
+
+    async def answer(request):
+        return whole_answer(request, body)
+
+    return answer
