Let the soak silence all connections to the store before a change

Routers now reach the store through a proxy; the first and the fifth pair of each run silence all open connections, write a configuration up to 0.5 s later, and ask all routers for its version 3 s after the silence, unless the other fault of the pair stops a router or the store.

--- a/tools/directfaults.py
+++ b/tools/directfaults.py
@@ -17,6 +17,7 @@
     "CLOSING_FAULTS",
     "FAULTS",
     "PlannedStop",
+    "store_connections_go_silent",
     "store_returns_from_a_copy",
 ]
 
@@ -40,6 +41,16 @@
 UNREADABLE_STORE_FAULTS = frozenset(
     ("store_refuses", "store_is_silent", "store_returns_from_a_copy")
 )
+# Faults during which a router may act on a change later.
+UNSETTLING_FAULTS = UNREADABLE_STORE_FAULTS | {
+    "kill_router",
+    "pause_router",
+    "stop_router",
+}
+# Time after a silence of connections from which routers act on changes that
+# are confirmed, and longest time from the silence to the change.
+CONTACT_S = 3.0
+MAX_CHANGE_DELAY_S = 0.5
 # Time for which the store is away before it returns from a copy, and from
 # then until the operators and the servers have written their rows again.
 COPY_OUTAGE_S = 0.3
@@ -152,6 +163,17 @@
     return undo
 
 
+async def store_connections_go_silent(soak):
+    """Silence all open connections to the store, then change something."""
+    silent_s = time.monotonic()
+    soak.store_proxy.drop_traffic()
+    await asyncio.sleep(soak.random.uniform(0.0, MAX_CHANGE_DELAY_S))
+    soak.write_configuration()
+    if not UNSETTLING_FAULTS.intersection(soak.fault_names[-1]):
+        in_force_s = silent_s + CONTACT_S
+        await soak.check_configuration(in_force_s - time.monotonic())
+
+
 async def store_forgets(soak):
     """Drop the store's history of changes."""
     soak.cluster.store.drop_history()
@@ -300,6 +322,7 @@
     reload_router,
     store_refuses,
     store_is_silent,
+    store_connections_go_silent,
     store_forgets,
     store_returns_from_a_copy,
     configuration_changes,
--- a/tools/directsoak.py
+++ b/tools/directsoak.py
@@ -24,7 +24,11 @@
 from standins.proxy import FaultProxy
 from tools.directchecks import BOUNDS, COLD_PER_S, NOT_EXECUTED_STATUSES
 from tools.directchecks import describe, find_violations
-from tools.directfaults import FAULTS, store_returns_from_a_copy
+from tools.directfaults import (
+    FAULTS,
+    store_connections_go_silent,
+    store_returns_from_a_copy,
+)
 from tools.serverchecks import is_leaving
 from tools.serverfaults import ServerBehaviour
 from tools.soakcalls import CALL_KINDS, Call, expected_body
@@ -41,6 +45,8 @@
 RECOVERY_S = 1.0
 # Pairs of faults in which the store returns from a copy in any case.
 COPY_PAIRS = (1, 3)
+# The same of the connections to the store.
+SILENT_PAIRS = (0, 4)
 VERSION_STEP = 10
 START_TIMEOUT_S = 20.0
 # Ratio of the requests that come from the second customer.
@@ -68,6 +74,7 @@
         self.folder = folder
         self.cluster = Cluster()
         self.proxies = []
+        self.store_proxy = None
         self.routers = {}
         self.open_to_callers = set()
         self.executions_by_id = {}
@@ -90,6 +97,7 @@
     async def start(self):
         """Start the store, the servers and the routers."""
         await self.cluster.open(SERVERS)
+        self.store_proxy = await open_proxy(self.cluster.store.address)
         self.write_configuration()
         for server in self.cluster.servers:
             server.default = functools.partial(serve, self, server)
@@ -101,7 +109,7 @@
                 f"router-{number}",
                 host,
                 f"{host}:{gossip_port}",
-                self.cluster.store.address,
+                f"127.0.0.1:{self.store_proxy.port}",
                 seeds=[f"127.0.0.1:{gossip_port}"],
                 bounds=BOUNDS,
             )
@@ -167,9 +175,7 @@
 
     async def insert_proxy(self, server):
         """Put a fault proxy between the routers and a server."""
-        port = int(server.address.partition(":")[2])
-        proxy = FaultProxy(free_port(), port)
-        await proxy.open()
+        proxy = await open_proxy(server.address)
         self.proxies.append(proxy)
         server.address = f"127.0.0.1:{proxy.port}"
         self.cluster.list_server(server)
@@ -279,6 +285,8 @@
             pair = self.random.sample(FAULTS, 2)
             if len(self.fault_names) in COPY_PAIRS:
                 pair[0] = store_returns_from_a_copy
+            if len(self.fault_names) in SILENT_PAIRS:
+                pair[0] = store_connections_go_silent
             # It ends last, since its check needs a store that responds.
             pair.sort(key=lambda fault: fault is store_returns_from_a_copy)
             self.fault_names.append([fault.__name__ for fault in pair])
@@ -309,11 +317,18 @@
                 process.send_signal(signal.SIGCONT)
                 process.kill()
                 await process.wait()
-        for proxy in self.proxies:
+        for proxy in [*self.proxies, self.store_proxy]:
             proxy.close()
         await self.cluster.close()
 
 
+async def open_proxy(address):
+    """Return a fault proxy before an address, listening."""
+    proxy = FaultProxy(free_port(), int(address.partition(":")[2]))
+    await proxy.open()
+    return proxy
+
+
 def main(seconds: float = 30.0, seed: int = 1, seeds: int = 1):
     """Run the soak with one seed or with several, one after the other."""
     failed = 0
