Use no stale connection on the path with agents either

Routers and agents of the other path call the platform's table service, object store and lists of VMs, and each other, over one session that kept idle connections for 15 s; a poll of the configuration repeated after a timeout took the next silent one. They now use the session of the direct path, which moves to utils.

--- a/boragetrail/direct/daemon.py
+++ b/boragetrail/direct/daemon.py
@@ -8,7 +8,7 @@
 
 import aiohttp.web
 
-from boragetrail.direct.calls import make_session
+from boragetrail.utils.calls import make_session
 from boragetrail.direct.crashes import CrashMonitor, log_quarantine
 from boragetrail.direct.datagrams import Update
 from boragetrail.direct.directory import Directory
--- a/boragetrail/direct/metrics.py
+++ b/boragetrail/direct/metrics.py
@@ -47,7 +47,7 @@
     def record_unanswered_store_call(self, connection):
         """Record a call to the store that got no response.
 
-        :param connection: :class:`~boragetrail.direct.calls.ConnectionUse`
+        :param connection: :class:`~boragetrail.utils.calls.ConnectionUse`
         """
         self.unanswered_store_calls.inc({"connection": connection.value})
 
--- a/boragetrail/direct/shutdown.py
+++ b/boragetrail/direct/shutdown.py
@@ -83,8 +83,9 @@
     async def drain(self, frontend):
         """Serve until the load balancer stops sending and all requests end.
 
-        A request has ended once its response has left the process. Requests that are open near the end of the grace period get their last
-        answer. What is left then is aborted as the connections close.
+        A request has ended once its response has left the process. Requests
+        that are open near the end of the grace period get their last answer.
+        What is left then is aborted as the connections close.
 
         :param frontend: :class:`~boragetrail.direct.frontend.Frontend`
         """
--- a/boragetrail/direct/tests/test_silentstore.py
+++ b/boragetrail/direct/tests/test_silentstore.py
@@ -5,7 +5,6 @@
 
 import pytest
 
-from boragetrail.direct.calls import MAX_IDLE_S
 from boragetrail.direct.feed import Feed
 from boragetrail.direct.liveness import StoreLiveness
 from boragetrail.direct.peersocket import PeerSocket
@@ -17,6 +16,7 @@
     free_port,
 )
 from boragetrail.platform.store import CONNECT_AND_READ_TIMEOUT_S
+from boragetrail.utils.calls import MAX_IDLE_S
 from standins.proxy import FaultProxy
 
 # Time after a disruption until a router has to act on confirmed changes: the
--- a/boragetrail/platform/store.py
+++ b/boragetrail/platform/store.py
@@ -9,7 +9,7 @@
 
 import aiohttp
 
-from boragetrail.direct.calls import CallTrace
+from boragetrail.utils.calls import CallTrace
 from boragetrail.direct.interfaces import (
     ChangeSet,
     RowSource,
@@ -63,7 +63,7 @@
     :param session: ``aiohttp.ClientSession``
     :param address: ``host:port`` of the store
     :param record_unanswered: function that gets the
-        :class:`~boragetrail.direct.calls.ConnectionUse` of each call that
+        :class:`~boragetrail.utils.calls.ConnectionUse` of each call that
         got no response
     :ivar calls: number of HTTP requests since the start
     :ivar epoch: latest epoch of the store, 0 if its responses name none
--- a/boragetrail/process/base.py
+++ b/boragetrail/process/base.py
@@ -5,8 +5,6 @@
 import signal
 import time
 
-import aiohttp
-
 from boragetrail.configuration import Document, Freshness
 from boragetrail.events import Event, log_event
 from boragetrail.gossip import GossipSocket, Peer, GossipProtocol
@@ -15,6 +13,7 @@
 from boragetrail.process.configuration import ConfigurationController
 from boragetrail.process.membership import MembershipController
 from boragetrail.utils import BackgroundTasks, new_incarnation, split_address
+from boragetrail.utils.calls import make_session
 
 __all__ = ["Process"]
 
@@ -47,7 +46,7 @@
     async def open(self):
         """Open clients and sockets and start the controllers."""
         settings = self.settings
-        self.session = aiohttp.ClientSession()
+        self.session = make_session()
         self.table = TableClient(self.session, settings.platform.table)
         objects = ObjectClient(self.session, settings.platform.objects)
         self.configuration = ConfigurationController(
