Poll without waiting after a failed poll

After a silence of its connections the first poll of a router waited for a change, up to 0.6 s, so that the time between two responses of the store reached 2.3 s and counted as an outage of the store: for 2.2 s servers whose entries were removed stayed in use for up to 1.7 s, and no list of servers was confirmed, so that streams of unknown origin were refused.

A poll after a failed one now asks without waiting.

--- a/boragetrail/direct/feed.py
+++ b/boragetrail/direct/feed.py
@@ -151,6 +151,9 @@
 
     async def _wait_for_changes(self, position):
         """Poll for the changes after a position; see :meth:`_poll`."""
+        if self.failing:
+            # Whether the store responds again matters more than a change.
+            return await self.source.changes(self.table, position, 0.0)
         if not self._may_wait_long():
             wait_s = self.MAX_READER_WAIT_S
             return await self.source.changes(self.table, position, wait_s)
--- a/boragetrail/direct/tests/test_silentstore.py
+++ b/boragetrail/direct/tests/test_silentstore.py
@@ -165,6 +165,15 @@
         fleet.change()
         assert await fleet.in_force_s(silent_s) < CONTACT_S
 
+    async def test_silence_without_a_change_is_no_outage(self, fleet):
+        # Guards against a first poll after a failure that waits for a change,
+        # so that the store seems to have been away for the time of two polls.
+        await fleet.open(routers=4)
+        fleet.silence()
+        await asyncio.sleep(CONTACT_S)
+        for daemon in fleet.daemons:
+            assert not daemon.directory.in_expiry_grace()
+
     async def test_silence_is_no_outage(self, fleet):
         # A server whose entry is removed stays in use for a while after an
         # outage of the store, but not after silent connections.
