Split registration and periodic calls from the direct daemon

Registration has a module of its own, three loops that call a function at intervals are one of the background tasks, the archive of streams waits itself for the versions in service.

--- a/boragetrail/direct/daemon.py
+++ b/boragetrail/direct/daemon.py
@@ -1,7 +1,6 @@
 """The process of a direct router."""
 
 import asyncio
-import math
 import random
 import signal
 import time
@@ -30,6 +29,7 @@
 from boragetrail.direct.readers import reader_role
 from boragetrail.direct.recordgossip import RecordGossip
 from boragetrail.direct.recordmessages import pack_records, unpack_records
+from boragetrail.direct.registration import Registration
 from boragetrail.direct.relay import PeerSource, PeerFetcher, RelayServer
 from boragetrail.direct.resumption import StreamVersions
 from boragetrail.direct.selector import ServerSelector
@@ -47,8 +47,6 @@
 UNLISTED_REMOVAL_INTERVAL_S = 5.0
 UNRESPONSIVE_CHECK_INTERVAL_S = 0.25
 IDLE_CHECK_INTERVAL_S = 1.0
-ANNOUNCE_RETRY_S = 1.0
-STREAMS_RETRY_S = 0.5
 
 
 class DirectDaemon:
@@ -153,7 +151,7 @@
         )
         self.session = None
         self.store = None
-        self.announced_epoch = math.inf
+        self.registration = None
         self.fetcher = None
         self.feeds_by_table = {}
         self.health_runner = None
@@ -223,17 +221,34 @@
             self.tasks.start(feed.run(), f"feed {feed.table.value}")
         self.tasks.start(self.socket.run(), "gossip")
         self.tasks.start(self.socket.run_updates(), "news")
-        self.tasks.start(self._join(), "join")
-        self.tasks.start(self._announce_again(), "announce again")
+        self.registration = Registration(
+            self.store,
+            self.directory,
+            self.socket,
+            split_address(settings.gossip),
+        )
+        join = self.registration.join(settings.seed_hosts)
+        self.tasks.start(join, "join")
+        self.tasks.start(self.registration.renew(), "registration")
         self._archive_crashes()
         ledger = VersionLedger(self.directory, self.store, self._reader_role)
         self.tasks.start(
             ledger.run(self.settings.first_start), "versions in service"
         )
-        self.tasks.start(self._archive_streams(ledger), "streams")
-        self.tasks.start(self._remove_unlisted(), "sweep")
-        self.tasks.start(self._abort_unresponsive(), "unresponsive servers")
-        self.tasks.start(self._close_idle(), "idle connections")
+        streams = self.knowledge.streams
+        archive = StreamArchive(
+            streams, self.store, ledger.are_mixed, self.peers
+        )
+        self.tasks.start(archive.run(ledger.loaded), "streams")
+        for interval_s, function in (
+            (UNLISTED_REMOVAL_INTERVAL_S, self.fleet.remove_unlisted),
+            (
+                UNRESPONSIVE_CHECK_INTERVAL_S,
+                self.fleet.abort_unlisted_attempts,
+            ),
+            (IDLE_CHECK_INTERVAL_S, self._close_idle),
+        ):
+            self.tasks.start_calls(interval_s, function)
         self.discovery_task = self.tasks.start(
             self._discover_caches(), "learn"
         )
@@ -316,35 +331,6 @@
         self.settings.grace_s = settings.grace_s
         log_event(Event.SETTINGS_RELOADED, name=settings.name)
 
-    async def _join(self):
-        """Register this router and request the digests of other routers."""
-        host, port = split_address(self.settings.gossip)
-        for seed in self.settings.seed_hosts:
-            self._request_digest(seed, host, port)
-        while not await self.store.announce(host):
-            await asyncio.sleep(ANNOUNCE_RETRY_S)
-        self.announced_epoch = self.store.epoch
-        members = await self.store.members()
-        if members:
-            self.peers.add_listed([(member, port) for member in members])
-        for member in members:
-            self._request_digest(member, host, port)
-
-    async def _announce_again(self):
-        """Register this router again if the store has lost its row."""
-        host, _ = split_address(self.settings.gossip)
-        while True:
-            await asyncio.sleep(ANNOUNCE_RETRY_S * self.random.random())
-            epoch = max(self.store.epoch, self.directory.latest_epoch())
-            if epoch <= self.announced_epoch:
-                continue
-            if await self.store.announce(host):
-                self.announced_epoch = epoch
-
-    def _request_digest(self, host, own_host, port):
-        if host != own_host:
-            self.socket.request_digest((host, port))
-
     def _archive_crashes(self):
         """Start to read the saved reports of crashes, and to save new ones."""
         archive = CrashArchive(
@@ -358,18 +344,6 @@
         self.crash_monitor.loaded = archive.loaded
         self.tasks.start(archive.run(self.settings.first_start), "crashes")
 
-    async def _archive_streams(self, ledger):
-        """Read the saved origins of streams, then save new ones."""
-        archive = StreamArchive(
-            self.knowledge.streams, self.store, ledger.are_mixed, self.peers
-        )
-        await ledger.loaded.wait()
-        if ledger.are_mixed():
-            while not await archive.load():
-                await asyncio.sleep(STREAMS_RETRY_S)
-        self.knowledge.streams.loaded.set()
-        await archive.run()
-
     async def _discover_caches(self):
         while not self.directory.is_complete():
             await asyncio.sleep(POLL_INTERVAL_S)
@@ -379,22 +353,10 @@
         )
         await discovery.run(self.settings.first_start)
 
-    async def _remove_unlisted(self):
-        while True:
-            await asyncio.sleep(UNLISTED_REMOVAL_INTERVAL_S)
-            self.fleet.remove_unlisted()
-
-    async def _abort_unresponsive(self):
-        while True:
-            await asyncio.sleep(UNRESPONSIVE_CHECK_INTERVAL_S)
-            self.fleet.abort_unlisted_attempts()
-
-    async def _close_idle(self):
-        while True:
-            await asyncio.sleep(IDLE_CHECK_INTERVAL_S)
-            configuration = self.directory.configuration
-            if configuration is not None:
-                self.frontend.close_idle(configuration.limits)
+    def _close_idle(self):
+        configuration = self.directory.configuration
+        if configuration is not None:
+            self.frontend.close_idle(configuration.limits)
 
     async def _open_health(self):
         server = aiohttp.web.Server(self._health, access_log=None)
--- a/boragetrail/direct/streamarchive.py
+++ b/boragetrail/direct/streamarchive.py
@@ -27,6 +27,7 @@
     """
 
     CHECK_INTERVAL_S = 0.05
+    RETRY_S = 0.5
     # Shortest time between two writes of a router, and of all of them.
     MIN_WRITE_INTERVAL_S = 0.3
     FLEET_WRITE_INTERVAL_S = 0.01
@@ -57,8 +58,17 @@
         self.origins.add_saved(saved)
         return True
 
-    async def run(self):
-        """Save new origins until cancelled."""
+    async def run(self, versions_loaded):
+        """Read the saved origins, then save new ones until cancelled.
+
+        :param versions_loaded: event that is set once it is known which
+            versions are in service
+        """
+        await versions_loaded.wait()
+        if self.are_mixed():
+            while not await self.load():
+                await asyncio.sleep(self.RETRY_S)
+        self.origins.loaded.set()
         while True:
             await asyncio.sleep(self.CHECK_INTERVAL_S)
             if self.registry.epoch != self.epoch:
--- a/boragetrail/direct/tests/test_peers.py
+++ b/boragetrail/direct/tests/test_peers.py
@@ -134,7 +134,7 @@
         await daemon.open()
         daemon.peers.list_was_read = False
         daemon.store.members = unreadable
-        await daemon._join()
+        await daemon.registration.join([])
         assert daemon.peers.size() == daemon.peers.MIN_SIZE_WITHOUT_LIST
 
     async def test_listed_routers_count_at_once(self, cluster):
@@ -145,7 +145,7 @@
 
         await daemon.open()
         daemon.store.members = hosts
-        await daemon._join()
+        await daemon.registration.join([])
         assert daemon.peers.size() > 20
 
 
--- a/boragetrail/direct/tests/test_plannedstop.py
+++ b/boragetrail/direct/tests/test_plannedstop.py
@@ -163,6 +163,49 @@
         writer.close()
 
 
+class TestEachMoment:
+    """LOST, REFUSED: callers that use connections until the process is gone.
+
+    Each sends one request at a moment of its own, to servers that need longer
+    than is left late in the grace period.
+    """
+
+    STEP_S = 0.1
+    SERVER_S = 1.0
+
+    @pytest.mark.parametrize("deadline_ms", [1500, LONG_MS])
+    async def test_kept_connections(self, cluster, stopping, deadline_ms):
+        daemon, stop = stopping
+        for server in cluster.servers:
+            server.default = answer_after(self.SERVER_S)
+        count = int((GRACE_S + 0.5) / self.STEP_S)
+        connections = [await connect(daemon) for _ in range(count)]
+        stop()
+        answers = await asyncio.gather(
+            *(
+                self.call(number, *connection, deadline_ms)
+                for number, connection in enumerate(connections)
+            )
+        )
+        executed = ran(cluster)
+        for number, answer in enumerate(answers):
+            request_id = f"r{number}"
+            if request_id in executed:
+                assert answer.startswith(b"HTTP/1.1 200"), request_id
+            else:
+                assert answer[:12] in (b"", b"HTTP/1.1 503"), request_id
+        assert len(executed) >= BALANCER_S / self.STEP_S
+
+    async def call(self, number, reader, writer, deadline_ms):
+        """Send a request after some time; return what comes back."""
+        await asyncio.sleep(number * self.STEP_S)
+        request = head("/order/1", f"r{number}", deadline_ms=deadline_ms)
+        with contextlib.suppress(ConnectionError):
+            writer.write(request)
+            return await reader.read(1000)
+        return b""
+
+
 class TestUnsentAnswers:
     """LOST: answers that callers still read when the router stops."""
 
--- a/boragetrail/direct/tests/test_silentstore.py
+++ b/boragetrail/direct/tests/test_silentstore.py
@@ -92,6 +92,18 @@
             for daemon in self.daemons
         )
 
+    async def in_force_after_silence_s(self, role=None):
+        """Silence connections, then change something.
+
+        :param role: as in :meth:`silence`
+        :returns: seconds from the silence until the change is in force
+        """
+        silent_s = time.monotonic()
+        self.silence(role)
+        await asyncio.sleep(CHANGE_DELAY_S)
+        self.change()
+        return await self.in_force_s(silent_s)
+
     async def in_force_s(self, since_s):
         """Return how long the change takes to be in force everywhere."""
         async with asyncio.timeout(TIMEOUT_S):
@@ -114,42 +126,27 @@
     async def test_all_connections_of_all_routers(self, fleet):
         # Guards against a timeout for each pooled connection that is silent.
         await fleet.open(routers=4)
-        silent_s = time.monotonic()
-        fleet.silence()
-        await asyncio.sleep(CHANGE_DELAY_S)
-        fleet.change()
-        assert await fleet.in_force_s(silent_s) < CONTACT_S
+        assert await fleet.in_force_after_silence_s() < CONTACT_S
 
     async def test_connections_of_the_readers(self, fleet):
         # Guards against readers that wait for their silent polls although
         # other routers know the change.
         await fleet.open(routers=4)
-        silent_s = time.monotonic()
-        fleet.silence(ReaderRole.READER)
-        await asyncio.sleep(CHANGE_DELAY_S)
-        fleet.change()
-        assert await fleet.in_force_s(silent_s) < CONTACT_S
+        took_s = await fleet.in_force_after_silence_s(ReaderRole.READER)
+        assert took_s < CONTACT_S
 
     async def test_followers(self, fleet):
         # Guards against followers that wait for readers with silent polls.
         await fleet.open(routers=10)
         assert ReaderRole.FOLLOWER in fleet.roles()
-        silent_s = time.monotonic()
-        fleet.silence()
-        await asyncio.sleep(CHANGE_DELAY_S)
-        fleet.change()
-        assert await fleet.in_force_s(silent_s) < CONTACT_S
+        assert await fleet.in_force_after_silence_s() < CONTACT_S
 
     async def test_twice(self, fleet):
         # Guards against connections that are silent from their first call on.
         await fleet.open(routers=4)
         fleet.silence()
         await asyncio.sleep(1.9)
-        silent_s = time.monotonic()
-        fleet.silence()
-        await asyncio.sleep(CHANGE_DELAY_S)
-        fleet.change()
-        assert await fleet.in_force_s(silent_s) < CONTACT_S
+        assert await fleet.in_force_after_silence_s() < CONTACT_S
 
     async def test_long_pollers_without_readers(self, fleet):
         # Guards against long polls that nobody ends once the readers, which
--- a/boragetrail/utils/tasks.py
+++ b/boragetrail/utils/tasks.py
@@ -30,6 +30,18 @@
         task.add_done_callback(self._on_done)
         return task
 
+    def start_calls(self, interval_s, function):
+        """Start a task that calls a function at intervals.
+
+        An exception of the function ends the task and is logged.
+
+        :param interval_s: seconds before each call
+        :param function: function without parameters
+        :returns: the ``asyncio.Task``
+        """
+        calls = _call_at_intervals(interval_s, function)
+        return self.start(calls, function.__name__)
+
     async def close(self):
         """Cancel all tasks and wait until they end."""
         await cancel_and_wait(list(self.tasks))
@@ -50,3 +62,9 @@
     for task in tasks:
         task.cancel()
     await asyncio.gather(*tasks, return_exceptions=True)
+
+
+async def _call_at_intervals(interval_s, function):
+    while True:
+        await asyncio.sleep(interval_s)
+        function()
