--- a/boragetrail/direct/daemon.py
+++ b/boragetrail/direct/daemon.py
@@ -7,7 +7,6 @@
 
 import aiohttp.web
 
-from boragetrail.utils.calls import make_session
 from boragetrail.direct.crashes import CrashMonitor, log_quarantine
 from boragetrail.direct.datagrams import Update
 from boragetrail.direct.directory import Directory
@@ -39,6 +38,7 @@
 from boragetrail.events import Event, log_event
 from boragetrail.policy.quarantine import PromptQuarantine
 from boragetrail.utils import BackgroundTasks, new_incarnation, split_address
+from boragetrail.utils.calls import make_session
 
 __all__ = ["DirectDaemon"]
 
@@ -200,9 +200,8 @@
             )
             for table in Table
         }
-        self.feeds_by_table[
-            Table.SERVERS
-        ].on_response = self.list_confirmation.advance
+        servers_feed = self.feeds_by_table[Table.SERVERS]
+        servers_feed.on_response = self.list_confirmation.advance
         self.fetcher = PeerFetcher(
             self.directory,
             self.peers,
--- a/boragetrail/platform/store.py
+++ b/boragetrail/platform/store.py
@@ -9,7 +9,6 @@
 
 import aiohttp
 
-from boragetrail.utils.calls import CallTrace
 from boragetrail.direct.interfaces import (
     ChangeSet,
     RowSource,
@@ -39,6 +38,7 @@
     decode_time_ms,
     saved_age_s,
 )
+from boragetrail.utils.calls import CallTrace
 
 __all__ = ["PlatformStoreClient"]
 
