Log how many servers a selection doubts, limits or warms up

E205 did not tell why a crowded server was selected. It says now what the mean of all ready servers is, beside the mean that was applied, and how many of them are suspect, limit their rate or are cold.

--- a/boragetrail/direct/progress.py
+++ b/boragetrail/direct/progress.py
@@ -1,10 +1,16 @@
 """Progress of a request, and the work of its attempts at servers."""
 
+import dataclasses
 import enum
 
 from boragetrail.direct.eventstream import EventSplitter
 
-__all__ = ["PendingWork", "RequestProgress", "StreamVersion"]
+__all__ = [
+    "PendingWork",
+    "RequestProgress",
+    "ServiceSurvey",
+    "StreamVersion",
+]
 
 
 class StreamVersion(enum.Enum):
@@ -13,6 +19,24 @@
     UNKNOWN = "unknown"
 
 
+@dataclasses.dataclass(slots=True, frozen=True)
+class ServiceSurvey:
+    """Hold what a selection knew of all ready servers of a service.
+
+    :param mean: mean number of known requests
+    :param left_out: number of servers that could not be selected
+    :param doubted: number of servers that are suspect
+    :param limited: number of servers that limit their rate
+    :param cold: number of servers that are cold
+    """
+
+    mean: float = 0.0
+    left_out: int = 0
+    doubted: int = 0
+    limited: int = 0
+    cold: int = 0
+
+
 class RequestProgress:
     """Hold what happened to a request so far.
 
@@ -26,8 +50,7 @@
         request, when one was last selected
     :ivar mean_load: mean known number of requests of the engines among which
         the last one was selected
-    :ivar left_out_count: number of the service's ready servers that could
-        not be selected then
+    :ivar survey: :class:`ServiceSurvey` of that selection
     :ivar media_type: type of the content of the stream that has started
     :ivar stream_begun: whether the caller got an event
     :ivar version: software version at which its stream must go on, ``None``
@@ -55,7 +78,7 @@
         "counted_s",
         "wait_s",
         "mean_load",
-        "left_out_count",
+        "survey",
         "media_type",
         "stream_begun",
         "version",
@@ -76,7 +99,7 @@
         self.counted_s = None
         self.wait_s = 0.0
         self.mean_load = 0.0
-        self.left_out_count = 0
+        self.survey = ServiceSurvey()
         self.media_type = ""
         self.stream_begun = False
         self.version = None
--- a/boragetrail/direct/requestlog.py
+++ b/boragetrail/direct/requestlog.py
@@ -22,7 +22,7 @@
 
     def sent(self, request, progress, state, plan):
         """Log the selected server and the inputs of the selection."""
-        peers = self.peers
+        peers, survey = self.peers, progress.survey
         request.selection = {
             "server": state.record.id,
             "tries": progress.attempt_count,
@@ -32,7 +32,11 @@
             "in_flight": state.in_flight,
             "others": peers.load(state.record.id).requests,
             "mean": round(progress.mean_load, 2),
-            "left_out": progress.left_out_count,
+            "service_mean": round(survey.mean, 2),
+            "left_out": survey.left_out,
+            "doubted": survey.doubted,
+            "limited": survey.limited,
+            "cold": survey.cold,
             "news_age_s": peers.newest_digest_age_s(),
             "doubtful": state.is_suspect(),
             "left_s": round(request.deadline_s - self.clock(), 3),
--- a/boragetrail/direct/selector.py
+++ b/boragetrail/direct/selector.py
@@ -3,6 +3,7 @@
 import dataclasses
 
 from boragetrail.direct.headers import parse_prompt_parts
+from boragetrail.direct.progress import ServiceSurvey
 from boragetrail.policy.leastloaded import LeastLoadedOrder
 from boragetrail.policy.prefix import (
     PrefixPlacement,
@@ -67,12 +68,24 @@
             and state.record.id not in progress.tried_ids
             and progress.version in (None, state.record.version)
         ]
-        progress.left_out_count = len(ready) - len(usable)
+        progress.survey = self._survey(ready, usable)
         chosen = self._choose(request, progress, usable)
         if chosen is not None:
             progress.counted_s = limiter.try_acquire(chosen.record)
         return chosen
 
+    def _survey(self, ready, usable):
+        """Return the :class:`ServiceSurvey` of the ready servers."""
+        limiter = self.fleet.knowledge.limiter
+        views = [self.fleet.engine_view(state) for state in ready]
+        return ServiceSurvey(
+            mean=sum(view.running for view in views) / max(1, len(views)),
+            left_out=len(ready) - len(usable),
+            doubted=sum(view.suspect for view in views),
+            limited=sum(limiter.is_limited(each.record) for each in ready),
+            cold=sum(self.fleet.is_cold(each) for each in ready),
+        )
+
     def _choose(self, request, progress, usable):
         has_cold_limit = request.service.cold_rate_per_s > 0
         cold = [
