--- a/boragetrail/direct/tests/fleetsimulation.py
+++ b/boragetrail/direct/tests/fleetsimulation.py
@@ -9,6 +9,7 @@
 import json
 import random
 
+from boragetrail.direct.connection import CONNECT_TIMEOUT_S
 from boragetrail.direct.directory import Directory
 from boragetrail.direct.fleet import Fleet
 from boragetrail.direct.interfaces import ChangeSet, Row, Table
@@ -119,6 +120,9 @@
         self.held = dict.fromkeys(map(_server_id, range(servers)), 0)
         self.limited_until_s = dict.fromkeys(self.held, 0.0)
         self.rate_per_s = 0.0
+        self.clump = 0.3
+        self.clumps_share_router = False
+        self.cuts_by_id = {}
         self.refused = 0
         self.sent = []
         self.numbers = itertools.count()
@@ -133,6 +137,16 @@
         self.rate_per_s = rate_per_s
         self.limited_until_s[_server_id(server)] = 100.0 + until_s
 
+    def cut(self, server, since_s, until_s):
+        """Let no connection to a server open for some seconds."""
+        span = (100.0 + since_s, 100.0 + until_s)
+        self.cuts_by_id[_server_id(server)] = span
+
+    def restart(self, server, since_s, until_s, cold_s):
+        """Let a server be away for some seconds and return cold."""
+        self.cut(server, since_s, until_s)
+        self._at(until_s, self._return_cold, server, cold_s)
+
     def run(self, seconds, load=1.0):
         """Play some seconds.
 
@@ -178,11 +192,14 @@
                 self._at(NETWORK_DELAY_S, router.knowledge.apply, report)
 
     def _arrive(self, kind, load):
-        self._send(self.rng.choice(self.routers), kind)
+        router = self.rng.choice(self.routers)
+        self._send(router, kind)
         # Requests come in groups.
-        while self.rng.random() < 0.3:
-            self._send(self.rng.choice(self.routers), kind)
-        gap_s = self.rng.expovariate(0.7 * load * kind[0])
+        while self.rng.random() < self.clump:
+            if not self.clumps_share_router:
+                router = self.rng.choice(self.routers)
+            self._send(router, kind)
+        gap_s = self.rng.expovariate((1 - self.clump) * load * kind[0])
         self._at(gap_s, self._arrive, kind, load)
 
     def _send(self, router, kind):
@@ -196,22 +213,45 @@
         request = DirectRequest(None, self.clock())
         request.route = ROUTE
         request.service = SERVICE
-        progress = RequestProgress(prompt, [])
+        self._try(router, request, RequestProgress(prompt, []), held_s)
+
+    def _try(self, router, request, progress, held_s):
         state = router.selector.choose(request, progress)
         if state is None:
             self.refused += 1
             return
         record = state.record
+        progress.tried_ids.add(record.id)
         router.selector.plan(request, progress, record)
+        work = PendingWork(state, 0)
+        if self._is_cut(record.id):
+            retry = (router, request, progress, held_s)
+            self._at(CONNECT_TIMEOUT_S, self._fail, state, work, retry)
+            return
         mean = sum(self.held.values()) / self.servers
         self.sent.append((self.clock(), self.held[record.id], mean))
         self.held[record.id] += 1
-        work = PendingWork(state, 0)
         held_s *= self.rng.uniform(0.6, 1.4)
         head_s = min(0.15, held_s / 2)
         self._at(head_s, self._hear, state, self.clock())
         self._at(held_s, self._end, record.id, work)
 
+    def _is_cut(self, server_id):
+        since_s, until_s = self.cuts_by_id.get(server_id, (0.0, 0.0))
+        return since_s <= self.clock() < until_s
+
+    def _fail(self, state, work, retry):
+        work.end()
+        state.record_failure()
+        self._try(*retry)
+
+    def _return_cold(self, server, cold_s):
+        version = self.servers + server + 1
+        row = _row(server, version, born=2, coldLeftMs=int(1000 * cold_s))
+        for router in self.routers:
+            changes = ChangeSet([row], version, False)
+            router.fleet.directory.apply(Table.SERVERS, changes)
+
     def _hear(self, state, sent_s):
         limited = self.clock() < self.limited_until_s[state.record.id]
         state.record_limit(str(self.rate_per_s) if limited else None, sent_s)
@@ -226,21 +266,23 @@
 
 
 def _list(count):
-    rows = []
-    for number in range(count):
-        entry = {
-            "service": "chat",
-            "address": f"10.1.0.{number + 1}:80",
-            "zone": f"z{number % 3}",
-            "slots": 64,
-            "state": "ready",
-            "born": 1,
-        }
-        data = json.dumps(entry).encode()
-        rows.append(Row(_server_id(number), number + 1, data))
+    rows = [_row(number, number + 1) for number in range(count)]
     return ChangeSet(rows, count, True)
 
 
+def _row(number, version, born=1, **fields):
+    entry = {
+        "service": "chat",
+        "address": f"10.1.0.{number + 1}:80",
+        "zone": f"z{number % 3}",
+        "slots": 64,
+        "state": "ready",
+        "born": born,
+        **fields,
+    }
+    return Row(_server_id(number), version, json.dumps(entry).encode())
+
+
 ROUTE = Route(
     "chat", "h", "/", RequestKind.STREAM, [], 4.0, 0.5, 1, 1, True, True, False
 )
--- a/boragetrail/direct/tests/test_bound.py
+++ b/boragetrail/direct/tests/test_bound.py
@@ -9,9 +9,12 @@
 WINDOW_S = 5.0
 MIN_REQUESTS = 20
 MIN_SHARE = 0.03
+SEEDS = range(12)
 LIMITED_S = 8.0
 # Time after the end of limits from which the bound holds again.
 SETTLE_S = 1.0
+AWAY_UNTIL_S = 3.5
+COLD_S = 3.0
 
 
 def is_broken(simulation, since_s):
@@ -20,6 +23,20 @@
     return over >= MIN_REQUESTS and over > MIN_SHARE * sent
 
 
+def broken_seeds(play, since_s):
+    """Return the seeds on which the bound is broken from a second on.
+
+    :param play: function that returns the simulation of a seed
+    """
+    broken = []
+    for seed in SEEDS:
+        simulation = play(seed)
+        simulation.run(since_s + WINDOW_S)
+        if is_broken(simulation, since_s):
+            broken.append(seed)
+    return broken
+
+
 class TestLoadBound:
     """Requests are spread, whatever routers know of each other."""
 
@@ -38,3 +55,36 @@
             simulation.name_limit(server, 1.0, LIMITED_S)
         simulation.run(LIMITED_S + SETTLE_S + WINDOW_S)
         assert not is_broken(simulation, LIMITED_S + SETTLE_S)
+
+    # Doubt outranked the bound, and outlasted the cut by up to four seconds.
+    def test_servers_that_can_be_reached_again(self):
+        def play(seed):
+            simulation = FleetSimulation(seed, loss=0.02)
+            for server in range(4):
+                simulation.cut(server, 1.0, AWAY_UNTIL_S)
+            return simulation
+
+        assert broken_seeds(play, AWAY_UNTIL_S) == []
+
+    # The bound was that of the servers without a limit alone, and for seconds
+    # nobody heard that the limits had ended.
+    def test_end_of_small_limits(self):
+        def play(seed):
+            simulation = FleetSimulation(seed, loss=0.02)
+            for server in range(4):
+                simulation.name_limit(server, 0.3, LIMITED_S)
+            return simulation
+
+        assert broken_seeds(play, LIMITED_S) == []
+
+    # A router without quota at cold servers sent to the one that was full.
+    def test_servers_that_return_cold(self):
+        def play(seed):
+            simulation = FleetSimulation(seed, loss=0.02)
+            simulation.clump = 0.93
+            simulation.clumps_share_router = True
+            for server in range(4):
+                simulation.restart(server, 1.0, AWAY_UNTIL_S, COLD_S)
+            return simulation
+
+        assert broken_seeds(play, AWAY_UNTIL_S) == []
