End the doubt about a server with its first sign of life

Callers saw: after four of five engines had been cut off for 2 to 5 s, all requests went to the fifth for up to 4 s more, with up to 106 requests there at a mean of 21 (LIMIT).

Cause: a router that could not open a connection avoided the server for 0.5 to 4 s, and nothing but time ended that; requests that were lost together doubled the time once each; and a suspect came after any server without suspicion, however full that one was.

Suspicion is a policy of its own now. A connection that opens ends it for an unreachable server, and routers open one in the background each 0.2 s, at most eight at a time, so that no request waits for it. A response to any router ends it for a server that lost one. Failures of requests that began before the last failure count once. Within the pause a suspect gets one trial at a time, before servers above the load bound.

Ruled out: not knowing (the routers knew the loads to within a few requests).

--- a/boragetrail/direct/attempt.py
+++ b/boragetrail/direct/attempt.py
@@ -41,6 +41,7 @@
     :param request_id: id that the server repeats in its response
     :param clock: function that returns monotonic seconds
     :param parts: ids of the prompt parts that other prompts may contain
+    :ivar began_s: monotonic time at which the attempt began
     :ivar sent_s: monotonic time at which the request was sent
     :ivar carrier: :class:`~boragetrail.direct.connection.ServerConnection`
         that carries the response, also after its end, or ``None``
@@ -62,6 +63,7 @@
         self.names = names
         self.request_id = request_id
         self.clock = clock
+        self.began_s = clock()
         self.sent_s = 0.0
         self.waiting_since_s = None
         self.progressed_s = None
--- a/boragetrail/direct/connection.py
+++ b/boragetrail/direct/connection.py
@@ -137,9 +137,10 @@
         self._close_expired(now)
         return None
 
-    async def open(self):
+    async def open(self, timeout_s=CONNECT_TIMEOUT_S):
         """Open a connection.
 
+        :param timeout_s: seconds after which the attempt is given up
         :returns: :class:`ServerConnection`
         :raises OSError: if the server does not accept the connection in
             time
@@ -147,7 +148,7 @@
         loop = asyncio.get_running_loop()
         self.opened += 1
         started_s = self.clock()
-        async with asyncio.timeout(CONNECT_TIMEOUT_S):
+        async with asyncio.timeout(timeout_s):
             _, connection = await loop.create_connection(
                 lambda: ServerConnection(loop), *self.address
             )
--- a/boragetrail/direct/daemon.py
+++ b/boragetrail/direct/daemon.py
@@ -29,6 +29,7 @@
 from boragetrail.direct.readers import reader_role
 from boragetrail.direct.recordgossip import RecordGossip
 from boragetrail.direct.recordmessages import pack_records, unpack_records
+from boragetrail.direct.reconnection import Reconnector
 from boragetrail.direct.registration import Registration
 from boragetrail.direct.relay import PeerSource, PeerFetcher, RelayServer
 from boragetrail.direct.resumption import StreamVersions
@@ -240,6 +241,7 @@
             streams, self.store, ledger.are_mixed, self.peers
         )
         self.tasks.start(archive.run(ledger.loaded), "streams")
+        reconnector = Reconnector(self.fleet, self.tasks, self.random)
         for interval_s, function in (
             (UNLISTED_REMOVAL_INTERVAL_S, self.fleet.remove_unlisted),
             (
@@ -248,6 +250,7 @@
             ),
             (IDLE_CHECK_INTERVAL_S, self._close_idle),
             (BegunResponses.CALL_INTERVAL_S, self.crash_monitor.check_begun),
+            (Reconnector.INTERVAL_S, reconnector.reconnect),
         ):
             self.tasks.start_calls(interval_s, function)
         self.discovery_task = self.tasks.start(
--- a/boragetrail/direct/dispatch.py
+++ b/boragetrail/direct/dispatch.py
@@ -179,7 +179,7 @@
             MAX_REUSE_IDLE_S if retryable else MAX_REUSE_IDLE_NOT_RETRYABLE_S
         )
         if not await attempt.open(max_idle_s):
-            record_failure(attempt)
+            self.fleet.record_unreachable(state, attempt.began_s)
             return Refusal(Reason.UNREACHABLE, attempt.error)
         if not state.accepts_requests():
             # The server may have said so since it was selected.
@@ -253,6 +253,7 @@
         return self._retry_quota(request.service).try_acquire(routers)
 
     def _record_server_state(self, state, response):
+        state.suspicion.record_life()
         load = parse_load(response.headers.get(self.names.load, ""))
         if load is not None:
             self.fleet.reports.record(state.record.id, load)
--- a/boragetrail/direct/fleet.py
+++ b/boragetrail/direct/fleet.py
@@ -26,6 +26,8 @@
         :class:`~boragetrail.direct.knowledge.ServerKnowledge`
     :ivar replaced_states: states of earlier runs of servers; those without
         attempts in progress are removed
+    :ivar unreachable_states: states of the servers to which no connection
+        could be opened; some may be reachable again
     :ivar reports: :class:`~boragetrail.direct.reports.ReportTable`
     :ivar prefix_index:
         :class:`~boragetrail.policy.prefix.PrefixCacheIndex` of the servers
@@ -45,6 +47,7 @@
         self.clock = clock
         self.states_by_id = {}
         self.replaced_states = []
+        self.unreachable_states = set()
         self.prefix_index = PrefixCacheIndex(clock)
         self.placements = PlacementQueue(self.prefix_index, clock)
         self.reports = ReportTable(clock)
@@ -82,6 +85,38 @@
             if known.record.ready and known.record.zone not in zones_out
         ]
 
+    def record_unreachable(self, state, started_s):
+        """Record that a server accepted no connection.
+
+        :param state: :class:`ServerState`
+        :param started_s: monotonic time at which the attempt began
+        """
+        state.record_unreachable(started_s)
+        self.unreachable_states.add(state)
+
+    def servers_to_reconnect(self):
+        """Return the states of unreachable servers that may get new work."""
+        self.unreachable_states = {
+            state
+            for state in self.unreachable_states
+            if state.suspicion.unreachable
+            and self.states_by_id.get(state.record.id) is state
+        }
+        return [
+            state
+            for state in self.unreachable_states
+            if self._is_ready(state.record) and state.accepts_requests()
+        ]
+
+    def _is_ready(self, record):
+        """Return whether the run of a server is listed as ready."""
+        known = self.directory.servers_by_id.get(record.id)
+        return (
+            known is not None
+            and known.record.ready
+            and known.record.zone not in self.directory.evacuated_zones
+        )
+
     def usable_servers(self, service):
         """Return the servers of a service that may get new work.
 
@@ -167,9 +202,9 @@
         record = state.record
         load = state.in_flight + self.peers.load(record.id).requests
         in_zone = record.zone == self.zone
-        suspect = int(state.is_suspect())
         rate = self._failure_rate(state)
-        return ServerView(record.id, load, in_zone, suspect, rate)
+        standing = self._standing(state)
+        return ServerView(record.id, load, in_zone, standing, rate)
 
     def engine_view(self, state):
         """Return a :class:`~boragetrail.policy.prefix.EngineView`."""
@@ -181,11 +216,18 @@
                 self.reports.requests(state.record.id),
             ),
             state.pending_tokens + others.pending_tokens,
-            int(state.is_suspect()),
+            self._standing(state),
             self._failure_rate(state),
             self.knowledge.limiter.is_limited(state.record),
         )
 
+    def _standing(self, state):
+        """Return a server's standing, with what other routers report."""
+        if state.suspicion.failures:
+            reported_s = self.reports.reported_s(state.record.id)
+            state.suspicion.record_life_at_peer(reported_s)
+        return state.standing()
+
     def _failure_rate(self, state):
         failures, responses = state.outcomes.counts()
         others = self.peers.load(state.record.id)
--- a/boragetrail/direct/forwarding.py
+++ b/boragetrail/direct/forwarding.py
@@ -24,7 +24,7 @@
     :param attempt: :class:`~boragetrail.direct.attempt.Attempt`
     """
     if not attempt.was_reset:
-        attempt.server.record_failure()
+        attempt.server.record_failure(attempt.began_s)
 
 
 class ResponseForwarder:
--- a/boragetrail/direct/progress.py
+++ b/boragetrail/direct/progress.py
@@ -120,11 +120,12 @@
     :param tokens: prompt tokens that the server must process
     """
 
-    __slots__ = ("state", "tokens")
+    __slots__ = ("state", "tokens", "is_trial")
 
     def __init__(self, state, tokens):
         self.state = state
         self.tokens = tokens
+        self.is_trial = state.suspicion.try_begin_trial()
         state.in_flight += 1
         state.pending_tokens += tokens
 
@@ -137,3 +138,5 @@
         """Remove the attempt from the load of the server."""
         self.prefill_finished()
         self.state.in_flight -= 1
+        if self.is_trial:
+            self.state.suspicion.end_trial()
--- a/boragetrail/direct/reports.py
+++ b/boragetrail/direct/reports.py
@@ -1,6 +1,7 @@
 """Load reports that servers send with their responses."""
 
 import dataclasses
+import math
 
 from boragetrail.direct.counts import server_key
 
@@ -85,6 +86,14 @@
             return 0
         return report.requests
 
+    def reported_s(self, server_id):
+        """Return the monotonic time of a server's newest report.
+
+        :returns: time, or minus infinity if there is no report
+        """
+        report = self.reports_by_key.get(server_key(server_id))
+        return report.reported_s if report is not None else -math.inf
+
     def recent(self):
         """Return the recent reports and remove all older ones.
 
--- a/boragetrail/direct/resumption.py
+++ b/boragetrail/direct/resumption.py
@@ -120,8 +120,9 @@
         state = attempt.server
         if opened_s <= self.confirmation.confirmed_s:
             return self._listed_version(state) != state.record.version
-        if state.last_failure_s > self.confirmation.confirmed_s:
-            return opened_s > state.last_failure_s
+        failed_s = state.suspicion.failed_s
+        if failed_s > self.confirmation.confirmed_s:
+            return opened_s > failed_s
         return not self.confirmation.is_recent()
 
     def _listed_version(self, state):
--- a/boragetrail/direct/selector.py
+++ b/boragetrail/direct/selector.py
@@ -10,6 +10,7 @@
     load_bound,
     mean_running,
 )
+from boragetrail.policy.suspicion import Standing
 from boragetrail.utils import join_address
 
 __all__ = ["PrefillPlan", "ServerSelector"]
@@ -81,7 +82,7 @@
         return ServiceSurvey(
             mean=sum(view.running for view in views) / max(1, len(views)),
             left_out=len(ready) - len(usable),
-            doubted=sum(view.suspect for view in views),
+            doubted=sum(view.standing > Standing.TRUSTED for view in views),
             limited=sum(limiter.is_limited(each.record) for each in ready),
             cold=sum(self.fleet.is_cold(each) for each in ready),
         )
--- a/boragetrail/direct/serverstate.py
+++ b/boragetrail/direct/serverstate.py
@@ -3,6 +3,7 @@
 from boragetrail.direct.connection import ConnectionPool
 from boragetrail.policy.outcomes import OutcomeWindow
 from boragetrail.policy.quota import RateQuota
+from boragetrail.policy.suspicion import Standing, Suspicion
 
 __all__ = ["ServerState"]
 
@@ -21,19 +22,13 @@
         server has not yet processed
     :ivar outcomes: :class:`~boragetrail.policy.outcomes.OutcomeWindow` of
         the recent requests
-    :ivar last_failure_s: monotonic time of the last failure
-    :ivar consecutive_failures: number of failures since the last response
-    :ivar suspect_until_s: monotonic time until which all other servers are
-        preferred to this one
+    :ivar suspicion: :class:`~boragetrail.policy.suspicion.Suspicion`
     :ivar cold_until_s: monotonic time until which the server is cold by its
         own responses
     :ivar cold_quota: :class:`~boragetrail.policy.quota.RateQuota` of the
         requests that it gets while it is cold
     """
 
-    MIN_SUSPECT_S = 0.5
-    MAX_SUSPECT_S = 4.0
-
     def __init__(self, record, clock, knowledge):
         self.record = record
         self.clock = clock
@@ -43,24 +38,25 @@
         self.in_flight = 0
         self.pending_tokens = 0
         self.outcomes = OutcomeWindow(clock)
-        self.last_failure_s = float("-inf")
-        self.consecutive_failures = 0
-        self.suspect_until_s = 0.0
+        self.suspicion = Suspicion(clock)
         self.cold_until_s = 0.0
         self.cold_quota = RateQuota(clock)
 
-    def record_failure(self):
-        """Record that the server was unreachable or did not finish a response.
+    def record_failure(self, started_s):
+        """Record that the server did not finish a response.
+
+        :param started_s: monotonic time at which the attempt began
+        """
+        self.outcomes.add(True)
+        self.suspicion.record_failure(started_s)
+
+    def record_unreachable(self, started_s):
+        """Record that the server accepted no connection.
 
-        The server is suspect for a time that doubles with each consecutive
-        failure.
+        :param started_s: monotonic time at which the attempt began
         """
         self.outcomes.add(True)
-        self.last_failure_s = self.clock()
-        self.consecutive_failures += 1
-        suspect_s = self.MIN_SUSPECT_S * 2 ** (self.consecutive_failures - 1)
-        suspect_s = min(self.MAX_SUSPECT_S, suspect_s)
-        self.suspect_until_s = self.clock() + suspect_s
+        self.suspicion.record_unreachable(started_s)
 
     def record_response(self, failed=False):
         """Record a complete response.
@@ -68,13 +64,20 @@
         :param failed: whether the response reports an error of the server
         """
         self.outcomes.add(failed)
-        self.consecutive_failures = 0
-        self.suspect_until_s = 0.0
+        self.suspicion.record_response()
+
+    def standing(self):
+        """Return the :class:`~boragetrail.policy.suspicion.Standing`.
+
+        A server that may be leaving is avoided.
+        """
+        if self.knowledge.leaving.is_hinted(self.record):
+            return Standing.AVOIDED
+        return self.suspicion.standing()
 
     def is_suspect(self):
         """Return whether the server failed recently or may be leaving."""
-        is_hinted = self.knowledge.leaving.is_hinted(self.record)
-        return is_hinted or self.suspect_until_s > self.clock()
+        return self.standing() is not Standing.TRUSTED
 
     def has_connection(self):
         """Return whether a connection to the server is open."""
--- a/boragetrail/direct/tests/fleetsimulation.py
+++ b/boragetrail/direct/tests/fleetsimulation.py
@@ -19,6 +19,7 @@
 from boragetrail.direct.model import RequestKind, Route, Service
 from boragetrail.direct.peers import PeerTable
 from boragetrail.direct.progress import PendingWork, RequestProgress
+from boragetrail.direct.reconnection import Reconnector
 from boragetrail.direct.request import DirectRequest
 from boragetrail.direct.selector import ServerSelector
 from boragetrail.platform import HEADER_NAMES, PlatformRowDecoder
@@ -157,6 +158,7 @@
             self._at(
                 self.rng.uniform(0, UPDATE_INTERVAL_S), self._update, router, 0
             )
+            self._at(Reconnector.TIMEOUT_S, self._reconnect, router)
         for kind in KINDS:
             self._at(
                 self.rng.expovariate(load * kind[0]), self._arrive, kind, load
@@ -242,9 +244,18 @@
 
     def _fail(self, state, work, retry):
         work.end()
-        state.record_failure()
+        router = retry[0]
+        router.fleet.record_unreachable(
+            state, self.clock() - CONNECT_TIMEOUT_S
+        )
         self._try(*retry)
 
+    def _reconnect(self, router):
+        for state in router.fleet.servers_to_reconnect():
+            if not self._is_cut(state.record.id):
+                state.suspicion.record_connection()
+        self._at(Reconnector.TIMEOUT_S, self._reconnect, router)
+
     def _return_cold(self, server, cold_s):
         version = self.servers + server + 1
         row = _row(server, version, born=2, coldLeftMs=int(1000 * cold_s))
--- a/boragetrail/events.py
+++ b/boragetrail/events.py
@@ -96,6 +96,7 @@
         "WARNING",
         "A call to the store got no response.",
     )
+    SERVER_REACHABLE = (519, "INFO", "A server can be reached again.")
     ORDER_UNKNOWN = (600, "ERROR", "An order's outcome is unknown.")
     ORDER_FENCED = (601, "WARNING", "An order has a stale fencing token.")
     LEASE_ACQUIRED = (602, "INFO", "A lease on model loading was acquired.")
--- a/boragetrail/policy/leastloaded.py
+++ b/boragetrail/policy/leastloaded.py
@@ -2,6 +2,8 @@
 
 import dataclasses
 
+from boragetrail.policy.suspicion import Standing
+
 __all__ = ["LeastLoadedOrder", "ServerView"]
 
 
@@ -12,14 +14,14 @@
     :param id: id of the server
     :param load: known number of requests at the server, sent by all routers
     :param in_zone: whether it is in the router's zone
-    :param suspect: 1 if a connection to it failed a short time ago, else 0
+    :param standing: :class:`~boragetrail.policy.suspicion.Standing`
     :param failure_rate: expected fraction of failed requests
     """
 
     id: str
     load: float
     in_zone: bool
-    suspect: int
+    standing: Standing
     failure_rate: float = 0.0
 
 
@@ -47,7 +49,7 @@
         return sorted(
             views,
             key=lambda view: (
-                view.suspect,
+                view.standing,
                 view.load + self.FAILURE_COST_REQUESTS * view.failure_rate,
                 not view.in_zone,
                 self.random.random(),
--- a/boragetrail/policy/prefix.py
+++ b/boragetrail/policy/prefix.py
@@ -4,6 +4,7 @@
 import dataclasses
 
 from boragetrail.policy.placement import rendezvous_score
+from boragetrail.policy.suspicion import Standing
 
 __all__ = [
     "EngineView",
@@ -26,7 +27,7 @@
         routers
     :param pending_tokens: prefill tokens of the requests at the engine that
         have not produced a first token
-    :param suspect: 1 if a connection to it failed a short time ago, else 0
+    :param standing: :class:`~boragetrail.policy.suspicion.Standing`
     :param failure_rate: expected fraction of failed requests
     :param is_limited: whether the engine limits the rate of its requests
     """
@@ -34,7 +35,7 @@
     id: str
     running: int
     pending_tokens: int
-    suspect: int
+    standing: Standing
     failure_rate: float = 0.0
     is_limited: bool = False
 
@@ -164,7 +165,13 @@
             cost += self.FAILURE_COST_TOKENS * engine.failure_rate
             if engine.id != preferred:
                 cost += uncached
-            return (engine.suspect, over_bound, engine.id not in sampled, cost)
+            return (
+                engine.standing is Standing.AVOIDED,
+                over_bound,
+                engine.standing,
+                engine.id not in sampled,
+                cost,
+            )
 
         return sorted(engines, key=rank)
 
--- a/standins/httpserver.py
+++ b/standins/httpserver.py
@@ -77,9 +77,9 @@
         self.server = None
         self.address = ""
 
-    async def open(self, host="127.0.0.1"):
-        """Listen on a free port."""
-        self.server = await asyncio.start_server(self._serve, host, 0)
+    async def open(self, host="127.0.0.1", port=0):
+        """Listen on a port; 0 stands for a free one."""
+        self.server = await asyncio.start_server(self._serve, host, port)
         port = self.server.sockets[0].getsockname()[1]
         self.address = f"{host}:{port}"
 
