Send requests back that would crowd the one warm server

Callers saw: after four of five engines had crashed and returned cold, groups of requests that came to one router went to the fifth, which held 79 at a mean of 11, above its 64 places (LIMIT).

Cause: a router has a part of the rate that cold servers take. When that was used up, it sent to the warm server, however full, and the mean left out the servers that a request had tried. A server that cannot be reached was preferred to a cold one too, as long as it was listed as warm.

A request without quota at the cold servers goes to the warm one up to twice the mean of all ready servers + 3. Above that the caller is told when a cold server takes its request; at another router it may do so at once.

--- a/boragetrail/direct/selector.py
+++ b/boragetrail/direct/selector.py
@@ -8,6 +8,7 @@
 from boragetrail.policy.prefix import (
     PrefixPlacement,
     load_bound,
+    max_load,
     mean_running,
 )
 from boragetrail.policy.suspicion import Standing
@@ -70,7 +71,8 @@
             and progress.version in (None, state.record.version)
         ]
         progress.survey = self._survey(ready, usable)
-        chosen = self._choose(request, progress, usable)
+        progress.cold_wait_s = 0.0
+        chosen = self._choose(request, progress, usable, ready)
         if chosen is not None:
             progress.counted_s = limiter.try_acquire(chosen.record)
         return chosen
@@ -87,7 +89,7 @@
             cold=sum(self.fleet.is_cold(each) for each in ready),
         )
 
-    def _choose(self, request, progress, usable):
+    def _choose(self, request, progress, usable, ready):
         has_cold_limit = request.service.cold_rate_per_s > 0
         cold = [
             state
@@ -98,26 +100,37 @@
         if not warm:
             return self._choose_cold(request, progress, cold)
         best = self._order(progress, warm)[0]
-        if cold and self._is_overloaded(best, usable):
-            return self._choose_cold(request, progress, cold) or best
+        if not cold:
+            return best
+        view = self.fleet.engine_view(best)
+        mean = mean_running([self.fleet.engine_view(each) for each in ready])
+        is_avoided = view.standing is Standing.AVOIDED
+        if not is_avoided and view.running + 1 <= load_bound(mean):
+            return best
+        chosen = self._choose_cold(request, progress, cold)
+        if chosen is not None:
+            return chosen
+        # The caller is better off at another router, or here in a moment.
+        if is_avoided or view.running > max_load(mean):
+            return None
         return best
 
-    def _is_overloaded(self, state, states):
-        """Return whether one more request would exceed the load bound."""
-        views = [self.fleet.engine_view(each) for each in states]
-        bound = load_bound(mean_running(views))
-        return self.fleet.engine_view(state).running + 1 > bound
-
     def _choose_cold(self, request, progress, cold):
-        """Return a cold server below its rate limit, or ``None``."""
+        """Return a cold server below its rate limit, or ``None``.
+
+        Without one, the progress is told when the first takes a request.
+        """
         bounds = self.bounds
         limit_per_s = request.service.cold_rate_per_s * bounds.cold_factor
         limit_per_s += bounds.cold_margin
         peers = self.fleet.peers
+        waits_s = []
         for state in self._order(progress, cold):
-            rank = peers.rank(state.record.id)
-            if state.cold_quota.try_acquire(limit_per_s, peers.size(), rank):
+            place = (limit_per_s, peers.size(), peers.rank(state.record.id))
+            if state.cold_quota.try_acquire(*place):
                 return state
+            waits_s.append(state.cold_quota.wait_s(*place))
+        progress.cold_wait_s = min(waits_s, default=0.0)
         return None
 
     def _order(self, progress, states):
--- a/boragetrail/direct/tests/fleetsimulation.py
+++ b/boragetrail/direct/tests/fleetsimulation.py
@@ -32,7 +32,7 @@
 from boragetrail.settings.direct import Bounds
 from standins.clock import ManualClock
 
-__all__ = ["FleetSimulation"]
+__all__ = ["ROUTE", "SERVICE", "FleetSimulation", "Router", "server_row"]
 
 UPDATE_INTERVAL_S = 0.1
 DIGEST_INTERVAL_S = 0.3
@@ -273,7 +273,9 @@
 
     def _return_cold(self, server, cold_s):
         version = self.servers + server + 1
-        row = _row(server, version, born=2, coldLeftMs=int(1000 * cold_s))
+        row = server_row(
+            server, version, born=2, coldLeftMs=int(1000 * cold_s)
+        )
         for router in self.routers:
             changes = ChangeSet([row], version, False)
             router.fleet.directory.apply(Table.SERVERS, changes)
@@ -292,11 +294,12 @@
 
 
 def _list(count):
-    rows = [_row(number, number + 1) for number in range(count)]
+    rows = [server_row(number, number + 1) for number in range(count)]
     return ChangeSet(rows, count, True)
 
 
-def _row(number, version, born=1, **fields):
+def server_row(number, version, born=1, **fields):
+    """Return a server's row in the platform's format."""
     entry = {
         "service": "chat",
         "address": f"10.1.0.{number + 1}:80",
--- a/boragetrail/policy/prefix.py
+++ b/boragetrail/policy/prefix.py
@@ -11,11 +11,14 @@
     "PrefixCacheIndex",
     "PrefixPlacement",
     "load_bound",
+    "max_load",
     "mean_running",
 ]
 
 MEAN_LOAD_MULTIPLE = 1.6
 LOAD_SLACK_REQUESTS = 2.0
+MAX_MEAN_LOAD_MULTIPLE = 2.0
+MAX_LOAD_SLACK_REQUESTS = 3.0
 
 
 @dataclasses.dataclass(slots=True)
@@ -263,6 +266,16 @@
     return MEAN_LOAD_MULTIPLE * mean + LOAD_SLACK_REQUESTS
 
 
+def max_load(mean):
+    """Return the load above which an engine gets no request for now.
+
+    It applies where another engine takes the request in a moment.
+
+    :param mean: mean number of requests of a service's engines
+    """
+    return MAX_MEAN_LOAD_MULTIPLE * mean + MAX_LOAD_SLACK_REQUESTS
+
+
 def mean_running(engines):
     """Return the mean number of requests of the engines without a limit.
 
--- a/boragetrail/policy/quota.py
+++ b/boragetrail/policy/quota.py
@@ -70,6 +70,21 @@
         :param rank: this router's rank among them; 0 is the first
         :returns: whether the request may be sent
         """
+        if self.wait_s(limit_per_s, routers, rank):
+            return False
+        self.sent_s.append(self.clock())
+        return True
+
+    def wait_s(self, limit_per_s, routers, rank):
+        """Return the seconds until the quota allows a request, or 0.
+
+        A router without a quota waits as long as others wait at the most,
+        since callers that return come to another router.
+
+        :param limit_per_s: see :meth:`try_acquire`
+        :param routers: number of routers that may send
+        :param rank: this router's rank among them
+        """
         total = math.floor(self.USED_FRACTION * limit_per_s)
         limit = total // max(1, routers)
         if not limit:
@@ -77,10 +92,11 @@
         now = self.clock()
         while self.sent_s and now - self.sent_s[0] > self.WINDOW_S:
             self.sent_s.popleft()
-        if len(self.sent_s) >= limit:
-            return False
-        self.sent_s.append(now)
-        return True
+        if len(self.sent_s) < limit:
+            return 0.0
+        if not limit:
+            return self.WINDOW_S
+        return self.sent_s[-limit] + self.WINDOW_S - now
 
 
 class RetryQuota:
--- a/boragetrail/policy/tests/test_quota.py
+++ b/boragetrail/policy/tests/test_quota.py
@@ -67,3 +67,23 @@
                 retries.append(clock.now_s)
         allowed = 0.2 * max_in_window(requests, 10) + 96
         assert 0 < max_in_window(retries, 10) <= allowed
+
+
+class TestWait:
+    """A quota tells when it allows the next request."""
+
+    def test_next_request(self):
+        clock = ManualClock(5.0)
+        quota = RateQuota(clock)
+        assert quota.wait_s(24.5, 9, 0) == 0.0
+        for _ in range(2):
+            assert quota.try_acquire(24.5, 9, 0)
+            clock.now_s += 0.3
+        assert abs(quota.wait_s(24.5, 9, 0) - 0.4) < 1e-9
+        clock.now_s += 0.41
+        assert quota.try_acquire(24.5, 9, 0)
+
+    def test_router_without_a_quota(self):
+        quota = RateQuota(ManualClock(5.0))
+        assert quota.wait_s(4.0, 9, 3) == RateQuota.WINDOW_S
+        assert not quota.try_acquire(4.0, 9, 3)
