Bound what the answers to a process's own calls may hold

Callers would see: a router or agent that ends for want of memory, and with it all requests there. An engine that sent its list of cached parts without end took a router from 34 to 693 MB within the second that the query may take.

Cause: limits were built into the path of callers' requests alone. Calls of the processes themselves (engines' caches and reports, rows and parts of peers, the store, state of backend servers, the platform's services) read whole responses with no limit but time, of several engines at once, and their connections kept chunk extensions, informational responses and bytes after a response without end. An agent kept an event of a stream without end.

The limits of connections are those of all sessions now (utils/responses.py), each call states the size that it reads, eight engines are queried at a time, nested brackets are a decoding error, and an agent ends an event after 1 MiB.

Not bounded as a sum: whole responses to orders at agents, 64 MiB each.

--- a/boragetrail/agent/backend.py
+++ b/boragetrail/agent/backend.py
@@ -1,13 +1,14 @@
 """Client that sends each request at most once to a backend server."""
 
 import asyncio
+import json
 import time
 
 import aiohttp
 
 from boragetrail.errors import BackendFailure
 from boragetrail.reasons import Executed, Reason
-from boragetrail.utils.responses import ResetAwareConnector
+from boragetrail.utils.responses import BoundedConnector, read_body
 
 __all__ = ["BackendClient", "StepTimeMeter"]
 
@@ -15,6 +16,18 @@
 # Limit on the time between two reads of an answer.
 READ_TIMEOUT_S = 30.0
 MAX_READ_BYTES = 64 * 1024
+MAX_STATE_BYTES = 1024 * 1024
+# Whatever may be wrong with a state; nested brackets exceed the depth of
+# recursion.
+STATE_ERRORS = (
+    aiohttp.ClientError,
+    asyncio.TimeoutError,
+    ValueError,
+    TypeError,
+    RecursionError,
+)
+# Limit on an event of a stream, as long as it is not complete.
+MAX_EVENT_BYTES = 1024 * 1024
 HOP_BY_HOP_HEADERS = frozenset(
     (
         "connection",
@@ -83,7 +96,7 @@
 
     async def open(self):
         """Open the client session."""
-        connector = ResetAwareConnector(force_close=True, limit=0)
+        connector = BoundedConnector(force_close=True, limit=0)
         timeout = aiohttp.ClientTimeout(
             total=None,
             sock_connect=CONNECT_TIMEOUT_S,
@@ -157,9 +170,10 @@
             async with self.session.request(
                 method, self.url + path, timeout=timeout, **options
             ) as response:
-                data = await response.json()
+                body = await read_body(response, MAX_STATE_BYTES)
+                data = json.loads(body)
                 return {"status": response.status, **data}
-        except (aiohttp.ClientError, asyncio.TimeoutError, ValueError):
+        except STATE_ERRORS:
             return None
 
 
@@ -199,6 +213,8 @@
         end = data.rfind(b"\n\n") + 2
         if end < 2:
             remainder = data
+            if len(remainder) > MAX_EVENT_BYTES:
+                return BackendFailure(Reason.ANSWER_TOO_LARGE)
             continue
         complete, remainder = data[:end], data[end:]
         if stream.length + len(complete) > max_answer_bytes:
--- a/boragetrail/agent/tests/test_backend.py
+++ b/boragetrail/agent/tests/test_backend.py
@@ -3,13 +3,20 @@
 import asyncio
 import socket
 import struct
+import time
 import types
 
 import pytest
 
-from boragetrail.agent.backend import BackendClient
+from boragetrail.agent.backend import (
+    MAX_EVENT_BYTES,
+    BackendClient,
+    StepTimeMeter,
+)
 from boragetrail.agent.stream import AnswerStream
 from boragetrail.errors import BackendFailure
+from boragetrail.policy import StallGate
+from boragetrail.reasons import Reason
 
 BODY = b"the whole body of the server"
 HEAD = b"HTTP/1.1 200 OK\r\nContent-Type: text/plain\r\n"
@@ -73,7 +80,7 @@
     await made.close()
 
 
-async def run(client):
+async def run(client, meter=None, max_bytes=MAX_BYTES):
     """Return (failure or ``None``, bytes that the router would get)."""
     dispatch = types.SimpleNamespace(
         method="POST",
@@ -84,7 +91,7 @@
         body=b"",
     )
     stream = AnswerStream(keep_whole=True)
-    failure = await client.run(dispatch, stream, None, MAX_BYTES)
+    failure = await client.run(dispatch, stream, meter, max_bytes)
     return failure, bytes(stream.buffer)
 
 
@@ -111,3 +118,16 @@
         rest, body = FRAMINGS[framing]
         cut_server.data = HEAD + rest + body
         assert await run(client) == (None, BODY)
+
+
+class TestEndlessEvent:
+    """An event that does not end is not kept."""
+
+    # An agent kept all of an event, and searched it anew with each read.
+    async def test_event_is_cut_off(self, cut_server, client):
+        head = b"HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\n\r\n"
+        cut_server.data = head + b"data: " + b"x" * (4 * MAX_EVENT_BYTES)
+        meter = StepTimeMeter(lambda step_s: None, StallGate(time.monotonic))
+        failure, got = await run(client, meter, 64 * MAX_EVENT_BYTES)
+        assert failure.reason is Reason.ANSWER_TOO_LARGE
+        assert got == b""
--- a/boragetrail/direct/buffers.py
+++ b/boragetrail/direct/buffers.py
@@ -1,11 +1,13 @@
 """Limits on the bodies that a router buffers as a whole."""
 
-__all__ = ["MAX_BODY_BYTES", "BufferBudget"]
+__all__ = ["MAX_BODY_BYTES", "MAX_PEER_BODY_BYTES", "BufferBudget"]
 
 # Limits on bodies that are not streams: on one body, and on all that a router
 # buffers at a time.
 MAX_BODY_BYTES = 4 * 1024 * 1024
 MAX_BUFFERED_BYTES = 48 * 1024 * 1024
+# Limit on what another router sends of its rows or cached parts.
+MAX_PEER_BODY_BYTES = 8 * 1024 * 1024
 
 
 class BufferBudget:
--- a/boragetrail/direct/connection.py
+++ b/boragetrail/direct/connection.py
@@ -9,26 +9,21 @@
 import asyncio
 import collections
 
-from boragetrail.utils.responses import ResetAwareHandler
+from boragetrail.utils.responses import BoundedHandler
 
 __all__ = ["ConnectionPool", "ServerConnection"]
 
 CONNECT_TIMEOUT_S = 0.4
 READ_BUFFER_BYTES = 64 * 1024
-# Limit on the bytes that a server may send without a byte of a body, such as
-# a head, chunk extensions or informational responses.
-MAX_UNPRODUCTIVE_BYTES = 256 * 1024
-UNPRODUCTIVE_ERROR = f"over {MAX_UNPRODUCTIVE_BYTES} bytes without a body"
 
 
-class ServerConnection(ResetAwareHandler):
+class ServerConnection(BoundedHandler):
     """Hold one connection to a backend server.
 
     :ivar opened_s: monotonic time at which it was opened
     :ivar idle: whether it waits in a pool for its next request
     :ivar idle_since_s: monotonic time at which it was put into the pool
     :ivar used: whether a request was sent on it
-    :ivar unproductive_bytes: bytes received since the last byte of a body
     :ivar lost_s: monotonic time at which the server or the network ended it,
         or ``None``
     """
@@ -39,7 +34,6 @@
         self.idle = False
         self.idle_since_s = 0.0
         self.used = False
-        self.unproductive_bytes = 0
         self.lost_s = None
 
     def connection_lost(self, exc):
@@ -53,28 +47,7 @@
         if self.idle:
             self.abort()
             return
-        before = self._body_bytes()
         super().data_received(data)
-        if self._body_bytes() != before:
-            self.unproductive_bytes = 0
-            return
-        self.unproductive_bytes += len(data)
-        if self.unproductive_bytes > MAX_UNPRODUCTIVE_BYTES:
-            self.reset(ConnectionResetError(UNPRODUCTIVE_ERROR))
-
-    def _body_bytes(self):
-        payload = self._payload
-        return (id(payload), getattr(payload, "total_bytes", 0))
-
-    def reset(self, exc):
-        """Close the connection as if the server had reset it.
-
-        :param exc: ``OSError`` that readers of a response get
-        """
-        transport = self.transport
-        self.connection_lost(exc)
-        if transport is not None:
-            transport.abort()
 
     def send_request(self, data):
         """Send a request.
@@ -83,7 +56,6 @@
         """
         self.idle = False
         self.used = True
-        self.unproductive_bytes = 0
         self.set_response_params(
             read_until_eof=True,
             auto_decompress=False,
--- a/boragetrail/direct/discovery.py
+++ b/boragetrail/direct/discovery.py
@@ -13,7 +13,9 @@
 import aiohttp
 import cbor2
 
+from boragetrail.direct.buffers import MAX_PEER_BODY_BYTES
 from boragetrail.events import Event, log_event
+from boragetrail.utils.responses import read_body
 
 __all__ = ["PARTS_PATH", "CacheDiscovery", "decode_parts", "encode_parts"]
 
@@ -118,7 +120,7 @@
         timeout = aiohttp.ClientTimeout(total=CALL_TIMEOUT_S)
         try:
             async with self.session.get(url, timeout=timeout) as response:
-                data = await response.read()
+                data = await read_body(response, MAX_PEER_BODY_BYTES)
         except (aiohttp.ClientError, asyncio.TimeoutError) as exc:
             log_event(
                 Event.CACHE_CONTENT_UNAVAILABLE, source=url, error=repr(exc)
--- a/boragetrail/direct/relay.py
+++ b/boragetrail/direct/relay.py
@@ -10,6 +10,7 @@
 import aiohttp.web
 import cbor2
 
+from boragetrail.direct.buffers import MAX_PEER_BODY_BYTES
 from boragetrail.direct import checks
 from boragetrail.direct.discovery import PARTS_PATH, encode_parts
 from boragetrail.direct.interfaces import (
@@ -20,6 +21,7 @@
     Table,
 )
 from boragetrail.direct.knowledge.epochs import RetainedRow, RowPosition
+from boragetrail.utils.responses import read_body
 
 __all__ = ["PeerSource", "RelayServer", "PeerFetcher"]
 
@@ -189,7 +191,7 @@
             async with self.session.get(
                 self.url, params=query, timeout=timeout
             ) as response:
-                data = await response.read()
+                data = await read_body(response, MAX_PEER_BODY_BYTES)
         except (aiohttp.ClientError, asyncio.TimeoutError) as exc:
             return SourceFailure(f"GET {self.url}: {exc!r}")
         if response.status != 200:
--- a/boragetrail/platform/engines.py
+++ b/boragetrail/platform/engines.py
@@ -1,6 +1,7 @@
 """Client of the platform's model engines."""
 
 import asyncio
+import contextlib
 import json
 
 import aiohttp
@@ -11,8 +12,10 @@
     EngineReport,
 )
 from boragetrail.events import Event, log_event
+from boragetrail.platform.decode import DECODE_ERRORS
 from boragetrail.platform.names import HEADER_NAMES
 from boragetrail.utils import join_address
+from boragetrail.utils.responses import read_body
 
 __all__ = ["PlatformEngineClient"]
 
@@ -22,11 +25,13 @@
 QUERY_ERRORS = (
     aiohttp.ClientError,
     asyncio.TimeoutError,
-    ValueError,
-    KeyError,
     IndexError,
-    TypeError,
+    *DECODE_ERRORS,
 )
+# Limits on a response, and on the queries at a time, so that all of them
+# together need little memory.
+MAX_BODY_BYTES = 1024 * 1024
+MAX_QUERIES = 8
 
 
 class PlatformEngineClient(EngineClient):
@@ -37,6 +42,7 @@
 
     def __init__(self, session):
         self.session = session
+        self.queries = asyncio.Semaphore(MAX_QUERIES)
 
     async def cache_content(self, address):
         """Return what an engine says of its cache; see the base class."""
@@ -45,7 +51,7 @@
         try:
             async with self._get(url) as response:
                 leaving = _is_leaving(response)
-                data = json.loads(await response.read())
+                data = json.loads(await read_body(response, MAX_BODY_BYTES))
             # An entry is a list: an empty field, the part's id, its number of
             # tokens, and the model.
             parts = [entry[1] for entry in data["held"]]
@@ -63,16 +69,20 @@
             async with self._get(url) as response:
                 if response.status != OK_STATUS:
                     return None
-                data = json.loads(await response.read())
+                data = json.loads(await read_body(response, MAX_BODY_BYTES))
             started_ms = data.get("born", 0)
             limit = response.headers.get(HEADER_NAMES.limit)
             return EngineReport(started_ms, limit, _is_leaving(response))
-        except (*QUERY_ERRORS, AttributeError):
+        except QUERY_ERRORS:
             return None
 
-    def _get(self, url):
+    @contextlib.asynccontextmanager
+    async def _get(self, url):
+        """Send a query; yields the open response."""
         timeout = aiohttp.ClientTimeout(total=QUERY_TIMEOUT_S)
-        return self.session.get(url, timeout=timeout)
+        async with self.queries:
+            async with self.session.get(url, timeout=timeout) as response:
+                yield response
 
 
 def _is_leaving(response):
--- a/boragetrail/platform/store.py
+++ b/boragetrail/platform/store.py
@@ -39,6 +39,7 @@
     saved_age_s,
 )
 from boragetrail.utils.calls import CallTrace
+from boragetrail.utils.responses import read_body
 
 __all__ = ["PlatformStoreClient"]
 
@@ -48,6 +49,10 @@
 # HTTP status if the store no longer keeps the changes that were asked for.
 HISTORY_LOST_STATUS = 410
 MAX_PAGE_ROWS = 500
+# A page is smaller; the changes since a version may be more than a page.
+MAX_BODY_BYTES = 8 * 1024 * 1024
+# Limit on the data of all rows of a table.
+MAX_TABLE_BYTES = 32 * 1024 * 1024
 MAX_EPOCH_DIGITS = 18
 # Different epochs that are logged as invalid, each once.
 MAX_ODD_EPOCHS = 100
@@ -218,6 +223,7 @@
 
     async def _read_table(self, name):
         rows = []
+        size = 0
         first = None
         query = {"table": name, "part": "", "limit": str(MAX_PAGE_ROWS)}
         while True:
@@ -230,6 +236,9 @@
             if isinstance(page, SourceFailure):
                 return page
             rows.extend(page.rows)
+            size += sum(len(row.key) + len(row.data) for row in page.rows)
+            if size > MAX_TABLE_BYTES:
+                return SourceFailure(f"table {name} is too large")
             # Rows may change between the pages, so the feed of changes resumes
             # at the version of the first page.
             first = first or page
@@ -261,7 +270,7 @@
                 trace_request_ctx=trace,
                 **options,
             ) as response:
-                body = await response.read()
+                body = await read_body(response, MAX_BODY_BYTES)
         except (aiohttp.ClientError, asyncio.TimeoutError, OSError) as exc:
             self.record_unanswered(trace.connection)
             log_event(
--- a/boragetrail/store/transport.py
+++ b/boragetrail/store/transport.py
@@ -6,10 +6,15 @@
 import aiohttp
 
 from boragetrail.errors import PlatformFailure
+from boragetrail.utils.responses import read_body
 
 __all__ = ["Response", "call"]
 
 CALL_TIMEOUT_S = 1.0
+# Objects of the store are smaller.
+MAX_BODY_BYTES = 10 * 1024 * 1024
+# Nested brackets exceed the depth of recursion.
+JSON_ERRORS = (ValueError, RecursionError)
 
 
 class Response:
@@ -39,12 +44,12 @@
         async with session.request(
             method, url, timeout=timeout, **options
         ) as response:
-            data = await response.read()
+            data = await read_body(response, MAX_BODY_BYTES)
             if response.content_type == "application/json":
                 data = json_library.loads(data)
             return Response(response.status, data)
     except aiohttp.ClientConnectorError as exc:
         # False: without a connection the request was not sent.
         return PlatformFailure(f"{method} {url}: {exc}", False)
-    except (aiohttp.ClientError, asyncio.TimeoutError, ValueError) as exc:
+    except (aiohttp.ClientError, asyncio.TimeoutError, *JSON_ERRORS) as exc:
         return PlatformFailure(f"{method} {url}: {exc!r}")
--- a/boragetrail/utils/calls.py
+++ b/boragetrail/utils/calls.py
@@ -10,6 +10,8 @@
 
 import aiohttp
 
+from boragetrail.utils.responses import BoundedConnector
+
 __all__ = ["MAX_IDLE_S", "CallTrace", "ConnectionUse", "make_session"]
 
 # Longest idle time of a connection that is used again. It is shorter than the
@@ -47,7 +49,7 @@
     config = aiohttp.TraceConfig()
     config.on_connection_create_end.append(_record_new)
     config.on_connection_reuseconn.append(_record_reused)
-    connector = aiohttp.TCPConnector(keepalive_timeout=MAX_IDLE_S)
+    connector = BoundedConnector(keepalive_timeout=MAX_IDLE_S)
     return aiohttp.ClientSession(connector=connector, trace_configs=[config])
 
 
--- a/boragetrail/utils/responses.py
+++ b/boragetrail/utils/responses.py
@@ -1,7 +1,9 @@
-"""Reception of HTTP responses whose connection is reset.
+"""Reception of HTTP responses from processes that may send anything.
 
 ``aiohttp`` takes a reset for the end of a body that has neither a length nor
 chunks. Such a body is complete only if its connection was closed in order.
+It also keeps whatever a server sends until a response is complete, and after
+it on a connection that is kept.
 """
 
 import functools
@@ -9,11 +11,60 @@
 import aiohttp
 from aiohttp.client_proto import ResponseHandler
 
-__all__ = ["ResetAwareConnector", "ResetAwareHandler"]
+__all__ = [
+    "BodyTooLong",
+    "BoundedConnector",
+    "BoundedHandler",
+    "read_body",
+]
 
+# Limit on the bytes that a server may send without a byte of a body, such as
+# a head, chunk extensions or informational responses.
+MAX_UNPRODUCTIVE_BYTES = 256 * 1024
+UNPRODUCTIVE_ERROR = f"over {MAX_UNPRODUCTIVE_BYTES} bytes without a body"
 
-class ResetAwareHandler(ResponseHandler):
-    """Protocol of a connection that reports a reset within a body."""
+
+class BodyTooLong(aiohttp.ClientPayloadError):
+    """Tell that a body exceeds its limit."""
+
+
+class BoundedHandler(ResponseHandler):
+    """Protocol of a connection that bounds what is kept besides bodies.
+
+    It also reports a reset within a body.
+
+    :ivar unproductive_bytes: bytes received since the last byte of a body
+    """
+
+    def __init__(self, loop):
+        super().__init__(loop)
+        self.unproductive_bytes = 0
+
+    def set_response_params(self, **params):
+        """Prepare for the next response."""
+        self.unproductive_bytes = 0
+        super().set_response_params(**params)
+
+    def data_received(self, data):
+        """Parse bytes of a response, or close after too many without one."""
+        before = self._body_bytes()
+        super().data_received(data)
+        if self._body_bytes() != before:
+            self.unproductive_bytes = 0
+            return
+        self.unproductive_bytes += len(data)
+        if self.unproductive_bytes > MAX_UNPRODUCTIVE_BYTES:
+            self.reset(ConnectionResetError(UNPRODUCTIVE_ERROR))
+
+    def reset(self, exc):
+        """Close the connection as if the server had reset it.
+
+        :param exc: ``OSError`` that readers of a response get
+        """
+        transport = self.transport
+        self.connection_lost(exc)
+        if transport is not None:
+            transport.abort()
 
     def connection_lost(self, exc):
         """Mark the body as truncated if the connection was reset."""
@@ -22,10 +73,36 @@
             payload.set_exception(exc)
         super().connection_lost(exc)
 
+    def _body_bytes(self):
+        payload = self._payload
+        return (id(payload), getattr(payload, "total_bytes", 0))
+
 
-class ResetAwareConnector(aiohttp.TCPConnector):
-    """Connector of a session whose readers of a body learn of a reset."""
+class BoundedConnector(aiohttp.TCPConnector):
+    """Connector of a session whose connections are :class:`BoundedHandler`."""
 
     def __init__(self, **options):
         super().__init__(**options)
-        self._factory = functools.partial(ResetAwareHandler, loop=self._loop)
+        self._factory = functools.partial(BoundedHandler, loop=self._loop)
+
+
+async def read_body(response, max_bytes):
+    """Return the complete body of a response.
+
+    :param response: ``aiohttp.ClientResponse``
+    :param max_bytes: largest size of the decoded body
+    :raises BodyTooLong: if it is larger; the connection is closed
+    :raises aiohttp.ClientPayloadError: if the connection is lost before its
+        end
+    """
+    chunks, size = [], 0
+    try:
+        async for data in response.content.iter_any():
+            size += len(data)
+            if size > max_bytes:
+                response.close()
+                raise BodyTooLong(f"body larger than {max_bytes} bytes")
+            chunks.append(data)
+    except ConnectionError as exc:
+        raise aiohttp.ClientPayloadError(repr(exc)) from exc
+    return b"".join(chunks)
