Rank application servers by the load bound before doubt

Callers would see: where all servers of an application but one are suspect, that one gets all requests, however many it holds (LIMIT).

Servers on trial come before those above the load bound now, as for engines. The bounds move to policy/cap.py, which both orders use.

--- a/boragetrail/direct/selector.py
+++ b/boragetrail/direct/selector.py
@@ -4,11 +4,10 @@
 
 from boragetrail.direct.headers import parse_prompt_parts
 from boragetrail.direct.progress import ServiceSurvey
+from boragetrail.policy.cap import load_bound, max_load
 from boragetrail.policy.leastloaded import LeastLoadedOrder
 from boragetrail.policy.prefix import (
     PrefixPlacement,
-    load_bound,
-    max_load,
     mean_running,
 )
 from boragetrail.policy.suspicion import Standing
--- a/boragetrail/policy/cap.py
+++ b/boragetrail/policy/cap.py
@@ -3,7 +3,38 @@
 import abc
 import math
 
-__all__ = ["LoadCap", "MeanMultipleCap", "NoCap"]
+__all__ = ["LoadCap", "MeanMultipleCap", "NoCap", "load_bound", "max_load"]
+
+# Load that routers aim at, and load that no server should have: multiples of
+# the mean load of a service, and requests.
+MEAN_LOAD_MULTIPLE = 1.6
+LOAD_SLACK_REQUESTS = 2.0
+MAX_MEAN_LOAD_MULTIPLE = 2.0
+MAX_LOAD_SLACK_REQUESTS = 3.0
+
+
+def load_bound(mean):
+    """Return the load above which a server ranks behind the others.
+
+    :param mean: mean number of requests of a service's servers
+
+    >>> load_bound(10.0)
+    18.0
+    """
+    return MEAN_LOAD_MULTIPLE * mean + LOAD_SLACK_REQUESTS
+
+
+def max_load(mean):
+    """Return the load above which a server gets no request for now.
+
+    It applies where another server takes the request in a moment.
+
+    :param mean: mean number of requests of a service's servers
+
+    >>> max_load(10.0)
+    23.0
+    """
+    return MAX_MEAN_LOAD_MULTIPLE * mean + MAX_LOAD_SLACK_REQUESTS
 
 
 class LoadCap(abc.ABC):
--- a/boragetrail/policy/leastloaded.py
+++ b/boragetrail/policy/leastloaded.py
@@ -2,6 +2,7 @@
 
 import dataclasses
 
+from boragetrail.policy.cap import load_bound
 from boragetrail.policy.suspicion import Standing
 
 __all__ = ["LeastLoadedOrder", "ServerView"]
@@ -28,7 +29,8 @@
 class LeastLoadedOrder:
     """Order of servers for requests that need no cached context.
 
-    Among equally loaded servers, those in the router's own zone come first.
+    Servers on trial come before those above the load bound. Among equally
+    loaded servers, those in the router's own zone come first.
     Remaining ties are broken at random, so that routers with the same view
     do not all choose the same server.
 
@@ -46,9 +48,13 @@
 
         :param views: list of :class:`ServerView`
         """
+        mean = sum(view.load for view in views) / max(1, len(views))
+        bound = load_bound(mean)
         return sorted(
             views,
             key=lambda view: (
+                view.standing is Standing.AVOIDED,
+                view.load + 1 > bound,
                 view.standing,
                 view.load + self.FAILURE_COST_REQUESTS * view.failure_rate,
                 not view.in_zone,
--- a/boragetrail/policy/prefix.py
+++ b/boragetrail/policy/prefix.py
@@ -3,6 +3,7 @@
 import collections
 import dataclasses
 
+from boragetrail.policy.cap import load_bound
 from boragetrail.policy.placement import rendezvous_score
 from boragetrail.policy.suspicion import Standing
 
@@ -10,16 +11,9 @@
     "EngineView",
     "PrefixCacheIndex",
     "PrefixPlacement",
-    "load_bound",
-    "max_load",
     "mean_running",
 ]
 
-MEAN_LOAD_MULTIPLE = 1.6
-LOAD_SLACK_REQUESTS = 2.0
-MAX_MEAN_LOAD_MULTIPLE = 2.0
-MAX_LOAD_SLACK_REQUESTS = 3.0
-
 
 @dataclasses.dataclass(slots=True)
 class EngineView:
@@ -104,7 +98,8 @@
     cache the most tokens of the prompt and two of the others [2]_. Engines
     out of the sample rank behind it, so that routers with the same view do
     not all choose the one engine that appears idle. Suspect engines, and
-    engines whose load is above :func:`load_bound`, rank last.
+    engines whose load is above
+    :func:`~boragetrail.policy.cap.load_bound`, rank last.
 
     :param prefix_index: :class:`PrefixCacheIndex`
     :param random: random generator
@@ -258,24 +253,6 @@
         return max(engines, key=lambda e: rendezvous_score(part, e.id)).id
 
 
-def load_bound(mean):
-    """Return the load above which an engine ranks behind the others.
-
-    :param mean: mean number of requests of a service's engines
-    """
-    return MEAN_LOAD_MULTIPLE * mean + LOAD_SLACK_REQUESTS
-
-
-def max_load(mean):
-    """Return the load above which an engine gets no request for now.
-
-    It applies where another engine takes the request in a moment.
-
-    :param mean: mean number of requests of a service's engines
-    """
-    return MAX_MEAN_LOAD_MULTIPLE * mean + MAX_LOAD_SLACK_REQUESTS
-
-
 def mean_running(engines):
     """Return the mean number of requests of the engines without a limit.
 
