--- a/boragetrail/direct/selector.py
+++ b/boragetrail/direct/selector.py
@@ -6,10 +6,7 @@
 from boragetrail.direct.progress import ServiceSurvey
 from boragetrail.policy.cap import load_bound, max_load
 from boragetrail.policy.leastloaded import LeastLoadedOrder
-from boragetrail.policy.prefix import (
-    PrefixPlacement,
-    mean_running,
-)
+from boragetrail.policy.prefix import PrefixPlacement, mean_running
 from boragetrail.policy.suspicion import Standing
 from boragetrail.utils import join_address
 
@@ -69,26 +66,28 @@
             and state.record.id not in progress.tried_ids
             and progress.version in (None, state.record.version)
         ]
-        progress.survey = self._survey(ready, usable)
+        views_by_id = {
+            state.record.id: self.fleet.engine_view(state) for state in ready
+        }
+        progress.survey = self._survey(ready, usable, views_by_id)
         progress.cold_wait_s = 0.0
-        chosen = self._choose(request, progress, usable, ready)
+        chosen = self._choose(request, progress, usable, views_by_id)
         if chosen is not None:
             progress.counted_s = limiter.try_acquire(chosen.record)
         return chosen
 
-    def _survey(self, ready, usable):
+    def _survey(self, ready, usable, views_by_id):
         """Return the :class:`ServiceSurvey` of the ready servers."""
-        limiter = self.fleet.knowledge.limiter
-        views = [self.fleet.engine_view(state) for state in ready]
+        views = views_by_id.values()
         return ServiceSurvey(
             mean=sum(view.running for view in views) / max(1, len(views)),
             left_out=len(ready) - len(usable),
             doubted=sum(view.standing > Standing.TRUSTED for view in views),
-            limited=sum(limiter.is_limited(each.record) for each in ready),
-            cold=sum(self.fleet.is_cold(each) for each in ready),
+            limited=sum(view.is_limited for view in views),
+            cold=sum(self.fleet.is_cold(state) for state in ready),
         )
 
-    def _choose(self, request, progress, usable, ready):
+    def _choose(self, request, progress, usable, views_by_id):
         has_cold_limit = request.service.cold_rate_per_s > 0
         cold = [
             state
@@ -97,16 +96,16 @@
         ]
         warm = [state for state in usable if state not in cold]
         if not warm:
-            return self._choose_cold(request, progress, cold)
-        best = self._order(progress, warm)[0]
+            return self._choose_cold(request, progress, cold, views_by_id)
+        best = self._order(progress, warm, views_by_id)[0]
         if not cold:
             return best
-        view = self.fleet.engine_view(best)
-        mean = mean_running([self.fleet.engine_view(each) for each in ready])
+        view = views_by_id[best.record.id]
+        mean = mean_running(list(views_by_id.values()))
         is_avoided = view.standing is Standing.AVOIDED
         if not is_avoided and view.running + 1 <= load_bound(mean):
             return best
-        chosen = self._choose_cold(request, progress, cold)
+        chosen = self._choose_cold(request, progress, cold, views_by_id)
         if chosen is not None:
             return chosen
         # The caller is better off at another router, or here in a moment.
@@ -114,7 +113,7 @@
             return None
         return best
 
-    def _choose_cold(self, request, progress, cold):
+    def _choose_cold(self, request, progress, cold, views_by_id):
         """Return a cold server below its rate limit, or ``None``.
 
         Without one, the progress is told when the first takes a request.
@@ -124,7 +123,7 @@
         limit_per_s += bounds.cold_margin
         peers = self.fleet.peers
         waits_s = []
-        for state in self._order(progress, cold):
+        for state in self._order(progress, cold, views_by_id):
             place = (limit_per_s, peers.size(), peers.rank(state.record.id))
             if state.cold_quota.try_acquire(*place):
                 return state
@@ -132,10 +131,15 @@
         progress.cold_wait_s = min(waits_s, default=0.0)
         return None
 
-    def _order(self, progress, states):
+    def _order(self, progress, states, views_by_id):
+        """Return states, best first.
+
+        :param views_by_id:
+            :class:`~boragetrail.policy.prefix.EngineView` by server id
+        """
         by_id = {state.record.id: state for state in states}
         if progress.prompt:
-            engines = [self.fleet.engine_view(state) for state in states]
+            engines = [views_by_id[key] for key in by_id]
             progress.mean_load = mean_running(engines) if engines else 0.0
             ordered = self.prefix_placement.order(progress.prompt, engines)
         else:
