--- a/boragetrail/direct/tests/fleetsimulation.py
+++ b/boragetrail/direct/tests/fleetsimulation.py
@@ -130,6 +130,7 @@
         self.held = dict.fromkeys(map(_server_id, range(servers)), 0)
         self.limited_until_s = dict.fromkeys(self.held, 0.0)
         self.rate_per_s = 0.0
+        self.hot_share = 0.0
         self.clump = 0.3
         self.clumps_share_router = False
         self.cuts_by_id = {}
@@ -152,6 +153,11 @@
         span = (100.0 + since_s, 100.0 + until_s)
         self.cuts_by_id[_server_id(server)] = span
 
+    def take_zone_out(self, zone):
+        """Let no router send to the servers of a zone."""
+        for router in self.routers:
+            router.fleet.directory.evacuated_zones.add(zone)
+
     def restart(self, server, since_s, until_s, cold_s):
         """Let a server be away for some seconds and return cold."""
         self.cut(server, since_s, until_s)
@@ -217,8 +223,9 @@
     def _send(self, router, kind):
         _, tokens, choices, held_s = kind
         number = next(self.numbers)
+        is_hot = self.rng.random() < self.hot_share
         names = [
-            f"p{tokens[i]}-{self.rng.randrange(choices[i])}"
+            f"p{tokens[i]}-{0 if is_hot else self.rng.randrange(choices[i])}"
             for i in range(len(choices))
         ]
         prompt = list(zip([*names, f"own-{number}"], tokens))
--- a/boragetrail/direct/tests/test_bound.py
+++ b/boragetrail/direct/tests/test_bound.py
@@ -15,6 +15,7 @@
 SETTLE_S = 1.0
 AWAY_UNTIL_S = 3.5
 COLD_S = 3.0
+OUT_SINCE_S = 3.0
 
 
 def is_broken(simulation, since_s):
@@ -23,15 +24,16 @@
     return over >= MIN_REQUESTS and over > MIN_SHARE * sent
 
 
-def broken_seeds(play, since_s):
+def broken_seeds(play, since_s, load=1.0):
     """Return the seeds on which the bound is broken from a second on.
 
     :param play: function that returns the simulation of a seed
+    :param load: multiple of the usual rate of requests
     """
     broken = []
     for seed in SEEDS:
         simulation = play(seed)
-        simulation.run(since_s + WINDOW_S)
+        simulation.run(since_s + WINDOW_S, load)
         if is_broken(simulation, since_s):
             broken.append(seed)
     return broken
@@ -77,6 +79,15 @@
 
         assert broken_seeds(play, LIMITED_S) == []
 
+    # The bound was that of the servers in the zones that were left.
+    def test_zone_that_is_taken_out(self):
+        def play(seed):
+            simulation = FleetSimulation(seed, servers=4, loss=0.02)
+            simulation.take_zone_out("z0")
+            return simulation
+
+        assert broken_seeds(play, OUT_SINCE_S, load=1.5) == []
+
     # A router without quota at cold servers sent to the one that was full.
     def test_servers_that_return_cold(self):
         def play(seed):
