Bound the load by the mean of all servers of a service

Cause: the load bound was 1.6 times the mean of the servers that may be selected + 2. With two of five taken out that is up to 2.7 times the mean of the service. An engine above twice the mean of all listed servers + 3 ranks behind the others now; the bound of the servers that are left stays beside it.

--- a/boragetrail/direct/fleet.py
+++ b/boragetrail/direct/fleet.py
@@ -79,10 +79,24 @@
         :returns: list of :class:`ServerState`
         """
         zones_out = self.directory.evacuated_zones
+        return [
+            state
+            for state in self.listed_servers(service)
+            if state.record.zone not in zones_out
+        ]
+
+    def listed_servers(self, service):
+        """Return the servers of a service that are listed as ready.
+
+        Those in evacuated zones are included.
+
+        :param service: name of the service
+        :returns: list of :class:`ServerState`
+        """
         return [
             self._state(known)
             for known in self.directory.servers_of(service)
-            if known.record.ready and known.record.zone not in zones_out
+            if known.record.ready
         ]
 
     def record_unreachable(self, state, started_s):
@@ -177,11 +191,9 @@
     def _staying_servers(self, service):
         """Return the states of ready servers that do not leave."""
         return [
-            self._state(known)
-            for known in self.directory.servers_of(service)
-            if known.record.ready
-            and known.record.zone not in self.directory.evacuated_zones
-            and known.record not in self.knowledge.leaving
+            state
+            for state in self.ready_servers(service)
+            if state.record not in self.knowledge.leaving
         ]
 
     def are_leaving(self, service):
--- a/boragetrail/direct/selector.py
+++ b/boragetrail/direct/selector.py
@@ -67,7 +67,8 @@
             and progress.version in (None, state.record.version)
         ]
         views_by_id = {
-            state.record.id: self.fleet.engine_view(state) for state in ready
+            state.record.id: self.fleet.engine_view(state)
+            for state in self.fleet.listed_servers(request.service.name)
         }
         progress.survey = self._survey(ready, usable, views_by_id)
         progress.cold_wait_s = 0.0
@@ -77,11 +78,11 @@
         return chosen
 
     def _survey(self, ready, usable, views_by_id):
-        """Return the :class:`ServiceSurvey` of the ready servers."""
+        """Return the :class:`ServiceSurvey` of the listed servers."""
         views = views_by_id.values()
         return ServiceSurvey(
             mean=sum(view.running for view in views) / max(1, len(views)),
-            left_out=len(ready) - len(usable),
+            left_out=len(views) - len(usable),
             doubted=sum(view.standing > Standing.TRUSTED for view in views),
             limited=sum(view.is_limited for view in views),
             cold=sum(self.fleet.is_cold(state) for state in ready),
@@ -141,7 +142,10 @@
         if progress.prompt:
             engines = [views_by_id[key] for key in by_id]
             progress.mean_load = mean_running(engines) if engines else 0.0
-            ordered = self.prefix_placement.order(progress.prompt, engines)
+            service_mean = mean_running(list(views_by_id.values()))
+            ordered = self.prefix_placement.order(
+                progress.prompt, engines, service_mean
+            )
         else:
             views = [self.fleet.server_view(state) for state in states]
             ordered = self.least_loaded.order(views)
--- a/boragetrail/policy/prefix.py
+++ b/boragetrail/policy/prefix.py
@@ -3,7 +3,7 @@
 import collections
 import dataclasses
 
-from boragetrail.policy.cap import load_bound
+from boragetrail.policy.cap import load_bound, max_load
 from boragetrail.policy.placement import rendezvous_score
 from boragetrail.policy.suspicion import Standing
 
@@ -138,15 +138,20 @@
         self.prefix_index = prefix_index
         self.random = random
 
-    def order(self, prompt, engines):
+    def order(self, prompt, engines, service_mean=None):
         """Return the engines, best first.
 
         :param prompt: list of (part, number of tokens)
-        :param engines: list of :class:`EngineView`
+        :param engines: list of :class:`EngineView` that may be selected
+        :param service_mean: mean number of requests of all engines of the
+            service; the default is that of these engines
         """
         if not engines:
             return []
-        bound = load_bound(mean_running(engines))
+        mean = mean_running(engines)
+        if service_mean is None:
+            service_mean = mean
+        bounds = (max_load(service_mean), load_bound(mean))
         cached = self.cached_tokens_by_engine(prompt)
         max_cached = max(cached.values(), default=0)
         uncached = max(0, _shared_tokens(prompt) - max_cached)
@@ -156,7 +161,7 @@
         sampled = self._sampled_engines(engines, cached, max_cached, preferred)
 
         def rank(engine):
-            over_bound = engine.running + 1 > bound
+            excess = sum(engine.running + 1 > bound for bound in bounds)
             copied = max_cached - cached.get(engine.id, 0)
             cost = engine.pending_tokens + self.COPY_COST_FACTOR * copied
             cost += self.COST_TOKENS_PER_RUNNING_REQUEST * engine.running
@@ -165,7 +170,7 @@
                 cost += uncached
             return (
                 engine.standing is Standing.AVOIDED,
-                over_bound,
+                excess,
                 engine.standing,
                 engine.id not in sampled,
                 cost,
