--- a/boragetrail/direct/selector.py
+++ b/boragetrail/direct/selector.py
@@ -141,7 +141,7 @@
         by_id = {state.record.id: state for state in states}
         if progress.prompt:
             engines = [views_by_id[key] for key in by_id]
-            progress.mean_load = mean_running(engines) if engines else 0.0
+            progress.mean_load = mean_running(engines)
             service_mean = mean_running(list(views_by_id.values()))
             ordered = self.prefix_placement.order(
                 progress.prompt, engines, service_mean
--- a/boragetrail/policy/prefix.py
+++ b/boragetrail/policy/prefix.py
@@ -263,11 +263,12 @@
 
     An engine that limits its rate has few requests, however many there are.
 
-    :param engines: list of :class:`EngineView`, not empty
+    :param engines: list of :class:`EngineView`
+    :returns: mean, or 0 without engines
     """
     counts = [each.running for each in engines if not each.is_limited]
     counts = counts or [each.running for each in engines]
-    return sum(counts) / len(counts)
+    return sum(counts) / max(1, len(counts))
 
 
 def _shared_tokens(prompt):
