Move the choice of queried engines into the limit watch

The fleet had grown by it; nothing but the watch uses it. The queries at a start and those of limits use one client, so that one limit holds for both.

--- a/boragetrail/direct/daemon.py
+++ b/boragetrail/direct/daemon.py
@@ -153,6 +153,7 @@
             self.record_gossip,
         )
         self.session = None
+        self.engines = None
         self.store = None
         self.registration = None
         self.fetcher = None
@@ -242,8 +243,8 @@
             streams, self.store, ledger.are_mixed, self.peers
         )
         self.tasks.start(archive.run(ledger.loaded), "streams")
-        engines = self.platform.PlatformEngineClient(self.session)
-        watch = LimitWatch(self.fleet, engines)
+        self.engines = self.platform.PlatformEngineClient(self.session)
+        watch = LimitWatch(self.fleet, self.engines)
         self.tasks.start(watch.run(), "limits")
         reconnector = Reconnector(self.fleet, self.tasks, self.random)
         for interval_s, function in (
@@ -355,9 +356,8 @@
     async def _discover_caches(self):
         while not self.directory.is_complete():
             await asyncio.sleep(POLL_INTERVAL_S)
-        engines = self.platform.PlatformEngineClient(self.session)
         discovery = CacheDiscovery(
-            self.fleet, self.peers, engines, self.session
+            self.fleet, self.peers, self.engines, self.session
         )
         await discovery.run(self.settings.first_start)
 
--- a/boragetrail/direct/fleet.py
+++ b/boragetrail/direct/fleet.py
@@ -1,6 +1,6 @@
 """State of the servers, from this router's requests and from its peers."""
 
-from boragetrail.direct.counts import run_key, server_key
+from boragetrail.direct.counts import server_key
 from boragetrail.direct.placements import PlacementQueue
 from boragetrail.direct.reports import ReportTable
 from boragetrail.direct.serverstate import ServerState
@@ -122,30 +122,6 @@
             if self._is_ready(state.record) and state.accepts_requests()
         ]
 
-    def servers_to_query(self, count):
-        """Return the engines that this router asks for their limits.
-
-        These are the ones that limit their rate, or did so a moment ago.
-
-        :param count: size of a random sample of them
-        :returns: list of :class:`ServerState`
-        """
-        configuration = self.directory.configuration
-        runs = self.knowledge.limits.runs_to_query()
-        if configuration is None or not runs:
-            return []
-        limited = [
-            state
-            for service in configuration.services_by_name.values()
-            if service.is_model
-            for state in self.ready_servers(service.name)
-            if run_key(state.record) in runs
-        ]
-        sample = self.peers.random.sample(limited, min(count, len(limited)))
-        return [
-            state for state in sample if self.peers.is_first(state.record.id)
-        ]
-
     def _is_ready(self, record):
         """Return whether the run of a server is listed as ready."""
         known = self.directory.servers_by_id.get(record.id)
--- a/boragetrail/direct/limitwatch.py
+++ b/boragetrail/direct/limitwatch.py
@@ -2,6 +2,8 @@
 
 import asyncio
 
+from boragetrail.direct.counts import run_key
+
 __all__ = ["LimitWatch"]
 
 
@@ -28,8 +30,33 @@
         """Query servers until the task is cancelled."""
         while True:
             await asyncio.sleep(self.INTERVAL_S)
-            due = self.fleet.servers_to_query(self.MAX_QUERIES)
-            await asyncio.gather(*(self._query(state) for state in due))
+            await asyncio.gather(*(self._query(each) for each in self.due()))
+
+    def due(self):
+        """Return the engines that this router asks now.
+
+        These are some of those that limit their rate, or did so a moment ago.
+
+        :returns: list of
+            :class:`~boragetrail.direct.serverstate.ServerState`
+        """
+        fleet = self.fleet
+        configuration = fleet.directory.configuration
+        runs = fleet.knowledge.limits.runs_to_query()
+        if configuration is None or not runs:
+            return []
+        limited = [
+            state
+            for service in configuration.services_by_name.values()
+            if service.is_model
+            for state in fleet.ready_servers(service.name)
+            if run_key(state.record) in runs
+        ]
+        count = min(self.MAX_QUERIES, len(limited))
+        sample = fleet.peers.random.sample(limited, count)
+        return [
+            state for state in sample if fleet.peers.is_first(state.record.id)
+        ]
 
     async def _query(self, state):
         sent_s = self.fleet.clock()
--- a/boragetrail/direct/tests/fleetsimulation.py
+++ b/boragetrail/direct/tests/fleetsimulation.py
@@ -85,6 +85,7 @@
             PORT,
             1000.0,
         )
+        self.limit_watch = LimitWatch(self.fleet, None)
         self.sequence = 0
 
     def messages(self, step):
@@ -274,7 +275,7 @@
         self._at(Reconnector.TIMEOUT_S, self._reconnect, router)
 
     def _watch(self, router):
-        for state in router.fleet.servers_to_query(LimitWatch.MAX_QUERIES):
+        for state in router.limit_watch.due():
             self._at(2 * NETWORK_DELAY_S, self._hear, state, self.clock())
         self._at(LimitWatch.INTERVAL_S, self._watch, router)
 
