Refuse requests at once while all engines are full

Cause: a bound that is relative to other servers says nothing where one is left; its places do. Where all engines that can be reached hold a quarter more than they process at a time, the caller is told to come back in a moment.

Tests: TestFullServers, test_all_are_full fails before. Cold servers, full and crowded ones share one test module.

--- a/boragetrail/direct/failures.py
+++ b/boragetrail/direct/failures.py
@@ -56,8 +56,8 @@
         paused = fleet.are_paused(service)
         reason = Reason.PAUSED if paused else Reason.LIMITED
         return Refusal(reason, detail, Executed.NO, wait_s)
-    if progress.cold_wait_s:
-        wait_s = progress.cold_wait_s + random.uniform(0, RETURN_SPREAD_S)
+    if progress.room_wait_s:
+        wait_s = progress.room_wait_s + random.uniform(0, RETURN_SPREAD_S)
         return Refusal(Reason.OVERLOADED, detail, Executed.NO, wait_s)
     reason = Reason.OVERLOADED if progress.tried_ids else Reason.NO_SERVER
     if fleet.are_leaving(service):
--- a/boragetrail/direct/model.py
+++ b/boragetrail/direct/model.py
@@ -156,7 +156,8 @@
     """Describe one run of a backend server as the platform lists it.
 
     :param address: (host, port)
-    :param slots: number of requests that the server processes concurrently
+    :param slots: number of requests that the server processes concurrently,
+        or 0 if unknown
     :param ready: whether the server accepts new requests
     :param cold_s: seconds for which the server is cold after its entry was
         read
--- a/boragetrail/direct/progress.py
+++ b/boragetrail/direct/progress.py
@@ -48,8 +48,8 @@
         against the limit of its server
     :ivar wait_s: seconds until the first server of the service takes a
         request, when one was last selected
-    :ivar cold_wait_s: seconds until the first cold server takes a request,
-        if that was asked when one was last selected, else 0
+    :ivar room_wait_s: seconds until some server has room again, if none had
+        when one was last selected, else 0
     :ivar mean_load: mean known number of requests of the engines among which
         the last one was selected
     :ivar survey: :class:`ServiceSurvey` of that selection
@@ -79,7 +79,7 @@
         "is_trial",
         "counted_s",
         "wait_s",
-        "cold_wait_s",
+        "room_wait_s",
         "mean_load",
         "survey",
         "media_type",
@@ -101,7 +101,7 @@
         self.is_trial = False
         self.counted_s = None
         self.wait_s = 0.0
-        self.cold_wait_s = 0.0
+        self.room_wait_s = 0.0
         self.mean_load = 0.0
         self.survey = ServiceSurvey()
         self.media_type = ""
--- a/boragetrail/direct/selector.py
+++ b/boragetrail/direct/selector.py
@@ -12,6 +12,12 @@
 
 __all__ = ["PrefillPlan", "ServerSelector"]
 
+# Load of a full engine per slot. Some requests wait, so that no slot is idle
+# while a request is on its way.
+FULL_LOAD_PER_SLOT = 1.25
+# Time after which a full engine is likely to have room.
+FULL_WAIT_S = 0.3
+
 
 @dataclasses.dataclass(slots=True)
 class PrefillPlan:
@@ -71,7 +77,7 @@
             for state in self.fleet.listed_servers(request.service.name)
         }
         progress.survey = self._survey(ready, usable, views_by_id)
-        progress.cold_wait_s = 0.0
+        progress.room_wait_s = 0.0
         chosen = self._choose(request, progress, usable, views_by_id)
         if chosen is not None:
             progress.counted_s = limiter.try_acquire(chosen.record)
@@ -100,6 +106,9 @@
             return self._choose_cold(request, progress, cold, views_by_id)
         best = self._order(progress, warm, views_by_id)[0]
         if not cold:
+            if progress.prompt and self._are_full(warm, views_by_id):
+                progress.room_wait_s = FULL_WAIT_S
+                return None
             return best
         view = views_by_id[best.record.id]
         mean = mean_running(list(views_by_id.values()))
@@ -114,6 +123,23 @@
             return None
         return best
 
+    def _are_full(self, states, views_by_id):
+        """Return whether no engine has a place, and requests wait at each.
+
+        Engines that are avoided do not count, unless all are.
+        """
+        trusted = [
+            state
+            for state in states
+            if views_by_id[state.record.id].standing is not Standing.AVOIDED
+        ]
+        return bool(trusted) and all(
+            0
+            < FULL_LOAD_PER_SLOT * state.record.slots
+            <= views_by_id[state.record.id].running
+            for state in trusted
+        )
+
     def _choose_cold(self, request, progress, cold, views_by_id):
         """Return a cold server below its rate limit, or ``None``.
 
@@ -129,7 +155,7 @@
             if state.cold_quota.try_acquire(*place):
                 return state
             waits_s.append(state.cold_quota.wait_s(*place))
-        progress.cold_wait_s = min(waits_s, default=0.0)
+        progress.room_wait_s = min(waits_s, default=0.0)
         return None
 
     def _order(self, progress, states, views_by_id):
--- a/boragetrail/direct/tests/test_coldservers.py
+++ b/boragetrail/direct/tests/test_room.py
@@ -1,4 +1,4 @@
-"""Tests of the selection among warm and cold servers."""
+"""Tests of the selection among cold, crowded and full servers."""
 
 import random
 
@@ -23,17 +23,22 @@
 # may use three quarters.
 QUOTA = 18
 CROWD = 120
+# Load of a full server of 64 slots.
+FULL = 80
 
 
 class Selection:
-    """Own a router with one warm and two cold servers."""
+    """Own a router with three servers, some of them cold.
 
-    def __init__(self):
+    :param cold: numbers of the cold servers
+    """
+
+    def __init__(self, cold=(1, 2)):
         self.clock = ManualClock(100.0)
         self.router = Router(0, self.clock, random.Random(1), 3)
         rows = [
             server_row(number, 10 + number, born=2, coldLeftMs=COLD_MS)
-            for number in (1, 2)
+            for number in cold
         ]
         changes = ChangeSet(rows, 12, False)
         self.router.fleet.directory.apply(Table.SERVERS, changes)
@@ -67,6 +72,43 @@
     return Selection()
 
 
+@pytest.fixture
+def warm_selection():
+    return Selection(cold=())
+
+
+class TestFullServers:
+    """A request that no engine has a place for is refused at once."""
+
+    # All requests went to the one engine that was left, 117 at 64 places.
+    def test_all_are_full(self, warm_selection):
+        selection = warm_selection
+        for number in range(3):
+            for _ in range(FULL):
+                PendingWork(selection.state(number), 0)
+        assert selection.choose() is None
+        failure = selection.failure
+        assert failure.reason is Reason.OVERLOADED
+        assert failure.ran is Executed.NO
+        assert 0.3 <= failure.retry_after_s <= 0.3 + RETURN_SPREAD_S
+
+    def test_one_has_room(self, warm_selection):
+        selection = warm_selection
+        for number in range(3):
+            for _ in range(FULL - (number == 1)):
+                PendingWork(selection.state(number), 0)
+        assert selection.choose() is not None
+
+    def test_all_are_avoided(self, warm_selection):
+        selection = warm_selection
+        for number in range(3):
+            state = selection.state(number)
+            for _ in range(FULL):
+                PendingWork(state, 0)
+            selection.router.fleet.record_unreachable(state, 0.0)
+        assert selection.choose() is not None
+
+
 class TestCrowdedWarmServer:
     """Requests without quota at cold servers do not crowd the warm one."""
 
--- a/boragetrail/platform/decode.py
+++ b/boragetrail/platform/decode.py
@@ -197,7 +197,7 @@
         service=service,
         address=_address(data["address"]),
         zone=zone,
-        slots=_integer(data.get("slots", 1)),
+        slots=_integer(data.get("slots", 0)),
         ready=data["state"] == READY_STATE,
         cold_s=cold_ms / 1000.0,
         started_ms=_number(data.get("born", 0)),
--- a/boragetrail/policy/prefix.py
+++ b/boragetrail/policy/prefix.py
@@ -97,9 +97,10 @@
     Besides that first engine, each router samples two of the engines that
     cache the most tokens of the prompt and two of the others [2]_. Engines
     out of the sample rank behind it, so that routers with the same view do
-    not all choose the one engine that appears idle. Suspect engines, and
-    engines whose load is above
-    :func:`~boragetrail.policy.cap.load_bound`, rank last.
+    not all choose the one engine that appears idle. Engines on trial come
+    next, then those above :func:`~boragetrail.policy.cap.load_bound` of these
+    engines or :func:`~boragetrail.policy.cap.max_load` of their service, and
+    last those that are avoided.
 
     :param prefix_index: :class:`PrefixCacheIndex`
     :param random: random generator
