Give the baselines of the emulator the new parameter of an order

test_shared_parts_are_prefilled_by_few_engines failed with a TypeError since the order of engines gets the mean of their service; the baselines, which use no such bound, accept it now.

--- a/boragetrail/emulator/baselines.py
+++ b/boragetrail/emulator/baselines.py
@@ -12,7 +12,7 @@
     The baselines copy no cached prompt parts between engines.
     """
 
-    def order(self, prompt, engines):
+    def order(self, prompt, engines, service_mean=None):
         """Return the engines, the one with the fewest requests first."""
         return sorted(
             engines, key=lambda each: (each.running, self.random.random())
@@ -26,7 +26,7 @@
 class RandomPlacement(LeastLoadedPlacement):
     """Choose a random engine."""
 
-    def order(self, prompt, engines):
+    def order(self, prompt, engines, service_mean=None):
         """Return the engines in a random order."""
         return self.random.sample(engines, len(engines))
 
@@ -43,7 +43,7 @@
 
     LOAD_BOUND_MULTIPLE = 1.25
 
-    def order(self, prompt, engines):
+    def order(self, prompt, engines, service_mean=None):
         """Return the engines by descending score.
 
         Engines that one more request would put above the load bound come last.
