Bound what a router keeps of many endless responses at a time

Callers would see: a router that ends for want of memory while many servers send without end, and before that sound responses cut off, since bodies without end had taken the whole buffer budget.

A read takes 32 KiB now and 32 KiB are kept ahead, incomplete events share the budget of bodies, and 16 KiB are free for each response.

--- a/boragetrail/direct/attempt.py
+++ b/boragetrail/direct/attempt.py
@@ -3,7 +3,7 @@
 from aiohttp import ClientError
 from aiohttp.http_exceptions import HttpProcessingError
 
-from boragetrail.direct.buffers import MAX_BODY_BYTES
+from boragetrail.direct.buffers import MAX_BODY_BYTES, BufferShare
 from boragetrail.direct.phases import (
     AttemptState,
     ExchangeOutcome,
@@ -185,20 +185,20 @@
         :returns: bytes, or ``None`` if the body was truncated or too long
         """
         chunks, size = [], 0
+        share = BufferShare(budget)
         try:
             async for data in self.chunks():
-                too_long = size + len(data) > MAX_BODY_BYTES
-                if too_long or not budget.try_take(len(data)):
+                size += len(data)
+                if size > MAX_BODY_BYTES or not share.try_resize(size):
                     self._fail(BODY_TOO_LONG)
                     return None
-                size += len(data)
                 chunks.append(data)
             if self.state is not AttemptState.COMPLETE:
                 return None
             self.progressed_s = self.clock()
             return b"".join(chunks)
         finally:
-            budget.give_back(size)
+            share.try_resize(0)
 
     def fail_truncated(self, error):
         """Mark a response that ended with its connection as truncated.
--- a/boragetrail/direct/connection.py
+++ b/boragetrail/direct/connection.py
@@ -14,7 +14,10 @@
 __all__ = ["ConnectionPool", "ServerConnection"]
 
 CONNECT_TIMEOUT_S = 0.4
-READ_BUFFER_BYTES = 64 * 1024
+# Bytes that are read at a time, and bytes of a body above which reading
+# pauses twice over. Both are kept for each connection whose reader waits.
+READ_BYTES = 32 * 1024
+READ_BUFFER_BYTES = 16 * 1024
 
 
 class ServerConnection(BoundedHandler):
@@ -36,6 +39,11 @@
         self.used = False
         self.lost_s = None
 
+    def connection_made(self, transport):
+        """Limit what one read takes from the socket."""
+        transport.max_size = READ_BYTES
+        super().connection_made(transport)
+
     def connection_lost(self, exc):
         """Record when the connection was lost, unless it was closed here."""
         if self.transport is not None:
--- a/boragetrail/direct/forwarding.py
+++ b/boragetrail/direct/forwarding.py
@@ -1,6 +1,6 @@
 """Forwarding of the responses of servers to callers."""
 
-from boragetrail.direct.buffers import BufferBudget
+from boragetrail.direct.buffers import BufferBudget, BufferShare
 from boragetrail.direct.eventstream import MAX_EVENT_BYTES
 from boragetrail.direct.headers import HeaderRewriter
 from boragetrail.direct.model import RequestKind
@@ -15,7 +15,9 @@
 GATEWAY_TIMEOUT = 504
 OTHER_CONTENT = "the stream does not go on with the same type of content"
 ENDED_WITHIN_EVENT = "the connection ended within an event"
-EVENT_TOO_LONG = f"event larger than {MAX_EVENT_BYTES} bytes"
+EVENT_TOO_LONG = (
+    f"event larger than {MAX_EVENT_BYTES} bytes, or no memory left"
+)
 
 
 def record_failure(attempt):
@@ -97,6 +99,20 @@
         return Failure(Reason.BACKEND_FAILED, detail, Executed.YES)
 
     async def _forward_stream(self, request, caller, progress, attempt):
+        share = BufferShare(self.buffer_budget)
+        try:
+            return await self._forward_events(
+                request, caller, progress, attempt, share
+            )
+        finally:
+            share.try_resize(0)
+
+    async def _forward_events(self, request, caller, progress, attempt, share):
+        """Forward the events of a stream.
+
+        :param share: :class:`~boragetrail.direct.buffers.BufferShare` of the
+            incomplete event
+        """
         response = attempt.response
         if not caller.started:
             fields = self.rewriter.response_fields(response.raw_headers)
@@ -107,7 +123,8 @@
         stream_started = False
         async for data in attempt.chunks():
             complete = splitter.feed(data)
-            if splitter.exceeds_limit():
+            size = len(splitter.remainder)
+            if splitter.exceeds_limit() or not share.try_resize(size):
                 record_failure(attempt)
                 return Failure(Reason.TRUNCATED, EVENT_TOO_LONG)
             if complete and not progress.stream_begun:
