--- a/boragetrail/direct/peers.py
+++ b/boragetrail/direct/peers.py
@@ -2,61 +2,12 @@
 
 from boragetrail.direct.counts import server_key
 from boragetrail.direct.loads import ServerLoad, PeerSums
+from boragetrail.direct.peer import SLOW_LINK_MBPS, Peer
 from boragetrail.direct.work import WorkShard, WorkTable
 from boragetrail.events import Event, log_event
 from boragetrail.policy.placement import rendezvous_score
 
-__all__ = ["Peer", "PeerTable"]
-
-# A link below this bandwidth is slow. Routers with slow links are avoided for
-# bulk transfers, so that the links stay free for callers' traffic.
-SLOW_LINK_MBPS = 25.0
-
-
-class Peer:
-    """Holds the last known state of one other router.
-
-    :param address: (host, port) on which the router receives datagrams
-    :param now_s: current monotonic time
-    :ivar sequence: sequence number of its last digest or update
-    :ivar digest_received_s: monotonic time at which its last digest arrived
-    :ivar added_s: monotonic time at which its address became known
-    :ivar versions_received_s: monotonic time at which its last digest or
-        update arrived
-    """
-
-    __slots__ = (
-        "address",
-        "relay_port",
-        "incarnation",
-        "sequence",
-        "digest_received_s",
-        "added_s",
-        "versions_by_table",
-        "versions_received_s",
-        "store_unreachable",
-        "uptime_s",
-        "link_mbps",
-        "leaving",
-    )
-
-    def __init__(self, address, now_s):
-        self.address = address
-        self.relay_port = 0
-        self.incarnation = ""
-        self.sequence = 0
-        self.digest_received_s = float("-inf")
-        self.added_s = now_s
-        self.versions_by_table = {}
-        self.versions_received_s = float("-inf")
-        self.store_unreachable = False
-        self.uptime_s = 0.0
-        self.link_mbps = 0.0
-        self.leaving = False
-
-    def has_slow_link(self):
-        """Return whether the router's link is slow."""
-        return self.link_mbps < SLOW_LINK_MBPS
+__all__ = ["PeerTable"]
 
 
 class PeerTable:
--- a/boragetrail/direct/relay.py
+++ b/boragetrail/direct/relay.py
@@ -205,7 +205,7 @@
     :param directory: :class:`~boragetrail.direct.directory.Directory`
     :param peers: :class:`~boragetrail.direct.peers.PeerTable`
     :param make_source: function that gets a
-        :class:`~boragetrail.direct.peers.Peer` and returns a
+        :class:`~boragetrail.direct.peer.Peer` and returns a
         :class:`~boragetrail.direct.interfaces.RowSource`
     :param feeds_by_table: :class:`~boragetrail.direct.feed.Feed` by table
     :param random: random generator
--- a/boragetrail/direct/tests/test_endlessqueries.py
+++ b/boragetrail/direct/tests/test_endlessqueries.py
@@ -111,6 +111,7 @@
     async def test_bytes_that_do_not_end(self, server, session, call, name):
         await self.check_ended(server, session, call, Endless(STARTS[name]))
 
+    # Sessions of processes kept informational responses without end.
     @pytest.mark.parametrize("call", CALLS)
     @pytest.mark.parametrize("name", REPEATED)
     async def test_lines_that_do_not_end(self, server, session, call, name):
@@ -137,6 +138,7 @@
 class TestIdleConnection:
     """A connection that is kept for the next call is closed as well."""
 
+    # An idle connection of a session kept all that arrived on it.
     async def test_bytes_after_a_complete_response(self, server, session):
         endless = Endless(lambda request: b"")
 
@@ -157,6 +159,7 @@
 class TestMemory:
     """What all queries of a start hold together is bounded."""
 
+    # A router that started kept the lists of all engines that it asked.
     async def test_several_engines_at_once(self, session):
         start = STARTS["body with a length"]
         endless = [Endless(start) for _ in range(SERVERS)]
@@ -177,6 +180,7 @@
         for server in servers:
             await server.close()
 
+    # Nested brackets ended the task that had asked for the list.
     async def test_deep_json(self, server, session):
         async def respond(request):
             return whole_answer(request, b"[" * 200_000)
--- a/boragetrail/direct/tests/test_limits.py
+++ b/boragetrail/direct/tests/test_limits.py
@@ -105,6 +105,7 @@
         paths = [request.line.split()[1] for request in other.requests]
         assert "/-/report" not in paths
 
+    # A server at a reused address would have ended the limit of another.
     async def test_report_of_another_run(self, cluster):
         daemons, limited, _ = await self.set_up(cluster)
         limited.default = report_limit(None, started_ms=7)
--- a/boragetrail/direct/tests/test_reconnection.py
+++ b/boragetrail/direct/tests/test_reconnection.py
@@ -36,6 +36,7 @@
                 await asyncio.sleep(0.01)
         assert len(state.pool.idle_connections) == 1
 
+    # A server that is gone would have been tried for ever.
     async def test_unlisted_servers_are_forgotten(self, cluster):
         daemon = await cluster.add_router()
         away = cluster.servers[0]
--- a/boragetrail/direct/tests/test_room.py
+++ b/boragetrail/direct/tests/test_room.py
@@ -133,6 +133,7 @@
         chosen = [selection.choose() for _ in range(4)]
         assert "i-0" in chosen
 
+    # An ended server that was still listed as warm came before cold ones.
     def test_cold_servers_are_preferred_to_an_unreachable_one(self, selection):
         warm = selection.state(0)
         selection.router.fleet.record_unreachable(warm, selection.clock())
