--- a/boragetrail/direct/daemon.py
+++ b/boragetrail/direct/daemon.py
@@ -64,6 +64,7 @@
     def __init__(self, settings, platform, reload):
         self.settings = settings
         self.platform = platform
+        self.features = platform.features(settings.rules)
         self.reload = reload
         self.clock = time.monotonic
         self.random = random.Random()
@@ -173,6 +174,7 @@
             name=self.settings.name,
             zone=self.settings.zone,
             incarnation=self.incarnation,
+            features=sorted(each.value for each in self.features),
         )
         await self.stop_requested.wait()
         log_event(
--- a/boragetrail/direct/failures.py
+++ b/boragetrail/direct/failures.py
@@ -45,6 +45,8 @@
     if progress.possible_executions:
         detail = "no other server is available for the request"
         return Failure(Reason.BACKEND_FAILED, detail)
+    if progress.refusal is not None:
+        return progress.refusal
     service = request.service.name
     detail = f"service {service!r}"
     if progress.version not in (None, *fleet.versions(service)):
--- a/boragetrail/direct/fleet.py
+++ b/boragetrail/direct/fleet.py
@@ -231,6 +231,7 @@
             self._standing(state),
             self._failure_rate(state),
             self.knowledge.limiter.is_limited(state.record),
+            state.record.zone == self.zone,
         )
 
     def _standing(self, state):
--- a/boragetrail/direct/progress.py
+++ b/boragetrail/direct/progress.py
@@ -50,6 +50,8 @@
         request, when one was last selected
     :ivar room_wait_s: seconds until some server has room again, if none had
         when one was last selected, else 0
+    :ivar refusal: :class:`~boragetrail.errors.Refusal` of the filter that left
+        no server in the last selection, or ``None``
     :ivar mean_load: mean known number of requests of the engines among which
         the last one was selected
     :ivar survey: :class:`ServiceSurvey` of that selection
@@ -80,6 +82,7 @@
         "counted_s",
         "wait_s",
         "room_wait_s",
+        "refusal",
         "mean_load",
         "survey",
         "media_type",
@@ -102,6 +105,7 @@
         self.counted_s = None
         self.wait_s = 0.0
         self.room_wait_s = 0.0
+        self.refusal = None
         self.mean_load = 0.0
         self.survey = ServiceSurvey()
         self.media_type = ""
--- a/boragetrail/direct/selector.py
+++ b/boragetrail/direct/selector.py
@@ -41,6 +41,9 @@
     :param bounds: :class:`~boragetrail.settings.direct.Bounds`
     :param clock: function that returns monotonic seconds
     :param random: random generator
+    :ivar filters: list of
+        :class:`~boragetrail.direct.serverfilter.ServerFilter`, applied to the
+        usable servers in this order
     """
 
     def __init__(self, fleet, names, bounds, clock, random):
@@ -50,6 +53,7 @@
         self.clock = clock
         self.prefix_placement = PrefixPlacement(fleet.prefix_index, random)
         self.least_loaded = LeastLoadedOrder(random)
+        self.filters = []
 
     def choose(self, request, progress):
         """Return the state of the server to try next, or ``None``.
@@ -78,6 +82,10 @@
         }
         progress.survey = self._survey(ready, usable, views_by_id)
         progress.room_wait_s = 0.0
+        progress.refusal = None
+        for each in self.filters:
+            if usable:
+                usable = each.select(request, progress, usable, views_by_id)
         chosen = self._choose(request, progress, usable, views_by_id)
         if chosen is not None:
             progress.counted_s = limiter.try_acquire(chosen.record)
--- a/boragetrail/direct/tests/conftest.py
+++ b/boragetrail/direct/tests/conftest.py
@@ -183,19 +183,23 @@
         """Put a zone back into service."""
         self.store.remove("op", f"evacuate/{zone}")
 
-    async def add_router(self, grace_s=8.0):
-        """Start a router and wait until it is ready."""
-        daemon = self.make_router(grace_s)
+    async def add_router(self, grace_s=8.0, **fields):
+        """Start a router and wait until it is ready.
+
+        :param fields: settings that replace the defaults
+        """
+        daemon = self.make_router(grace_s, **fields)
         await daemon.open()
         await self.until(daemon.is_ready)
         count = len(self.servers)
         await self.until(lambda: len(daemon.directory.servers_by_id) == count)
         return daemon
 
-    def make_router(self, grace_s=8.0, store=None):
+    def make_router(self, grace_s=8.0, store=None, **fields):
         """Return a router with an address of its own, not yet started.
 
         :param store: address of the store, if it is reached through a proxy
+        :param fields: settings that replace the defaults
         """
         host = f"127.0.0.{len(self.daemons) + 1}"
         address = f"{host}:{self.gossip_port}"
@@ -206,6 +210,7 @@
             store or self.store.address,
             seeds=[daemon.settings.gossip for daemon in self.daemons],
             grace_s=grace_s,
+            **fields,
         )
         settings = DirectSettings(data)
         daemon = DirectDaemon(settings, platform, lambda: (settings, []))
--- /dev/null
+++ b/boragetrail/direct/tests/test_features.py
@@ -0,0 +1,76 @@
+"""Tests of the features that settings switch on, and of server filters."""
+
+import random
+
+from boragetrail.direct.failures import no_server_failure
+from boragetrail.direct.features import Feature
+from boragetrail.direct.progress import RequestProgress
+from boragetrail.direct.request import DirectRequest
+from boragetrail.direct.serverfilter import ServerFilter
+from boragetrail.direct.tests.fleetsimulation import ROUTE, SERVICE, Router
+from boragetrail.errors import Refusal
+from boragetrail.platform import features
+from boragetrail.reasons import Executed, Reason
+from standins.clock import ManualClock
+
+
+class OnlyServer(ServerFilter):
+    """Leave at most one server.
+
+    :param server_id: id of that server
+    """
+
+    def __init__(self, server_id):
+        self.server_id = server_id
+
+    def select(self, request, progress, states, views_by_id):
+        """Return the server, or refuse the request without it."""
+        left = [each for each in states if each.record.id == self.server_id]
+        if not left:
+            progress.refusal = Refusal(
+                Reason.OVERLOADED, "filtered", Executed.NO, 0.7
+            )
+        return left
+
+
+class TestFeatures:
+    """Guard against features that are on where nothing calls for them."""
+
+    def test_rules_without_features(self):
+        assert features(["base", "drain", "places"]) == frozenset()
+
+    def test_unknown_rule(self):
+        assert features(["from-the-future"]) == frozenset()
+
+    def test_rollout_rule(self):
+        assert features(["base", "rollout"]) == {Feature.ROLLOUTS}
+
+    async def test_router_without_rules(self, cluster):
+        daemon = await cluster.add_router()
+        assert daemon.features == frozenset()
+        assert daemon.selector.filters == []
+
+
+class TestServerFilters:
+    """Guard against requests that reach servers that a filter leaves out."""
+
+    def _choose(self, *filters):
+        self.router = Router(0, ManualClock(100.0), random.Random(1), 3)
+        self.router.selector.filters = list(filters)
+        request = DirectRequest(None, 100.0)
+        request.route, request.service = ROUTE, SERVICE
+        self.request = request
+        self.progress = RequestProgress([], [])
+        return self.router.selector.choose(request, self.progress)
+
+    def test_filter_restricts_the_choice(self):
+        chosen = [self._choose(OnlyServer("i-1")) for _ in range(20)]
+        assert {state.record.id for state in chosen} == {"i-1"}
+
+    def test_request_is_refused_if_no_server_is_left(self):
+        assert self._choose(OnlyServer("i-1"), OnlyServer("i-2")) is None
+        failure = no_server_failure(
+            self.request, self.progress, self.router.fleet, random.Random(1)
+        )
+        assert failure.ran is Executed.NO
+        assert failure.retry_after_s == 0.7
--- a/boragetrail/platform/__init__.py
+++ b/boragetrail/platform/__init__.py
@@ -5,7 +5,7 @@
 
 from boragetrail.platform.decode import PlatformRowDecoder
 from boragetrail.platform.engines import PlatformEngineClient
-from boragetrail.platform.names import HEADER_NAMES
+from boragetrail.platform.names import HEADER_NAMES, features
 from boragetrail.platform.store import PlatformStoreClient
 
 __all__ = [
@@ -13,4 +13,5 @@
     "PlatformRowDecoder",
     "PlatformEngineClient",
     "PlatformStoreClient",
+    "features",
 ]
--- a/boragetrail/platform/names.py
+++ b/boragetrail/platform/names.py
@@ -1,5 +1,6 @@
 """Names of the platform: header fields, tables, keys and values."""
 
+from boragetrail.direct.features import Feature
 from boragetrail.direct.model import RequestKind
 from boragetrail.direct.interfaces import HeaderNames, Table
 
@@ -15,6 +16,7 @@
     "STREAMS_TABLE",
     "TABLE_NAMES",
     "VERSIONS_TABLE",
+    "features",
 ]
 
 HEADER_NAMES = HeaderNames(
@@ -84,3 +86,31 @@
     "non_idempotent": RequestKind.AT_MOST_ONCE,
     "streaming": RequestKind.STREAM,
 }
+
+FEATURES_BY_RULE = {
+    "rollout": frozenset((Feature.ROLLOUTS,)),
+    "pressure": frozenset(
+        (
+            Feature.OUTLIER_EJECTION,
+            Feature.PRIORITY_ADMISSION,
+            Feature.ENGINE_CAPACITY,
+            Feature.ZONE_AFFINITY,
+        )
+    ),
+}
+
+
+def features(rules):
+    """Return the features that the platform's rules call for.
+
+    Rules that are not known here call for none.
+
+    :param rules: names of the rules that are in force
+    :returns: frozenset of :class:`~boragetrail.direct.features.Feature`
+
+    >>> [feature.name for feature in features(["rollout", "base"])]
+    ['ROLLOUTS']
+    """
+    return frozenset().union(
+        *(FEATURES_BY_RULE.get(rule, ()) for rule in rules)
+    )
--- a/boragetrail/policy/leastloaded.py
+++ b/boragetrail/policy/leastloaded.py
@@ -17,6 +17,7 @@
     :param in_zone: whether it is in the router's zone
     :param standing: :class:`~boragetrail.policy.suspicion.Standing`
     :param failure_rate: expected fraction of failed requests
+    :param slowness: time that its work takes, relative to the usual time
     """
 
     id: str
@@ -24,6 +25,7 @@
     in_zone: bool
     standing: Standing
     failure_rate: float = 0.0
+    slowness: float = 1.0
 
 
 class LeastLoadedOrder:
--- a/boragetrail/policy/prefix.py
+++ b/boragetrail/policy/prefix.py
@@ -27,6 +27,8 @@
     :param standing: :class:`~boragetrail.policy.suspicion.Standing`
     :param failure_rate: expected fraction of failed requests
     :param is_limited: whether the engine limits the rate of its requests
+    :param in_zone: whether it is in the router's zone
+    :param slowness: time that its work takes, relative to the usual time
     """
 
     id: str
@@ -35,6 +37,8 @@
     standing: Standing
     failure_rate: float = 0.0
     is_limited: bool = False
+    in_zone: bool = True
+    slowness: float = 1.0
 
 
 class PrefixCacheIndex:
--- a/boragetrail/settings/direct.py
+++ b/boragetrail/settings/direct.py
@@ -12,7 +12,13 @@
 from boragetrail.settings.errors import SettingsError
 from boragetrail.settings.file import read_settings
 
-__all__ = ["Bounds", "DirectSettings", "load_direct_settings"]
+__all__ = [
+    "Bounds",
+    "DirectSettings",
+    "RolloutBounds",
+    "ZoneCosts",
+    "load_direct_settings",
+]
 
 SCHEMA_FILE = "direct.json"
 # In Mbit/s.
@@ -47,6 +53,37 @@
             setattr(self, name, data[name])
 
 
+class RolloutBounds:
+    """Limits on the requests that a bad version gets in a rollout.
+
+    :ivar exposure_ratio: largest part of the service's requests between the
+        order and its end
+    :ivar exposure_margin: further requests in the same time
+    :ivar rollback_s: time in seconds after which a bad version gets no request
+    """
+
+    __slots__ = ("exposure_ratio", "exposure_margin", "rollback_s")
+
+    def __init__(self, data):
+        self.exposure_ratio = data["exposure_ratio"]
+        self.exposure_margin = data["exposure_margin"]
+        self.rollback_s = data["rollback_ms"] / 1000.0
+
+
+class ZoneCosts:
+    """Costs of traffic to another zone, as time that a caller may wait.
+
+    :ivar crossing_s: seconds that one request to another zone costs
+    :ivar s_per_mb: seconds that each megabyte to or from it costs
+    """
+
+    __slots__ = ("crossing_s", "s_per_mb")
+
+    def __init__(self, data):
+        self.crossing_s = data["crossing_ms"] / 1000.0
+        self.s_per_mb = data["ms_per_mb"] / 1000.0
+
+
 class DirectSettings:
     """Settings of one router; times in seconds.
 
@@ -63,6 +100,10 @@
     :ivar store: address of the platform's store
     :ivar seed_hosts: hosts of some other routers, contacted at the start
     :ivar bounds: :class:`Bounds`
+    :ivar rules: names of the platform's rules that are in force; they switch
+        on :class:`~boragetrail.direct.features.Feature`
+    :ivar rollout: :class:`RolloutBounds`, or ``None``
+    :ivar zones: :class:`ZoneCosts`, or ``None``
     :ivar first_start: whether the whole system starts for the first time
     :ivar link_mbps: bandwidth of the VM's network link in Mbit/s
     :ivar grace_s: time from the stop signal until the process is killed
@@ -80,6 +121,9 @@
         "store",
         "seed_hosts",
         "bounds",
+        "rules",
+        "rollout",
+        "zones",
         "grace_s",
         "first_start",
         "link_mbps",
@@ -102,6 +146,10 @@
         seeds = data.get("seeds", [])
         self.seed_hosts = [seed.partition(":")[0] for seed in seeds]
         self.bounds = Bounds(data["bounds"])
+        self.rules = data.get("rules", [])
+        rollout, zones = data.get("rollout"), data.get("zones")
+        self.rollout = RolloutBounds(rollout) if rollout else None
+        self.zones = ZoneCosts(zones) if zones else None
         self.grace_s = data["grace_s"]
         self.first_start = data.get("first_start", False)
         self.link_mbps = data.get("link_mbps", DEFAULT_LINK_BANDWIDTH_MBPS)
--- a/boragetrail/settings/tests/test_direct.py
+++ b/boragetrail/settings/tests/test_direct.py
@@ -28,7 +28,31 @@
     "bounds.coldFactor": 1.5,
     "bounds.coldMargin": 5,
     "bounds.graceS": 8,
+    "invariants": ["base", "platform"],
 }
+ROLLOUT_VALUES = {
+    "bounds.exposureRatio": 0.1,
+    "bounds.exposureMargin": 50,
+    "bounds.rollbackMs": 5000,
+}
+SECTION = re.compile(r"\{\{#([\w.]+)\}\}(.*?)\{\{/\1\}\}", re.DOTALL)
+
+
+def fill_template(values):
+    """Return the text of the deployment template with its values.
+
+    :param values: values by placeholder
+    """
+
+    def fill(match):
+        value = values[match[1]]
+        return json.dumps(value) if match[2] else str(value)
+
+    text = SECTION.sub(
+        lambda match: match[2] if match[1] in values else "",
+        TEMPLATE.read_text(),
+    )
+    return PLACEHOLDER.sub(fill, text)
 
 
 class TestDirectSettings:
@@ -41,17 +65,23 @@
         assert settings.seed_hosts == ["127.0.0.2"]
 
     def test_filled_deployment_template(self, tmp_path):
-        def fill(match):
-            value = VALUES_BY_PLACEHOLDER[match[1]]
-            return json.dumps(value) if match[2] else str(value)
-
         path = tmp_path / "node.yaml"
-        path.write_text(PLACEHOLDER.sub(fill, TEMPLATE.read_text()))
+        path.write_text(fill_template(VALUES_BY_PLACEHOLDER))
         settings, errors = load_direct_settings(path)
         assert errors == []
         assert settings.gossip == "10.1.0.40:7340"
         assert settings.seed_hosts == ["10.1.0.40", "10.2.0.29"]
         assert settings.first_start
+        assert settings.rollout is None
+
+    def test_template_of_a_deployment_with_rollouts(self, tmp_path):
+        path = tmp_path / "node.yaml"
+        values = {**VALUES_BY_PLACEHOLDER, **ROLLOUT_VALUES}
+        path.write_text(fill_template(values))
+        settings, errors = load_direct_settings(path)
+        assert errors == []
+        assert settings.rollout.exposure_margin == 50
+        assert settings.rollout.rollback_s == 5.0
 
     def test_error_names_the_field(self, tmp_path):
         path = tmp_path / "bad.json"
