--- a/boragetrail/direct/attempt.py
+++ b/boragetrail/direct/attempt.py
@@ -130,7 +130,9 @@
             self.connection = await pool.open()
         except OSError as exc:
             self.error = f"connect: {exc!r}"
+            self.server.record_connection_failure(exc, self.began_s)
             return False
+        self.server.record_life()
         return True
 
     async def exchange(self, data):
--- a/boragetrail/direct/daemon.py
+++ b/boragetrail/direct/daemon.py
@@ -14,6 +14,7 @@
 from boragetrail.direct.discovery import CacheDiscovery
 from boragetrail.direct.dispatch import Dispatcher
 from boragetrail.direct.dump import dump_state
+from boragetrail.direct.features import Feature
 from boragetrail.direct.feed import Feed
 from boragetrail.direct.filters import FilterChain
 from boragetrail.direct.fleet import Fleet
@@ -93,6 +94,9 @@
             self.clock,
             self.knowledge,
         )
+        self.fleet.avoids_unreachable_zones = (
+            Feature.ZONE_AFFINITY in self.features
+        )
         names = platform.HEADER_NAMES
         bounds = settings.bounds
         self.quarantine = PromptQuarantine(
--- a/boragetrail/direct/dispatch.py
+++ b/boragetrail/direct/dispatch.py
@@ -254,6 +254,7 @@
 
     def _record_server_state(self, state, response):
         state.suspicion.record_life()
+        state.record_life()
         load = parse_load(response.headers.get(self.names.load, ""))
         if load is not None:
             self.fleet.reports.record(state.record.id, load)
--- a/boragetrail/direct/fleet.py
+++ b/boragetrail/direct/fleet.py
@@ -8,6 +8,7 @@
 from boragetrail.policy.leastloaded import ServerView
 from boragetrail.policy.outcomes import failure_rate
 from boragetrail.policy.prefix import EngineView, PrefixCacheIndex
+from boragetrail.policy.suspicion import Standing
 
 __all__ = ["Fleet", "is_same_run"]
 
@@ -28,6 +29,8 @@
         attempts in progress are removed
     :ivar unreachable_states: states of the servers to which no connection
         could be opened; some may be reachable again
+    :ivar avoids_unreachable_zones: whether no server of a zone that this
+        router cannot reach is preferred
     :ivar reports: :class:`~boragetrail.direct.reports.ReportTable`
     :ivar prefix_index:
         :class:`~boragetrail.policy.prefix.PrefixCacheIndex` of the servers
@@ -48,6 +51,7 @@
         self.states_by_id = {}
         self.replaced_states = []
         self.unreachable_states = set()
+        self.avoids_unreachable_zones = False
         self.prefix_index = PrefixCacheIndex(clock)
         self.placements = PlacementQueue(self.prefix_index, clock)
         self.reports = ReportTable(clock)
@@ -239,8 +243,16 @@
         if state.suspicion.failures:
             reported_s = self.reports.reported_s(state.record.id)
             state.suspicion.record_life_at_peer(reported_s)
+        if self._is_zone_unreachable(state.record.zone):
+            return Standing.AVOIDED
         return state.standing()
 
+    def _is_zone_unreachable(self, zone):
+        reachability = self.knowledge.reachability
+        return self.avoids_unreachable_zones and reachability.is_unreachable(
+            zone
+        )
+
     def _failure_rate(self, state):
         failures, responses = state.outcomes.counts()
         others = self.peers.load(state.record.id)
--- a/boragetrail/direct/knowledge/servers.py
+++ b/boragetrail/direct/knowledge/servers.py
@@ -8,6 +8,7 @@
 from boragetrail.direct.knowledge.pauses import PauseTable
 from boragetrail.direct.knowledge.streams import StreamOrigins
 from boragetrail.events import Event, log_event
+from boragetrail.policy.reachability import ZoneReachability
 from boragetrail.policy.serverlimits import (
     LimitReport,
     LimitTable,
@@ -39,6 +40,9 @@
         :class:`~boragetrail.direct.knowledge.limiter.RequestLimiter`
     :ivar streams:
         :class:`~boragetrail.direct.knowledge.streams.StreamOrigins`
+    :ivar reachability:
+        :class:`~boragetrail.policy.reachability.ZoneReachability` from this
+        router
     :ivar tell: function that sends a record to all other routers at once
     """
 
@@ -55,6 +59,7 @@
         self.invalid_limit_runs = set()
         self.limiter = RequestLimiter(self.limits, peers)
         self.streams = StreamOrigins(peers)
+        self.reachability = ZoneReachability(peers.clock)
 
     def accepts_requests(self, record):
         """Return whether a server wants new requests of this router.
--- a/boragetrail/direct/reconnection.py
+++ b/boragetrail/direct/reconnection.py
@@ -43,12 +43,15 @@
             self.tasks.start(self._connect(state), "reconnect")
 
     async def _connect(self, state):
+        started_s = self.fleet.clock()
         try:
             connection = await state.pool.open(self.TIMEOUT_S)
-        except OSError:
+        except OSError as exc:
+            state.record_connection_failure(exc, started_s)
             return
         finally:
             self.connecting.discard(state)
         state.pool.release(connection)
         state.suspicion.record_connection()
+        state.record_life()
         log_event(Event.SERVER_REACHABLE, server=state.record.id)
--- a/boragetrail/direct/serverstate.py
+++ b/boragetrail/direct/serverstate.py
@@ -58,6 +58,25 @@
         self.outcomes.add(True)
         self.suspicion.record_unreachable(started_s)
 
+    def record_connection_failure(self, error, started_s):
+        """Record for the server's zone why a connection was not opened.
+
+        A server that refuses a connection shows that its zone is reachable.
+
+        :param error: the exception
+        :param started_s: monotonic time at which the attempt began
+        """
+        reachability = self.knowledge.reachability
+        zone = self.record.zone
+        if isinstance(error, TimeoutError):
+            reachability.record_timeout(zone, self.record.id, started_s)
+        else:
+            reachability.record_life(zone)
+
+    def record_life(self):
+        """Record for the server's zone that the server has answered."""
+        self.knowledge.reachability.record_life(self.record.zone)
+
     def record_response(self, failed=False):
         """Record a complete response.
 
