--- a/boragetrail/direct/attempt.py
+++ b/boragetrail/direct/attempt.py
@@ -41,6 +41,7 @@
     :param request_id: id that the server repeats in its response
     :param clock: function that returns monotonic seconds
     :param parts: ids of the prompt parts that other prompts may contain
+    :param retryable: whether the request may be executed more than once
     :ivar began_s: monotonic time at which the attempt began
     :ivar sent_s: monotonic time at which the request was sent
     :ivar carrier: :class:`~boragetrail.direct.connection.ServerConnection`
@@ -57,8 +58,11 @@
     :ivar was_reset: whether this router ended the attempt
     """
 
-    def __init__(self, server, names, request_id, clock, parts):
+    def __init__(
+        self, server, names, request_id, clock, parts, retryable=False
+    ):
         self.server = server
+        self.retryable = retryable
         self.parts = parts
         self.names = names
         self.request_id = request_id
--- a/boragetrail/direct/daemon.py
+++ b/boragetrail/direct/daemon.py
@@ -14,6 +14,8 @@
 from boragetrail.direct.discovery import CacheDiscovery
 from boragetrail.direct.dispatch import Dispatcher
 from boragetrail.direct.dump import dump_state
+from boragetrail.direct.ejection import EjectionFilter, EjectionMonitor
+from boragetrail.direct.features import Feature
 from boragetrail.direct.feed import Feed
 from boragetrail.direct.filters import FilterChain
 from boragetrail.direct.fleet import Fleet
@@ -153,6 +155,9 @@
             self._apply_message,
             self.record_gossip,
         )
+        self.ejection = None
+        if Feature.OUTLIER_EJECTION in self.features:
+            self._add_ejection()
         self.session = None
         self.engines = None
         self.store = None
@@ -260,6 +265,10 @@
             (Reconnector.INTERVAL_S, reconnector.reconnect),
         ):
             self.tasks.start_calls(interval_s, function)
+        if self.ejection is not None:
+            self.tasks.start_calls(
+                EjectionMonitor.INTERVAL_S, self.ejection.advance
+            )
         self.discovery_task = self.tasks.start(
             self._discover_caches(), "learn"
         )
@@ -295,10 +304,23 @@
         """Return whether the load balancer may open new connections."""
         return not self.shutdown.begun and self.directory.is_complete()
 
+    def ejected_servers(self):
+        """Return the ids of the servers that this router has ejected."""
+        return [] if self.ejection is None else self.ejection.ejected_ids()
+
     def dump(self):
         """Return the state of the process."""
         return dump_state(self)
 
+    def _add_ejection(self):
+        """Eject failing servers, with the evidence of all routers."""
+        self.ejection = EjectionMonitor(
+            self.fleet, self.record_gossip, self.metrics, self.incarnation
+        )
+        self.selector.filters.append(
+            EjectionFilter(self.ejection, self.fleet, self.metrics)
+        )
+
     def _quarantine_changed(self, held, released):
         log_quarantine(held, released)
         self.fleet.abort_attempts(held)
--- a/boragetrail/direct/dispatch.py
+++ b/boragetrail/direct/dispatch.py
@@ -157,7 +157,12 @@
         progress.tried_ids.add(record.id)
         progress.attempt_count += 1
         attempt = Attempt(
-            state, self.names, request.id, self.clock, progress.parts
+            state,
+            self.names,
+            request.id,
+            self.clock,
+            progress.parts,
+            request.route.retryable,
         )
         progress.attempt = attempt
         state.attempts.add(attempt)
@@ -179,7 +184,7 @@
             MAX_REUSE_IDLE_S if retryable else MAX_REUSE_IDLE_NOT_RETRYABLE_S
         )
         if not await attempt.open(max_idle_s):
-            self.fleet.record_unreachable(state, attempt.began_s)
+            self.fleet.record_unreachable(state, attempt.began_s, retryable)
             return Refusal(Reason.UNREACHABLE, attempt.error)
         if not state.accepts_requests():
             # The server may have said so since it was selected.
--- a/boragetrail/direct/dump.py
+++ b/boragetrail/direct/dump.py
@@ -37,5 +37,6 @@
         "routers": daemon.peers.size(),
         "datagrams_refused": daemon.socket.datagrams_refused,
         "store_calls": daemon.store.calls,
+        "ejected_servers": daemon.ejected_servers(),
         "quarantined_parts": sorted(daemon.quarantine.held_until_s_by_part),
     }
--- /dev/null
+++ b/boragetrail/direct/ejection/monitor.py
@@ -0,0 +1,366 @@
+"""Ejected servers of one router, from the results of all routers."""
+
+import xxhash
+
+from boragetrail.direct.counts import run_key
+from boragetrail.direct.ejection.budget import ReportBudget
+from boragetrail.direct.ejection.outcomes import (
+    WINDOW_S,
+    AttemptResult,
+    OwnOutcomes,
+    ReportStore,
+)
+from boragetrail.events import Event, log_event
+from boragetrail.policy.ejection import (
+    Capacity,
+    Ejection,
+    ServerEvidence,
+    confirmed_losses,
+    failing_servers,
+    is_suspected,
+    may_eject,
+)
+from boragetrail.policy.suspicion import Standing
+
+__all__ = ["EjectionMonitor"]
+
+# Bytes of a datagram with one report, headers of the network included.
+REPORT_BYTES = 110
+
+
+class EjectionMonitor:
+    """Count results, exchange them with other routers, and eject servers.
+
+    Each router decides by itself. The routers know the same reports, save for
+    those on their way, so they come to the same result.
+
+    :param fleet: :class:`~boragetrail.direct.fleet.Fleet`
+    :param record_gossip:
+        :class:`~boragetrail.direct.recordgossip.RecordGossip`
+    :param metrics: :class:`~boragetrail.direct.metrics.DirectMetrics`
+    :param incarnation: text that identifies the run of this router
+    :ivar own_by_server: :class:`OwnOutcomes` by key of the run of a server
+    :ivar ejections_by_server: :class:`~boragetrail.policy.ejection.Ejection`
+        in force, by the same key
+    :ivar ended_by_server: (time of the end, its repetitions) of the last
+        ejection, by the same key
+    """
+
+    INTERVAL_S = 0.1
+    # Reports that an ejection by a router that has just started needs.
+    MIN_ADOPTED = 2
+
+    def __init__(self, fleet, record_gossip, metrics, incarnation):
+        self.fleet = fleet
+        self.record_gossip = record_gossip
+        self.metrics = metrics
+        self.clock = fleet.clock
+        self.router = xxhash.xxh64_intdigest(incarnation.encode())
+        self.own_by_server = {}
+        self.reports = ReportStore(self.clock)
+        self.ejections_by_server = {}
+        self.ended_by_server = {}
+        self.changed_servers = set()
+        self.sent_s = float("-inf")
+        self.budget = ReportBudget(self.clock)
+        record_gossip.outcomes = self
+        fleet.knowledge.on_result = self.record
+
+    def record(self, record, result, retryable):
+        """Count a result of this router.
+
+        :param record: :class:`~boragetrail.direct.model.ServerRecord`
+        :param result:
+            :class:`~boragetrail.direct.ejection.outcomes.AttemptResult`
+        :param retryable: whether the request may be repeated
+        """
+        key = run_key(record)
+        own = self.own_by_server.get(key)
+        if own is None:
+            own = self.own_by_server[key] = OwnOutcomes(self.clock)
+        own.add(result, retryable)
+        if result is not AttemptResult.SUCCESS:
+            self._failed(key, self.clock())
+        if self._is_reported(key):
+            self.changed_servers.add(key)
+            self._decide(record.service)
+            self._send_due()
+
+    def apply(self, report):
+        """Apply a report of another router.
+
+        :param report:
+            :class:`~boragetrail.direct.ejection.outcomes.OutcomeReport`
+        """
+        if report.router == self.router or not self.reports.add(report):
+            return
+        own = self.own_by_server.get(report.server)
+        ejection = self.ejections_by_server.get(report.server)
+        if ejection is not None and report.failed_s > ejection.failed_s:
+            if own is not None:
+                own.successes = 0
+            self._failed(report.server, report.failed_s)
+        service = self._service(report.server)
+        if service is not None:
+            self._decide(service)
+
+    def advance(self):
+        """Send what is due, and end ejections; called at intervals."""
+        self._send_due()
+        self.reports.all_recent()
+        for service in {
+            self._service(key) for key in self.ejections_by_server
+        }:
+            if service is not None:
+                self._decide(service)
+        self._remove_unlisted()
+
+    def is_ejected(self, state):
+        """Return whether a server is ejected.
+
+        :param state: :class:`~boragetrail.direct.serverstate.ServerState`
+        """
+        return run_key(state.record) in self.ejections_by_server
+
+    def has_evidence(self):
+        """Return whether any server has failed or is ejected."""
+        return bool(
+            self.ejections_by_server
+            or self.reports.reports_by_server
+            or any(own.has_failures() for own in self.own_by_server.values())
+        )
+
+    def ejected_ids(self):
+        """Return the sorted ids of the ejected servers."""
+        return sorted(
+            known.record.id
+            for known in self.fleet.directory.servers_by_id.values()
+            if run_key(known.record) in self.ejections_by_server
+        )
+
+    def suspected(self, service):
+        """Return the ids of the servers that retries avoid, as a set.
+
+        :param service: name of the service
+        """
+        evidences = self._evidences(self.fleet.ready_servers(service))
+        return {each.id for each in evidences if is_suspected(each, evidences)}
+
+    def snapshot(self, includes_peers):
+        """Return the reports that still count, as a list.
+
+        :param includes_peers: whether to include those of other routers
+        """
+        own = [
+            self._own_report(key)
+            for key in self.own_by_server
+            if self._is_reported(key)
+        ]
+        return own + (self.reports.all_recent() if includes_peers else [])
+
+    def _failed(self, key, failed_s):
+        ejection = self.ejections_by_server.get(key)
+        if ejection is not None:
+            ejection.record_failure(failed_s)
+
+    def _is_reported(self, key):
+        """Return whether other routers need this router's results."""
+        own = self.own_by_server[key]
+        if own.has_failures() or key in self.ejections_by_server:
+            return True
+        return self._ended_s(key) > self.clock() - WINDOW_S
+
+    def _ended_s(self, key):
+        return self.ended_by_server.get(key, (float("-inf"), 0))[0]
+
+    def _own_report(self, key):
+        own = self.own_by_server[key]
+        is_ejected = key in self.ejections_by_server
+        is_recent = self._ended_s(key) > self.clock() - WINDOW_S
+        successes = own.successes if is_ejected or is_recent else 0
+        return own.report(self.router, key, successes, is_ejected)
+
+    def _send_due(self):
+        """Send the reports that changed, if the last are old enough."""
+        now_s = self.clock()
+        if not self.changed_servers or now_s - self.sent_s < self.INTERVAL_S:
+            return
+        peers = self.fleet.peers
+        count = len(peers.peers_by_address)
+        copies = count + min(count, peers.update_fanout())
+        if not self.budget.try_spend(copies * REPORT_BYTES):
+            return
+        for key in self.changed_servers & self.own_by_server.keys():
+            self.record_gossip.send_now(self._own_report(key))
+        self.changed_servers.clear()
+        self.sent_s = now_s
+
+    def _decide(self, service):
+        """Eject and readmit servers of a service."""
+        states = self.fleet.ready_servers(service)
+        for state in states:
+            self._end_if_due(state)
+        self._adopt(states)
+        while True:
+            left = [each for each in states if not self.is_ejected(each)]
+            evidences = self._evidences(left)
+            failing = failing_servers(evidences)
+            allowed = [
+                each
+                for each in failing
+                if may_eject(self._capacity(states, each))
+            ]
+            if not allowed:
+                break
+            evidence = next(e for e in evidences if e.id == allowed[0])
+            state = next(s for s in left if s.record.id == allowed[0])
+            self._eject(state, evidence)
+        self._restore_capacity(states)
+
+    def _evidences(self, states):
+        """Return a list of :class:`ServerEvidence`, one for each server."""
+        return [self._evidence(state) for state in states]
+
+    def _evidence(self, state):
+        key = run_key(state.record)
+        reports = self.reports.recent(key)
+        if key in self.own_by_server:
+            reports.append(self._own_report(key))
+        since_s = self._ended_s(key)
+        reports = [each for each in reports if each.failed_s > since_s]
+        losses = [
+            confirmed_losses([each.losses[kind] for each in reports])
+            for kind in range(2)
+        ]
+        failures = tuple(
+            losses[kind] + sum(each.errors[kind] for each in reports)
+            for kind in range(2)
+        )
+        known = state.outcomes.counts()[1]
+        known += self.fleet.peers.load(state.record.id).responses
+        responses = sum(each.responses for each in reports)
+        return ServerEvidence(state.record.id, known, failures, responses)
+
+    def _capacity(self, states, server_id=None):
+        """Return the :class:`Capacity` of a service without a server.
+
+        Servers that are avoided for other reasons have no capacity.
+        """
+        left = [
+            each
+            for each in states
+            if each.record.id != server_id
+            and not self.is_ejected(each)
+            and not each.is_leaving()
+            and each.standing() is not Standing.AVOIDED
+        ]
+        ejected = sum(map(self.is_ejected, states))
+        slots = [each.record.slots for each in left]
+        load = sum(self.fleet.engine_view(each).running for each in states)
+        return Capacity(
+            len(left) + ejected + (server_id is not None),
+            ejected,
+            sum(slots) if all(slots) else 0,
+            load,
+        )
+
+    def _restore_capacity(self, states):
+        """Readmit the server ejected last if the others cannot do without."""
+        ejected = [each for each in states if self.is_ejected(each)]
+        if not ejected:
+            return
+        capacity = self._capacity(states)
+        has_servers = capacity.servers > capacity.ejected
+        if has_servers and not 0 < capacity.slots < capacity.load:
+            return
+        last = max(
+            ejected,
+            key=lambda each: (
+                self.ejections_by_server[run_key(each.record)].began_s
+            ),
+        )
+        self._readmit(last, "capacity")
+
+    def _adopt(self, states):
+        """Eject what others have ejected, after the start of this router."""
+        peers = self.fleet.peers
+        if peers.own_uptime_s() >= peers.STARTUP_S:
+            return
+        for state in states:
+            reports = self.reports.recent(run_key(state.record))
+            count = sum(each.is_ejected for each in reports)
+            is_known = self.is_ejected(state)
+            if count < self.MIN_ADOPTED or is_known:
+                continue
+            if may_eject(self._capacity(states, state.record.id)):
+                self._eject(state, self._evidence(state))
+
+    def _eject(self, state, evidence):
+        key = run_key(state.record)
+        now_s = self.clock()
+        ended_s, repetitions = self.ended_by_server.get(key, (0.0, -1))
+        is_repeated = now_s - ended_s < Ejection.REPETITION_S
+        repetitions = repetitions + 1 if is_repeated else 0
+        self.ejections_by_server[key] = Ejection(now_s, repetitions)
+        if key in self.own_by_server:
+            self.own_by_server[key].clear()
+        self.reports.remove(key)
+        self.metrics.record_ejection(state.record.service)
+        log_event(
+            Event.SERVER_EJECTED,
+            service=state.record.service,
+            server=state.record.id,
+            failures=sum(evidence.failures_by_kind),
+            retryable=evidence.failures_by_kind[1],
+            responses=evidence.responses,
+            repetitions=repetitions,
+        )
+
+    def _end_if_due(self, state):
+        key = run_key(state.record)
+        ejection = self.ejections_by_server.get(key)
+        if ejection is None:
+            return
+        own = self.own_by_server.get(key)
+        successes = own.successes if own is not None else 0
+        successes += sum(
+            each.successes
+            for each in self.reports.recent(key)
+            if each.made_s >= ejection.failed_s
+        )
+        if ejection.has_ended(self.clock(), successes):
+            enough = successes >= ejection.successes_needed()
+            self._readmit(state, "trials" if enough else "age")
+
+    def _readmit(self, state, reason):
+        key = run_key(state.record)
+        ejection = self.ejections_by_server.pop(key)
+        self.ended_by_server[key] = (self.clock(), ejection.repetitions)
+        log_event(
+            Event.SERVER_READMITTED,
+            service=state.record.service,
+            server=state.record.id,
+            reason=reason,
+            ejected_s=round(self.clock() - ejection.began_s, 2),
+        )
+
+    def _service(self, key):
+        """Return the service of a run of a server, or ``None``."""
+        for known in self.fleet.directory.servers_by_id.values():
+            if run_key(known.record) == key:
+                return known.record.service
+        return None
+
+    def _remove_unlisted(self):
+        """Remove what is known of runs that are no longer listed."""
+        listed = {
+            run_key(known.record)
+            for known in self.fleet.directory.servers_by_id.values()
+        }
+        for by_key in (
+            self.own_by_server,
+            self.ejections_by_server,
+            self.ended_by_server,
+        ):
+            for key in by_key.keys() - listed:
+                del by_key[key]
--- /dev/null
+++ b/boragetrail/direct/ejection/outcomes.py
@@ -0,0 +1,173 @@
+"""Results of this router's attempts, and what other routers report."""
+
+import collections
+import dataclasses
+import enum
+
+__all__ = ["AttemptResult", "OutcomeReport", "OwnOutcomes", "ReportStore"]
+
+# Time for which results and reports count.
+WINDOW_S = 5.0
+
+
+class AttemptResult(enum.Enum):
+    """Name the results of attempts that count for a server."""
+
+    SUCCESS = "success"
+    ERROR = "error"
+    LOST = "lost"
+
+
+@dataclasses.dataclass(slots=True, frozen=True)
+class OutcomeReport:
+    """Tell the results of one router at one run of a server.
+
+    The counts are those of the last ``WINDOW_S`` seconds, so a report replaces
+    the earlier ones of its router.
+
+    :param router: key of the run of the router
+    :param server: :func:`~boragetrail.direct.counts.run_key`
+    :param errors: pair of error responses to requests that must not be
+        repeated and to those that may be
+    :param losses: the same of responses that were lost or invalid, and of
+        connections that could not be opened
+    :param responses: number of all results
+    :param successes: consecutive successes since the last failure that the
+        router knows of, as long as the server is ejected or was lately
+    :param is_ejected: whether the router has ejected the server
+    :param failed_s: monotonic time of the router's last failure
+    :param made_s: monotonic time of the report
+    """
+
+    router: int
+    server: int
+    errors: tuple
+    losses: tuple
+    responses: int
+    successes: int
+    is_ejected: bool
+    failed_s: float
+    made_s: float
+
+
+class OwnOutcomes:
+    """Count this router's results at one run of a server.
+
+    :param clock: function that returns monotonic seconds
+    :ivar results: (time, :class:`AttemptResult`, whether the request may be
+        repeated) of each result
+    """
+
+    MAX_RESULTS = 1024
+
+    __slots__ = ("clock", "results", "successes", "failed_s")
+
+    def __init__(self, clock):
+        self.clock = clock
+        self.results = collections.deque(maxlen=self.MAX_RESULTS)
+        self.successes = 0
+        self.failed_s = float("-inf")
+
+    def add(self, result, retryable):
+        """Count a result.
+
+        :param result: :class:`AttemptResult`
+        :param retryable: whether the request may be repeated
+        """
+        now_s = self.clock()
+        self.results.append((now_s, result, retryable))
+        if result is AttemptResult.SUCCESS:
+            self.successes += 1
+        else:
+            self.successes = 0
+            self.failed_s = now_s
+
+    def clear(self):
+        """Forget the results, since the server was ejected or readmitted."""
+        self.results.clear()
+        self.successes = 0
+
+    def has_failures(self):
+        """Return whether a failure is recent enough to count."""
+        return self.clock() - self.failed_s < WINDOW_S
+
+    def report(self, router, server, successes, is_ejected):
+        """Return an :class:`OutcomeReport`.
+
+        :param router: key of the run of this router
+        :param server: key of the run of the server
+        :param successes: consecutive successful trials to report
+        :param is_ejected: whether this router has ejected the server
+        """
+        now_s = self.clock()
+        while self.results and now_s - self.results[0][0] >= WINDOW_S:
+            self.results.popleft()
+        counts = collections.Counter(
+            (result, retryable) for _, result, retryable in self.results
+        )
+        return OutcomeReport(
+            router,
+            server,
+            _pair(counts, AttemptResult.ERROR),
+            _pair(counts, AttemptResult.LOST),
+            len(self.results),
+            successes,
+            is_ejected,
+            self.failed_s,
+            now_s,
+        )
+
+
+class ReportStore:
+    """Hold the newest reports of other routers.
+
+    :param clock: function that returns monotonic seconds
+    :ivar reports_by_server: :class:`OutcomeReport` by router, by server
+    """
+
+    MAX_SERVERS = 1024
+    MAX_ROUTERS = 1024
+
+    def __init__(self, clock):
+        self.clock = clock
+        self.reports_by_server = collections.OrderedDict()
+
+    def add(self, report):
+        """Add a report; returns whether it is the newest of its router."""
+        by_router = self.reports_by_server.setdefault(report.server, {})
+        known = by_router.get(report.router)
+        if known is not None and known.made_s >= report.made_s:
+            return False
+        if known is None and len(by_router) >= self.MAX_ROUTERS:
+            return False
+        by_router[report.router] = report
+        if len(self.reports_by_server) > self.MAX_SERVERS:
+            self.reports_by_server.popitem(last=False)
+        return True
+
+    def remove(self, server):
+        """Remove the reports about a server."""
+        self.reports_by_server.pop(server, None)
+
+    def recent(self, server):
+        """Return the reports about a server that still count, as a list."""
+        oldest_s = self.clock() - WINDOW_S
+        by_router = self.reports_by_server.get(server, {})
+        for router in [
+            key for key, each in by_router.items() if each.made_s <= oldest_s
+        ]:
+            del by_router[router]
+        return list(by_router.values())
+
+    def all_recent(self):
+        """Return all reports that still count, as a list."""
+        servers = list(self.reports_by_server)
+        reports = [each for key in servers for each in self.recent(key)]
+        for key in servers:
+            if not self.reports_by_server[key]:
+                del self.reports_by_server[key]
+        return reports
+
+
+def _pair(counts, result):
+    return counts[result, False], counts[result, True]
--- a/boragetrail/direct/fleet.py
+++ b/boragetrail/direct/fleet.py
@@ -99,13 +99,14 @@
             if known.record.ready
         ]
 
-    def record_unreachable(self, state, started_s):
+    def record_unreachable(self, state, started_s, retryable=False):
         """Record that a server accepted no connection.
 
         :param state: :class:`ServerState`
         :param started_s: monotonic time at which the attempt began
+        :param retryable: whether the request may be executed more than once
         """
-        state.record_unreachable(started_s)
+        state.record_unreachable(started_s, retryable)
         self.unreachable_states.add(state)
 
     def servers_to_reconnect(self):
--- a/boragetrail/direct/forwarding.py
+++ b/boragetrail/direct/forwarding.py
@@ -26,7 +26,7 @@
     :param attempt: :class:`~boragetrail.direct.attempt.Attempt`
     """
     if not attempt.was_reset:
-        attempt.server.record_failure(attempt.began_s)
+        attempt.server.record_failure(attempt.began_s, attempt.retryable)
 
 
 class ResponseForwarder:
@@ -72,23 +72,22 @@
         fields = self.rewriter.response_fields(response.raw_headers)
         if response.ok:
             self.crash_monitor.response_progressed(attempt)
-            attempt.server.record_response()
+            attempt.server.record_response(retryable=attempt.retryable)
             caller.set_response(response.status, fields, body)
             return None
         error = (response.status, fields, body)
-        return self._record_server_error(
-            caller, progress, attempt.server, error
-        )
+        return self._record_server_error(caller, progress, attempt, error)
 
-    def _record_server_error(self, caller, progress, server, error):
+    def _record_server_error(self, caller, progress, attempt, error):
         """Record an error response; it is sent later if no retry succeeds.
 
         :param error: (status, fields, body)
         :returns: :class:`~boragetrail.errors.Failure`
         """
         status = error[0]
-        server.record_response(
-            failed=status >= 500 and status != GATEWAY_TIMEOUT
+        attempt.server.record_response(
+            failed=status >= 500 and status != GATEWAY_TIMEOUT,
+            retryable=attempt.retryable,
         )
         if caller.started:
             return Failure(
@@ -146,6 +145,6 @@
             return Failure(Reason.TRUNCATED, attempt.error)
         if splitter.remainder:
             await caller.write(splitter.remainder)
-        attempt.server.record_response()
+        attempt.server.record_response(retryable=attempt.retryable)
         await caller.finish()
         return None
--- a/boragetrail/direct/knowledge/servers.py
+++ b/boragetrail/direct/knowledge/servers.py
@@ -40,6 +40,10 @@
     :ivar streams:
         :class:`~boragetrail.direct.knowledge.streams.StreamOrigins`
     :ivar tell: function that sends a record to all other routers at once
+    :ivar on_result: function that is called with the
+        :class:`~boragetrail.direct.model.ServerRecord`, the
+        :class:`~boragetrail.direct.ejection.outcomes.AttemptResult` and
+        whether the request may be repeated, for each result of an attempt
     """
 
     # Longest time for which a datagram of another router is on its way.
@@ -49,6 +53,7 @@
         self.clock = peers.clock
         self.random = peers.random
         self.tell = lambda record: None
+        self.on_result = lambda record, result, retryable: None
         self.leaving = LeavingServers(self._server_leaves)
         self.pauses = PauseTable(peers.clock)
         self.limits = LimitTable(peers.clock)
--- a/boragetrail/direct/metrics.py
+++ b/boragetrail/direct/metrics.py
@@ -35,6 +35,25 @@
             registry=self.registry,
         )
 
+        self.ejections = aioprometheus.Counter(
+            "boragetrail_ejections_total",
+            "Ejections of servers by this router.",
+            registry=self.registry,
+        )
+        self.ejection_trials = aioprometheus.Counter(
+            "boragetrail_ejection_trials_total",
+            "Requests that this router sent to ejected servers as trials.",
+            registry=self.registry,
+        )
+
+    def record_ejection(self, service):
+        """Record the ejection of a server of a service."""
+        self.ejections.inc({"service": service})
+
+    def record_ejection_trial(self, service):
+        """Record a request that tries an ejected server of a service."""
+        self.ejection_trials.inc({"service": service})
+
     def record_lost_response(self, phase, crashed):
         """Record a response whose connection to the server was lost.
 
--- a/boragetrail/direct/recordgossip.py
+++ b/boragetrail/direct/recordgossip.py
@@ -2,6 +2,7 @@
 
 import collections
 
+from boragetrail.direct.ejection.outcomes import OutcomeReport
 from boragetrail.direct.knowledge.leaving import Leaving
 from boragetrail.direct.knowledge.streams import (
     StreamOrigin,
@@ -34,6 +35,8 @@
     :ivar queue: (record, number of times that it is still to be sent)
     :ivar send: function that sends a message to all peers
     :ivar send_to: function that sends a message to a list of addresses
+    :ivar outcomes: :class:`~boragetrail.direct.ejection.EjectionMonitor`, or
+        ``None`` without ejection
 
     .. [1] A. Demers et al., "Epidemic Algorithms for Replicated Database
        Maintenance", PODC 1987.
@@ -53,6 +56,7 @@
         self.queue = collections.deque(maxlen=self.MAX_QUEUED)
         self.send = None
         self.send_to = None
+        self.outcomes = None
         knowledge.tell = self.send_now
         knowledge.streams.send_to = self._send_to
 
@@ -84,6 +88,10 @@
             if isinstance(record, STREAM_RECORDS):
                 self.knowledge.streams.apply(record, sender)
                 continue
+            if isinstance(record, OutcomeReport):
+                if self.outcomes is not None:
+                    self.outcomes.apply(record)
+                continue
             is_new = add_by_type[type(record)](record)
             if is_new and self.peers.needs_relaying():
                 self.add(record)
@@ -112,8 +120,15 @@
             quarantine.active_reports()
             + quarantine.active_trials()
             + self.knowledge.snapshot(count)
+            + self._outcome_reports(count)
         )
 
+    def _outcome_reports(self, count):
+        """Return this router's reports, and without a count those of all."""
+        if self.outcomes is None:
+            return []
+        return self.outcomes.snapshot(includes_peers=count is None)
+
     def _send_to(self, record, addresses):
         for message in self._messages([record]):
             self.send_to(message, addresses)
--- a/boragetrail/direct/recordmessages.py
+++ b/boragetrail/direct/recordmessages.py
@@ -8,6 +8,7 @@
 import dataclasses
 
 from boragetrail.direct import checks
+from boragetrail.direct.ejection.outcomes import OutcomeReport
 from boragetrail.direct.knowledge.leaving import Leaving
 from boragetrail.direct.knowledge.streams import (
     StreamOrigin,
@@ -32,6 +33,8 @@
 MAX_KEY = 2**64 - 1
 # Encoded limit of a server that names none.
 NO_LIMIT = 0
+MAX_COUNT = 0xFFFF
+OUTCOME_COUNTS = 6
 MAX_RATE_PER_1000_S = int(1000 * MAX_RATE_PER_S)
 
 
@@ -49,7 +52,9 @@
         ``"stream"``, ``"query"`` and ``"unknown"`` for those of
         :mod:`boragetrail.direct.knowledge.streams`,
         ``"limit"`` for
-        :class:`~boragetrail.policy.serverlimits.LimitReport`
+        :class:`~boragetrail.policy.serverlimits.LimitReport`,
+        ``"outcomes"`` for
+        :class:`~boragetrail.direct.ejection.outcomes.OutcomeReport`
     """
 
     kind: str
@@ -141,6 +146,23 @@
     return checks.fixed_list(value, _key, _rate, _age)
 
 
+def _check_outcomes(value):
+    return checks.fixed_list(
+        value, _key, _key, _counts, checks.flag, _age, _age
+    )
+
+
+def _counts(value):
+    """Return the counts of an :class:`OutcomeReport`, if they are possible."""
+    counts = [
+        checks.integer(each, MAX_COUNT)
+        for each in checks.bounded_list(value, OUTCOME_COUNTS)
+    ]
+    if len(counts) != OUTCOME_COUNTS or sum(counts[:4]) > counts[4]:
+        raise ValueError("not the counts of outcomes")
+    return counts
+
+
 def _rate(value):
     return checks.integer(value, MAX_RATE_PER_1000_S)
 
@@ -186,6 +208,33 @@
     return LimitReport(server, rate_per_s, now_s - age_ms / 1000.0)
 
 
+def _encode_outcomes(report, now_s):
+    counts = (*report.errors, *report.losses, report.responses)
+    return [
+        report.router,
+        report.server,
+        [*counts, min(MAX_COUNT, report.successes)],
+        report.is_ejected,
+        _age_ms(report.failed_s, now_s),
+        _age_ms(report.made_s, now_s),
+    ]
+
+
+def _decode_outcomes(value, now_s):
+    router, server, counts, is_ejected, failed_ms, made_ms = value
+    return OutcomeReport(
+        router,
+        server,
+        tuple(counts[:2]),
+        tuple(counts[2:4]),
+        counts[4],
+        counts[5],
+        is_ejected,
+        now_s - failed_ms / 1000.0,
+        now_s - made_ms / 1000.0,
+    )
+
+
 def _name(record):
     """Return the name of a record's type in messages."""
     if isinstance(record, CrashReport) and record.progressed:
@@ -194,7 +243,7 @@
 
 
 def _age_ms(time_s, now_s):
-    return max(0, min(MAX_AGE_MS, int((now_s - time_s) * 1000)))
+    return int(max(0, min(MAX_AGE_MS, (now_s - time_s) * 1000)))
 
 
 _NAMES_BY_TYPE = {
@@ -203,6 +252,7 @@
     Trial: "trial",
     Leaving: "leaving",
     LimitReport: "limit",
+    OutcomeReport: "outcomes",
     StreamOrigin: "stream",
     StreamQuery: "query",
     StreamUnknown: "unknown",
@@ -220,6 +270,7 @@
     ],
     "leaving": lambda record, now_s: record.server,
     "limit": _encode_limit,
+    "outcomes": _encode_outcomes,
     "stream": lambda record, now_s: [
         record.stream,
         record.version,
@@ -237,6 +288,7 @@
     "trial": lambda value, now_s: Trial(value[0], now_s - value[1] / 1000.0),
     "leaving": lambda value, now_s: Leaving(value),
     "limit": _decode_limit,
+    "outcomes": _decode_outcomes,
     "stream": lambda value, now_s: StreamOrigin(
         value[0], value[1], now_s - value[2] / 1000.0
     ),
@@ -250,6 +302,7 @@
     "trial": _check_part_with_age,
     "leaving": _key,
     "limit": _check_limit,
+    "outcomes": _check_outcomes,
     "stream": _check_stream,
     "query": _key,
     "unknown": _key,
--- a/boragetrail/direct/serverstate.py
+++ b/boragetrail/direct/serverstate.py
@@ -1,6 +1,7 @@
 """State of one run of a server, from this router's requests to it."""
 
 from boragetrail.direct.connection import ConnectionPool
+from boragetrail.direct.ejection.outcomes import AttemptResult
 from boragetrail.policy.outcomes import OutcomeWindow
 from boragetrail.policy.quota import RateQuota
 from boragetrail.policy.suspicion import Standing, Suspicion
@@ -42,30 +43,38 @@
         self.cold_until_s = 0.0
         self.cold_quota = RateQuota(clock)
 
-    def record_failure(self, started_s):
+    def record_failure(self, started_s, retryable=False):
         """Record that the server did not finish a response.
 
         :param started_s: monotonic time at which the attempt began
+        :param retryable: whether the request may be executed more than once
         """
-        self.outcomes.add(True)
+        self._record_result(AttemptResult.LOST, retryable)
         self.suspicion.record_failure(started_s)
 
-    def record_unreachable(self, started_s):
+    def record_unreachable(self, started_s, retryable=False):
         """Record that the server accepted no connection.
 
         :param started_s: monotonic time at which the attempt began
+        :param retryable: whether the request may be executed more than once
         """
-        self.outcomes.add(True)
+        self._record_result(AttemptResult.LOST, retryable)
         self.suspicion.record_unreachable(started_s)
 
-    def record_response(self, failed=False):
+    def record_response(self, failed=False, retryable=False):
         """Record a complete response.
 
         :param failed: whether the response reports an error of the server
+        :param retryable: whether the request may be executed more than once
         """
-        self.outcomes.add(failed)
+        result = AttemptResult.ERROR if failed else AttemptResult.SUCCESS
+        self._record_result(result, retryable)
         self.suspicion.record_response()
 
+    def _record_result(self, result, retryable):
+        self.outcomes.add(result is not AttemptResult.SUCCESS)
+        self.knowledge.on_result(self.record, result, retryable)
+
     def standing(self):
         """Return the :class:`~boragetrail.policy.suspicion.Standing`.
 
--- a/boragetrail/events.py
+++ b/boragetrail/events.py
@@ -97,6 +97,12 @@
         "A call to the store got no response.",
     )
     SERVER_REACHABLE = (519, "INFO", "A server can be reached again.")
+    SERVER_EJECTED = (
+        525,
+        "WARNING",
+        "A server that fails more requests than others was ejected.",
+    )
+    SERVER_READMITTED = (526, "INFO", "An ejected server was readmitted.")
     ORDER_UNKNOWN = (600, "ERROR", "An order's outcome is unknown.")
     ORDER_FENCED = (601, "WARNING", "An order has a stale fencing token.")
     LEASE_ACQUIRED = (602, "INFO", "A lease on model loading was acquired.")
