--- a/boragetrail/direct/ejection/budget.py
+++ b/boragetrail/direct/ejection/budget.py
@@ -12,8 +12,8 @@
     :param clock: function that returns monotonic seconds
 
     >>> budget = ReportBudget(lambda: 0.0)
-    >>> [budget.try_spend(3000) for _ in range(4)]
-    [True, True, True, False]
+    >>> budget.spend(9000), budget.has_room()
+    (None, False)
     """
 
     RATE_PER_S = 1000
@@ -27,17 +27,14 @@
         self.bytes_left = float(self.BURST_BYTES)
         self.filled_s = clock()
 
-    def try_spend(self, count):
-        """Spend bytes if some are left; a large report may overdraw.
-
-        :param count: number of bytes
-        :returns: whether they may be sent
-        """
+    def has_room(self):
+        """Return whether a report may be sent; it may overdraw the budget."""
         now_s = self.clock()
         filled = self.bytes_left + self.RATE_PER_S * (now_s - self.filled_s)
         self.bytes_left = min(self.BURST_BYTES, filled)
         self.filled_s = now_s
-        if self.bytes_left <= 0:
-            return False
+        return self.bytes_left > 0
+
+    def spend(self, count):
+        """Count bytes that are sent."""
         self.bytes_left -= count
-        return True
--- a/boragetrail/direct/ejection/filter.py
+++ b/boragetrail/direct/ejection/filter.py
@@ -2,7 +2,7 @@
 
 from boragetrail.direct.counts import run_key
 from boragetrail.direct.serverfilter import ServerFilter
-from boragetrail.policy.quota import RateQuota
+from boragetrail.policy.ejection import TrialQuota
 
 __all__ = ["EjectionFilter"]
 
@@ -17,9 +17,6 @@
     :param metrics: :class:`~boragetrail.direct.metrics.DirectMetrics`
     """
 
-    # Trials of all routers at one server; RateQuota uses a part of it.
-    TRIALS_PER_S = 8.0
-
     def __init__(self, monitor, fleet, metrics):
         self.monitor = monitor
         self.fleet = fleet
@@ -77,7 +74,6 @@
         key = run_key(state.record)
         quota = self.quotas_by_server.get(key)
         if quota is None:
-            quota = self.quotas_by_server[key] = RateQuota(self.monitor.clock)
+            quota = self.quotas_by_server[key] = TrialQuota(self.monitor.clock)
         peers = self.fleet.peers
-        rank = peers.rank(state.record.id)
-        return quota.try_acquire(self.TRIALS_PER_S, peers.size(), rank)
+        return quota.try_begin(peers.size(), peers.rank(state.record.id))
--- a/boragetrail/direct/ejection/monitor.py
+++ b/boragetrail/direct/ejection/monitor.py
@@ -4,6 +4,7 @@
 
 from boragetrail.direct.counts import run_key
 from boragetrail.direct.ejection.budget import ReportBudget
+from boragetrail.direct.ejection.meanloads import MeanLoads
 from boragetrail.direct.ejection.outcomes import (
     WINDOW_S,
     AttemptResult,
@@ -26,6 +27,9 @@
 
 # Bytes of a datagram with one report, headers of the network included.
 REPORT_BYTES = 110
+# Time of the end, and repetitions, of the ejection of a server that was not
+# ejected before.
+NEVER = (float("-inf"), -1)
 
 
 class EjectionMonitor:
@@ -47,8 +51,13 @@
     """
 
     INTERVAL_S = 0.1
-    # Reports that an ejection by a router that has just started needs.
+    # A router ejects what so many others have ejected. The evidence ends with
+    # an ejection, so routers that lacked a report would never get enough.
     MIN_ADOPTED = 2
+    # Number of routers that announce an ejection to all others at once,
+    # whatever the budget, besides those whose own result led to it. In a large
+    # fleet, hundreds eject a server at the same moment.
+    ANNOUNCERS = 4
 
     def __init__(self, fleet, record_gossip, metrics, incarnation):
         self.fleet = fleet
@@ -58,6 +67,7 @@
         self.router = xxhash.xxh64_intdigest(incarnation.encode())
         self.own_by_server = {}
         self.reports = ReportStore(self.clock)
+        self.loads = MeanLoads(fleet)
         self.ejections_by_server = {}
         self.ended_by_server = {}
         self.changed_servers = set()
@@ -107,6 +117,7 @@
     def advance(self):
         """Send what is due, and end ejections; called at intervals."""
         self._send_due()
+        self.loads.sample_if_due()
         self.reports.all_recent()
         for service in {
             self._service(key) for key in self.ejections_by_server
@@ -171,29 +182,34 @@
         return self._ended_s(key) > self.clock() - WINDOW_S
 
     def _ended_s(self, key):
-        return self.ended_by_server.get(key, (float("-inf"), 0))[0]
+        return self.ended_by_server.get(key, NEVER)[0]
 
     def _own_report(self, key):
         own = self.own_by_server[key]
-        is_ejected = key in self.ejections_by_server
+        ejection = self.ejections_by_server.get(key)
         is_recent = self._ended_s(key) > self.clock() - WINDOW_S
-        successes = own.successes if is_ejected or is_recent else 0
-        return own.report(self.router, key, successes, is_ejected)
+        successes = own.successes if ejection or is_recent else 0
+        ejected_s = ejection.began_s if ejection else float("-inf")
+        return own.report(self.router, key, successes, ejected_s)
 
     def _send_due(self):
         """Send the reports that changed, if the last are old enough."""
         now_s = self.clock()
         if not self.changed_servers or now_s - self.sent_s < self.INTERVAL_S:
             return
+        if self.budget.has_room():
+            self._send(self.changed_servers & self.own_by_server.keys())
+            self.changed_servers.clear()
+            self.sent_s = now_s
+
+    def _send(self, keys):
+        """Send this router's reports about some runs to all peers."""
         peers = self.fleet.peers
         count = len(peers.peers_by_address)
         copies = count + min(count, peers.update_fanout())
-        if not self.budget.try_spend(copies * REPORT_BYTES):
-            return
-        for key in self.changed_servers & self.own_by_server.keys():
+        for key in keys:
+            self.budget.spend(copies * REPORT_BYTES)
             self.record_gossip.send_now(self._own_report(key))
-        self.changed_servers.clear()
-        self.sent_s = now_s
 
     def _decide(self, service):
         """Eject and readmit servers of a service."""
@@ -214,7 +230,7 @@
                 break
             evidence = next(e for e in evidences if e.id == allowed[0])
             state = next(s for s in left if s.record.id == allowed[0])
-            self._eject(state, evidence)
+            self._eject(state, evidence, self.clock())
         self._restore_capacity(states)
 
     def _evidences(self, states):
@@ -226,7 +242,7 @@
         reports = self.reports.recent(key)
         if key in self.own_by_server:
             reports.append(self._own_report(key))
-        since_s = self._ended_s(key)
+        since_s = self._evidence_since_s(key)
         reports = [each for each in reports if each.failed_s > since_s]
         losses = [
             confirmed_losses([each.losses[kind] for each in reports])
@@ -241,6 +257,11 @@
         responses = sum(each.responses for each in reports)
         return ServerEvidence(state.record.id, known, failures, responses)
 
+    def _evidence_since_s(self, key):
+        """Return since when failures count; earlier ones led to ejection."""
+        ejection = self.ejections_by_server.get(key)
+        return ejection.began_s if ejection else self._ended_s(key)
+
     def _capacity(self, states, server_id=None):
         """Return the :class:`Capacity` of a service without a server.
 
@@ -256,12 +277,11 @@
         ]
         ejected = sum(map(self.is_ejected, states))
         slots = [each.record.slots for each in left]
-        load = sum(self.fleet.engine_view(each).running for each in states)
         return Capacity(
             len(left) + ejected + (server_id is not None),
             ejected,
             sum(slots) if all(slots) else 0,
-            load,
+            self.loads.mean(states[0].record.service),
         )
 
     def _restore_capacity(self, states):
@@ -282,29 +302,46 @@
         self._readmit(last, "capacity")
 
     def _adopt(self, states):
-        """Eject what others have ejected, after the start of this router."""
-        peers = self.fleet.peers
-        if peers.own_uptime_s() >= peers.STARTUP_S:
-            return
+        """Eject what other routers have ejected.
+
+        An ejection that began before the last one of this router ended is
+        over.
+        """
         for state in states:
-            reports = self.reports.recent(run_key(state.record))
-            count = sum(each.is_ejected for each in reports)
-            is_known = self.is_ejected(state)
-            if count < self.MIN_ADOPTED or is_known:
+            key = run_key(state.record)
+            began_s = self._others_began_s(key)
+            if len(began_s) < self.MIN_ADOPTED or self.is_ejected(state):
                 continue
             if may_eject(self._capacity(states, state.record.id)):
-                self._eject(state, self._evidence(state))
+                self._eject(state, self._evidence(state), min(began_s))
+
+    def _others_began_s(self, key):
+        """Return when other routers ejected a server, as a list."""
+        ended_s = self._ended_s(key)
+        return [
+            each.ejected_s
+            for each in self.reports.recent(key)
+            if each.ejected_s > ended_s
+        ]
 
-    def _eject(self, state, evidence):
+    def _eject(self, state, evidence, began_s):
+        """Eject a server.
+
+        :param evidence: :class:`ServerEvidence`
+        :param began_s: monotonic time at which the first router ejected it
+        """
         key = run_key(state.record)
-        now_s = self.clock()
-        ended_s, repetitions = self.ended_by_server.get(key, (0.0, -1))
-        is_repeated = now_s - ended_s < Ejection.REPETITION_S
+        ended_s, repetitions = self.ended_by_server.get(key, NEVER)
+        is_repeated = began_s - ended_s < Ejection.REPETITION_S
         repetitions = repetitions + 1 if is_repeated else 0
-        self.ejections_by_server[key] = Ejection(now_s, repetitions)
-        if key in self.own_by_server:
-            self.own_by_server[key].clear()
-        self.reports.remove(key)
+        self.ejections_by_server[key] = Ejection(began_s, repetitions)
+        own = self.own_by_server.setdefault(key, OwnOutcomes(self.clock))
+        own.clear()
+        is_reporter = key in self.changed_servers
+        rank = self.fleet.peers.rank(state.record.id)
+        if is_reporter or rank < self.ANNOUNCERS:
+            self._send([key])
+            self.changed_servers.discard(key)
         self.metrics.record_ejection(state.record.service)
         log_event(
             Event.SERVER_EJECTED,
--- a/boragetrail/direct/ejection/outcomes.py
+++ b/boragetrail/direct/ejection/outcomes.py
@@ -34,7 +34,8 @@
     :param responses: number of all results
     :param successes: consecutive successes since the last failure that the
         router knows of, as long as the server is ejected or was lately
-    :param is_ejected: whether the router has ejected the server
+    :param ejected_s: monotonic time since which the router has ejected the
+        server, or minus infinity if it has not
     :param failed_s: monotonic time of the router's last failure
     :param made_s: monotonic time of the report
     """
@@ -45,7 +46,7 @@
     losses: tuple
     responses: int
     successes: int
-    is_ejected: bool
+    ejected_s: float
     failed_s: float
     made_s: float
 
@@ -91,13 +92,14 @@
         """Return whether a failure is recent enough to count."""
         return self.clock() - self.failed_s < WINDOW_S
 
-    def report(self, router, server, successes, is_ejected):
+    def report(self, router, server, successes, ejected_s):
         """Return an :class:`OutcomeReport`.
 
         :param router: key of the run of this router
         :param server: key of the run of the server
         :param successes: consecutive successful trials to report
-        :param is_ejected: whether this router has ejected the server
+        :param ejected_s: monotonic time since which this router has ejected
+            the server, or minus infinity
         """
         now_s = self.clock()
         while self.results and now_s - self.results[0][0] >= WINDOW_S:
@@ -112,7 +114,7 @@
             _pair(counts, AttemptResult.LOST),
             len(self.results),
             successes,
-            is_ejected,
+            ejected_s,
             self.failed_s,
             now_s,
         )
--- a/boragetrail/direct/recordmessages.py
+++ b/boragetrail/direct/recordmessages.py
@@ -6,6 +6,7 @@
 """
 
 import dataclasses
+import math
 
 from boragetrail.direct import checks
 from boragetrail.direct.ejection.outcomes import OutcomeReport
@@ -31,6 +32,9 @@
 MAX_TYPES = 16
 MAX_AGE_MS = 3_600_000
 MAX_KEY = 2**64 - 1
+# Encoded age of the ejection of a server that is not ejected; other ages are
+# encoded as milliseconds + 1.
+NOT_EJECTED = 0
 # Encoded limit of a server that names none.
 NO_LIMIT = 0
 MAX_COUNT = 0xFFFF
@@ -148,10 +152,14 @@
 
 def _check_outcomes(value):
     return checks.fixed_list(
-        value, _key, _key, _counts, checks.flag, _age, _age
+        value, _key, _key, _counts, _ejection_age, _age, _age
     )
 
 
+def _ejection_age(value):
+    return checks.integer(value, MAX_AGE_MS + 1)
+
+
 def _counts(value):
     """Return the counts of an :class:`OutcomeReport`, if they are possible."""
     counts = [
@@ -210,18 +218,24 @@
 
 def _encode_outcomes(report, now_s):
     counts = (*report.errors, *report.losses, report.responses)
+    ejected = NOT_EJECTED
+    if report.ejected_s > -math.inf:
+        ejected = _age_ms(report.ejected_s, now_s) + 1
     return [
         report.router,
         report.server,
         [*counts, min(MAX_COUNT, report.successes)],
-        report.is_ejected,
+        ejected,
         _age_ms(report.failed_s, now_s),
         _age_ms(report.made_s, now_s),
     ]
 
 
 def _decode_outcomes(value, now_s):
-    router, server, counts, is_ejected, failed_ms, made_ms = value
+    router, server, counts, ejected, failed_ms, made_ms = value
+    ejected_s = -math.inf
+    if ejected != NOT_EJECTED:
+        ejected_s = now_s - (ejected - 1) / 1000.0
     return OutcomeReport(
         router,
         server,
@@ -229,7 +243,7 @@
         tuple(counts[2:4]),
         counts[4],
         counts[5],
-        is_ejected,
+        ejected_s,
         now_s - failed_ms / 1000.0,
         now_s - made_ms / 1000.0,
     )
--- a/boragetrail/policy/ejection.py
+++ b/boragetrail/policy/ejection.py
@@ -16,10 +16,13 @@
 import dataclasses
 import math
 
+from boragetrail.policy.quota import RateQuota
+
 __all__ = [
     "Capacity",
     "Ejection",
     "ServerEvidence",
+    "TrialQuota",
     "binomial_tail",
     "confirmed_losses",
     "failing_servers",
@@ -30,7 +33,7 @@
 # Largest probability that chance explains the failures of an ejected server,
 # in one test. There are three for each server: one for requests that may be
 # repeated, one for others, and one for both.
-MAX_CHANCE = 2e-4
+MAX_CHANCE = 1e-3
 # The same for servers that retries avoid.
 MAX_SUSPECT_CHANCE = 0.35
 # An ejected server fails so many times as often as the others, and at least
@@ -72,13 +75,13 @@
     :param servers: number of servers that may get requests, ejected or not
     :param ejected: number of those that are ejected
     :param slots: slots of the servers that remain, or 0 if some are unknown
-    :param load: known requests at all servers of the service
+    :param load: mean known requests at all servers of the service
     """
 
     servers: int
     ejected: int
     slots: int
-    load: int
+    load: float
 
 
 def binomial_tail(successes, trials, probability):
@@ -227,13 +230,39 @@
     return capacity.load <= limit * capacity.slots
 
 
+class TrialQuota(RateQuota):
+    """A router's quota of the trials of all routers at one ejected server.
+
+    The limit is one for each window of ``WINDOW_S``. With more routers than
+    trials in a window, those with the lowest ranks have one each.
+
+    :param clock: function that returns monotonic seconds
+
+    >>> quota = TrialQuota(lambda: 0.0)
+    >>> [quota.try_begin(12, 0) for _ in range(3)]
+    [True, True, False]
+    """
+
+    WINDOW_S = 5.0
+    # Trials of all routers in a window, before ``USED_FRACTION``.
+    MAX_TRIALS = 40
+
+    def try_begin(self, routers, rank):
+        """Count one more trial if the quota allows it.
+
+        :param routers: number of routers
+        :param rank: this router's rank among them; 0 is the first
+        """
+        return self.try_acquire(self.MAX_TRIALS, routers, rank)
+
+
 class Ejection:
     """Hold one ejection of a run of a server, and how it ends.
 
     It ends after some consecutive successful trials, or when no failure has
     been seen for some time. Both grow with each repetition.
 
-    :param now_s: current monotonic time
+    :param began_s: monotonic time at which it began
     :param repetitions: number of recent ejections before this one
 
     >>> ejection = Ejection(10.0, 0)
@@ -252,9 +281,9 @@
 
     __slots__ = ("began_s", "failed_s", "repetitions")
 
-    def __init__(self, now_s, repetitions):
-        self.began_s = now_s
-        self.failed_s = now_s
+    def __init__(self, began_s, repetitions):
+        self.began_s = began_s
+        self.failed_s = began_s
         self.repetitions = repetitions
 
     def record_failure(self, failed_s):
