--- a/boragetrail/direct/ejection/meanloads.py
+++ b/boragetrail/direct/ejection/meanloads.py
@@ -20,6 +20,7 @@
         self.fleet = fleet
         self.means_by_service = {}
         self.sampled_s = float("-inf")
+        self.samples = 0
 
     def sample_if_due(self):
         """Add a sample, if the last is ``INTERVAL_S`` old."""
@@ -27,12 +28,14 @@
         if now_s - self.sampled_s < self.INTERVAL_S:
             return
         self.sampled_s = now_s
+        self.samples += 1
         states = self.fleet.states_by_id.values()
         means = {}
         for service in {state.record.service for state in states}:
             load = self._load(service)
             mean = self.means_by_service.get(service, load)
-            means[service] = mean + self.WEIGHT * (load - mean)
+            weight = max(self.WEIGHT, 1.0 / self.samples)
+            means[service] = mean + weight * (load - mean)
         self.means_by_service = means
 
     def mean(self, service):
--- a/boragetrail/direct/ejection/outcomes.py
+++ b/boragetrail/direct/ejection/outcomes.py
@@ -57,15 +57,17 @@
     :param clock: function that returns monotonic seconds
     :ivar results: (time, :class:`AttemptResult`, whether the request may be
         repeated) of each result
+    :ivar counts: numbers of results by the last two
     """
 
     MAX_RESULTS = 1024
 
-    __slots__ = ("clock", "results", "successes", "failed_s")
+    __slots__ = ("clock", "results", "counts", "successes", "failed_s")
 
     def __init__(self, clock):
         self.clock = clock
-        self.results = collections.deque(maxlen=self.MAX_RESULTS)
+        self.results = collections.deque()
+        self.counts = collections.Counter()
         self.successes = 0
         self.failed_s = float("-inf")
 
@@ -77,6 +79,9 @@
         """
         now_s = self.clock()
         self.results.append((now_s, result, retryable))
+        self.counts[result, retryable] += 1
+        if len(self.results) > self.MAX_RESULTS:
+            self._remove_oldest()
         if result is AttemptResult.SUCCESS:
             self.successes += 1
         else:
@@ -86,6 +91,7 @@
     def clear(self):
         """Forget the results, since the server was ejected or readmitted."""
         self.results.clear()
+        self.counts.clear()
         self.successes = 0
 
     def has_failures(self):
@@ -103,15 +109,12 @@
         """
         now_s = self.clock()
         while self.results and now_s - self.results[0][0] >= WINDOW_S:
-            self.results.popleft()
-        counts = collections.Counter(
-            (result, retryable) for _, result, retryable in self.results
-        )
+            self._remove_oldest()
         return OutcomeReport(
             router,
             server,
-            _pair(counts, AttemptResult.ERROR),
-            _pair(counts, AttemptResult.LOST),
+            _pair(self.counts, AttemptResult.ERROR),
+            _pair(self.counts, AttemptResult.LOST),
             len(self.results),
             successes,
             ejected_s,
@@ -119,6 +122,10 @@
             now_s,
         )
 
+    def _remove_oldest(self):
+        _, result, retryable = self.results.popleft()
+        self.counts[result, retryable] -= 1
+
 
 class ReportStore:
     """Hold the newest reports of other routers.
--- a/boragetrail/policy/ejection.py
+++ b/boragetrail/policy/ejection.py
@@ -33,7 +33,7 @@
 # Largest probability that chance explains the failures of an ejected server,
 # in one test. There are three for each server: one for requests that may be
 # repeated, one for others, and one for both.
-MAX_CHANCE = 1e-3
+MAX_CHANCE = 2e-3
 # The same for servers that retries avoid.
 MAX_SUSPECT_CHANCE = 0.35
 # An ejected server fails so many times as often as the others, and at least
@@ -266,7 +266,7 @@
     :param repetitions: number of recent ejections before this one
 
     >>> ejection = Ejection(10.0, 0)
-    >>> ejection.has_ended(10.1, 4), ejection.has_ended(10.1, 3)
+    >>> ejection.has_ended(10.1, 6), ejection.has_ended(10.1, 5)
     (True, False)
     >>> ejection.has_ended(17.9, 0), ejection.has_ended(18.0, 0)
     (False, True)
@@ -274,8 +274,8 @@
 
     MIN_PAUSE_S = 8.0
     MAX_PAUSE_S = 60.0
-    MIN_SUCCESSES = 4
-    MAX_SUCCESSES = 16
+    MIN_SUCCESSES = 6
+    MAX_SUCCESSES = 24
     # Time after an ejection in which the next one is a repetition.
     REPETITION_S = 60.0
 
