--- a/boragetrail/direct/ejection/filter.py
+++ b/boragetrail/direct/ejection/filter.py
@@ -76,4 +76,8 @@
         if quota is None:
             quota = self.quotas_by_server[key] = TrialQuota(self.monitor.clock)
         peers = self.fleet.peers
-        return quota.try_begin(peers.size(), peers.rank(state.record.id))
+        return quota.try_begin(
+            peers.size(),
+            peers.rank(state.record.id),
+            self.monitor.trial_successes(key),
+        )
--- a/boragetrail/direct/ejection/monitor.py
+++ b/boragetrail/direct/ejection/monitor.py
@@ -149,6 +149,19 @@
             if run_key(known.record) in self.ejections_by_server
         )
 
+    def trial_successes(self, key):
+        """Return the consecutive successful trials of all routers.
+
+        :param key: key of the run of an ejected server
+        """
+        ejection = self.ejections_by_server[key]
+        own = self.own_by_server.get(key)
+        return (own.successes if own is not None else 0) + sum(
+            each.successes
+            for each in self.reports.recent(key)
+            if each.made_s >= ejection.failed_s
+        )
+
     def suspected(self, service):
         """Return the ids of the servers that retries avoid, as a set.
 
@@ -358,13 +371,7 @@
         ejection = self.ejections_by_server.get(key)
         if ejection is None:
             return
-        own = self.own_by_server.get(key)
-        successes = own.successes if own is not None else 0
-        successes += sum(
-            each.successes
-            for each in self.reports.recent(key)
-            if each.made_s >= ejection.failed_s
-        )
+        successes = self.trial_successes(key)
         if ejection.has_ended(self.clock(), successes):
             enough = successes >= ejection.successes_needed()
             self._readmit(state, "trials" if enough else "age")
--- a/boragetrail/policy/ejection.py
+++ b/boragetrail/policy/ejection.py
@@ -217,7 +217,7 @@
     (True, False)
     >>> may_eject(Capacity(3, 1, 6, 2)), may_eject(Capacity(3, 1, 6, 4))
     (True, False)
-    >>> may_eject(Capacity(1, 0, 0, 0)), may_eject(Capacity(3, 0, 0, 9))
+    >>> may_eject(Capacity(2, 1, 9, 0)), may_eject(Capacity(3, 0, 0, 9))
     (False, True)
     """
     ejected = capacity.ejected + 1
@@ -239,21 +239,27 @@
     :param clock: function that returns monotonic seconds
 
     >>> quota = TrialQuota(lambda: 0.0)
-    >>> [quota.try_begin(12, 0) for _ in range(3)]
-    [True, True, False]
+    >>> [quota.try_begin(10, 0, successes) for successes in (0, 0, 1, 1)]
+    [True, False, True, True]
     """
 
     WINDOW_S = 5.0
-    # Trials of all routers in a window, before ``USED_FRACTION``.
-    MAX_TRIALS = 40
+    # Trials of all routers in a window, before ``USED_FRACTION``, as long as
+    # all fail, and after a success. A failed trial costs an attempt.
+    MAX_TRIALS = 20
+    MAX_TRIALS_AFTER_SUCCESS = 40
 
-    def try_begin(self, routers, rank):
+    def try_begin(self, routers, rank, successes):
         """Count one more trial if the quota allows it.
 
         :param routers: number of routers
         :param rank: this router's rank among them; 0 is the first
+        :param successes: consecutive successful trials of all routers
         """
-        return self.try_acquire(self.MAX_TRIALS, routers, rank)
+        trials = self.MAX_TRIALS
+        if successes:
+            trials = self.MAX_TRIALS_AFTER_SUCCESS
+        return self.try_acquire(trials, routers, rank)
 
 
 class Ejection:
