--- a/boragetrail/direct/tests/test_ejection.py
+++ b/boragetrail/direct/tests/test_ejection.py
@@ -1,5 +1,8 @@
 """Tests of the ejection of failing servers by simulated fleets."""
 
+import collections
+import random
+
 from loguru import logger
 import pytest
 
@@ -8,6 +11,11 @@
     RESERVATION,
     EjectionFleet,
 )
+from boragetrail.policy.ejection import (
+    MAX_CHANCE,
+    ServerEvidence,
+    failing_servers,
+)
 
 WARM_UP_S = 3.0
 OUTAGE_S = 6.0
@@ -138,6 +146,19 @@
             )
             assert fleet.ever_ejected() == 0
 
+    def test_rare_failures_of_many_engines(self):
+        """Three failures in 5 s, at any of 23 engines, eject few of them."""
+        rng = random.Random(1)
+        ejected = 0
+        for _ in range(4000):
+            counts = collections.Counter(rng.choices(range(23), k=3))
+            evidences = [
+                ServerEvidence(str(key), 40, (counts[key], 0), counts[key])
+                for key in range(23)
+            ]
+            ejected += bool(failing_servers(evidences))
+        assert ejected <= 4000 * MAX_CHANCE
+
     def test_bad_link_of_one_router(self):
         for seed in range(40):
             fleet = EjectionFleet(seed, routers=2)
--- a/boragetrail/policy/ejection.py
+++ b/boragetrail/policy/ejection.py
@@ -30,15 +30,16 @@
     "may_eject",
 ]
 
-# Largest probability that chance explains the failures of an ejected server,
-# in one test. There are three for each server: one for requests that may be
+# Largest probability that chance explains the failures of some ejected server
+# of a service, in one test. There are three: one for requests that may be
 # repeated, one for others, and one for both.
-MAX_CHANCE = 2e-3
+MAX_CHANCE = 6e-3
 # The same for servers that retries avoid.
 MAX_SUSPECT_CHANCE = 0.35
-# An ejected server fails so many times as often as the others, and at least
-# this fraction of its requests.
+# An ejected server fails so many times as often as the others, at least this
+# number of its requests, and at least this fraction.
 MIN_RATE_RATIO = 2.0
+MIN_FAILURES = 3
 MIN_FAILURE_RATE = 0.05
 # Assumed responses of each server, added to those known, since routers know
 # only some of the responses of a large fleet.
@@ -127,8 +128,8 @@
 def failing_servers(evidences):
     """Return the ids of the servers that fail more than others, worst first.
 
-    The false positive rate of one call is at most three times ``MAX_CHANCE``
-    for each server, and less because of the conditions on the rates.
+    The false positive rate of one call is at most three times ``MAX_CHANCE``,
+    and less because of the conditions on the rates.
 
     :param evidences: list of :class:`ServerEvidence` of the servers of a
         service that are not ejected
@@ -143,10 +144,10 @@
     chances = {}
     for each in evidences:
         failures = sum(each.failures_by_kind)
-        if failures < MIN_FAILURE_RATE * each.responses:
+        if failures < max(MIN_FAILURES, MIN_FAILURE_RATE * each.responses):
             continue
         chance = _chance(each, evidences)
-        if chance <= MAX_CHANCE:
+        if chance * len(evidences) <= MAX_CHANCE:
             chances[each.id] = chance
     return sorted(chances, key=lambda key: (chances[key], key))
 
