--- a/boragetrail/direct/ejection/filter.py
+++ b/boragetrail/direct/ejection/filter.py
@@ -74,6 +74,7 @@
         key = run_key(state.record)
         quota = self.quotas_by_server.get(key)
         if quota is None:
+            self._remove_quotas()
             quota = self.quotas_by_server[key] = TrialQuota(self.monitor.clock)
         peers = self.fleet.peers
         return quota.try_begin(
@@ -81,3 +82,11 @@
             peers.rank(state.record.id),
             self.monitor.trial_successes(key),
         )
+
+    def _remove_quotas(self):
+        """Remove the quotas of servers that are no longer ejected."""
+        self.quotas_by_server = {
+            key: quota
+            for key, quota in self.quotas_by_server.items()
+            if key in self.monitor.ejections_by_server
+        }
--- a/boragetrail/direct/ejection/monitor.py
+++ b/boragetrail/direct/ejection/monitor.py
@@ -25,7 +25,8 @@
 
 __all__ = ["EjectionMonitor"]
 
-# Bytes of a datagram with one report, headers of the network included.
+# Upper bound of the bytes of a datagram with one report, headers of the network
+# included.
 REPORT_BYTES = 110
 # Time of the end, and repetitions, of the ejection of a server that was not
 # ejected before.
