--- a/boragetrail/direct/recordmessages.py
+++ b/boragetrail/direct/recordmessages.py
@@ -6,8 +6,10 @@
 """
 
 import dataclasses
+import math
 
 from boragetrail.direct import checks
+from boragetrail.direct.ejection.outcomes import OutcomeReport
 from boragetrail.direct.knowledge.leaving import Leaving
 from boragetrail.direct.knowledge.streams import (
     StreamOrigin,
@@ -30,8 +32,13 @@
 MAX_TYPES = 16
 MAX_AGE_MS = 3_600_000
 MAX_KEY = 2**64 - 1
+# Encoded age of the ejection of a server that is not ejected; other ages are
+# encoded as milliseconds + 1.
+NOT_EJECTED = 0
 # Encoded limit of a server that names none.
 NO_LIMIT = 0
+MAX_COUNT = 0xFFFF
+OUTCOME_COUNTS = 6
 MAX_RATE_PER_1000_S = int(1000 * MAX_RATE_PER_S)
 
 
@@ -49,7 +56,9 @@
         ``"stream"``, ``"query"`` and ``"unknown"`` for those of
         :mod:`boragetrail.direct.knowledge.streams`,
         ``"limit"`` for
-        :class:`~boragetrail.policy.serverlimits.LimitReport`
+        :class:`~boragetrail.policy.serverlimits.LimitReport`,
+        ``"outcomes"`` for
+        :class:`~boragetrail.direct.ejection.outcomes.OutcomeReport`
     """
 
     kind: str
@@ -141,6 +150,27 @@
     return checks.fixed_list(value, _key, _rate, _age)
 
 
+def _check_outcomes(value):
+    return checks.fixed_list(
+        value, _key, _key, _counts, _ejection_age, _age, _age
+    )
+
+
+def _ejection_age(value):
+    return checks.integer(value, MAX_AGE_MS + 1)
+
+
+def _counts(value):
+    """Return the counts of an :class:`OutcomeReport`, if they are possible."""
+    counts = [
+        checks.integer(each, MAX_COUNT)
+        for each in checks.bounded_list(value, OUTCOME_COUNTS)
+    ]
+    if len(counts) != OUTCOME_COUNTS or sum(counts[:4]) > counts[4]:
+        raise ValueError("not the counts of outcomes")
+    return counts
+
+
 def _rate(value):
     return checks.integer(value, MAX_RATE_PER_1000_S)
 
@@ -186,6 +216,39 @@
     return LimitReport(server, rate_per_s, now_s - age_ms / 1000.0)
 
 
+def _encode_outcomes(report, now_s):
+    counts = (*report.errors, *report.losses, report.responses)
+    ejected = NOT_EJECTED
+    if report.ejected_s > -math.inf:
+        ejected = _age_ms(report.ejected_s, now_s) + 1
+    return [
+        report.router,
+        report.server,
+        [*counts, min(MAX_COUNT, report.successes)],
+        ejected,
+        _age_ms(report.failed_s, now_s),
+        _age_ms(report.made_s, now_s),
+    ]
+
+
+def _decode_outcomes(value, now_s):
+    router, server, counts, ejected, failed_ms, made_ms = value
+    ejected_s = -math.inf
+    if ejected != NOT_EJECTED:
+        ejected_s = now_s - (ejected - 1) / 1000.0
+    return OutcomeReport(
+        router,
+        server,
+        tuple(counts[:2]),
+        tuple(counts[2:4]),
+        counts[4],
+        counts[5],
+        ejected_s,
+        now_s - failed_ms / 1000.0,
+        now_s - made_ms / 1000.0,
+    )
+
+
 def _name(record):
     """Return the name of a record's type in messages."""
     if isinstance(record, CrashReport) and record.progressed:
@@ -194,7 +257,7 @@
 
 
 def _age_ms(time_s, now_s):
-    return max(0, min(MAX_AGE_MS, int((now_s - time_s) * 1000)))
+    return int(max(0, min(MAX_AGE_MS, (now_s - time_s) * 1000)))
 
 
 _NAMES_BY_TYPE = {
@@ -203,6 +266,7 @@
     Trial: "trial",
     Leaving: "leaving",
     LimitReport: "limit",
+    OutcomeReport: "outcomes",
     StreamOrigin: "stream",
     StreamQuery: "query",
     StreamUnknown: "unknown",
@@ -220,6 +284,7 @@
     ],
     "leaving": lambda record, now_s: record.server,
     "limit": _encode_limit,
+    "outcomes": _encode_outcomes,
     "stream": lambda record, now_s: [
         record.stream,
         record.version,
@@ -237,6 +302,7 @@
     "trial": lambda value, now_s: Trial(value[0], now_s - value[1] / 1000.0),
     "leaving": lambda value, now_s: Leaving(value),
     "limit": _decode_limit,
+    "outcomes": _decode_outcomes,
     "stream": lambda value, now_s: StreamOrigin(
         value[0], value[1], now_s - value[2] / 1000.0
     ),
@@ -250,6 +316,7 @@
     "trial": _check_part_with_age,
     "leaving": _key,
     "limit": _check_limit,
+    "outcomes": _check_outcomes,
     "stream": _check_stream,
     "query": _key,
     "unknown": _key,
