--- /dev/null
+++ b/boragetrail/direct/capacity/speeds.py
@@ -0,0 +1,143 @@
+"""Speed of each server, from its own figures and from measured times."""
+
+from boragetrail.direct.counts import server_key
+from boragetrail.direct.loads import PeerSums
+from boragetrail.policy.responsetimes import (
+    RouteBaselines,
+    TimeWindow,
+    compare,
+)
+from boragetrail.policy.speed import SpeedEstimate, effective_slowness
+
+__all__ = ["SpeedTable"]
+
+
+class SpeedTable:
+    """Holds what this router knows of the speed of servers.
+
+    Servers are identified by their
+    :func:`~boragetrail.direct.counts.server_key`.
+
+    :param directory: :class:`~boragetrail.direct.directory.Directory`
+    :param clock: function that returns monotonic seconds
+    :ivar estimates_by_key: :class:`~boragetrail.policy.speed.SpeedEstimate`
+        of servers that report figures
+    :ivar windows_by_key: :class:`~boragetrail.policy.responsetimes.TimeWindow`
+        of this router's own measured times
+    :ivar peer_sums: :class:`~boragetrail.direct.loads.PeerSums` of the
+        measured times of other routers
+    """
+
+    # Age from which sums of other routers no longer count. Their windows add
+    # up to 0.8 s, and a slow phase takes half a second.
+    MAX_SUMS_AGE_S = 0.4
+    # Peers cannot make the table grow beyond this number of servers.
+    MAX_SERVERS = 4096
+    # Time for which the sums of a service are used again.
+    SUMS_REUSE_S = 0.02
+
+    def __init__(self, directory, clock):
+        self.directory = directory
+        self.clock = clock
+        self.estimates_by_key = {}
+        self.windows_by_key = {}
+        self.baselines = RouteBaselines()
+        self.peer_sums = PeerSums(clock, self.MAX_SUMS_AGE_S)
+        self.service_sums_by_name = {}
+
+    def record_figure(self, key, percent, heard_s):
+        """Record a figure that a server reported, here or to a peer.
+
+        :param key: key of the server
+        :param percent: time that work takes, in percent of the usual
+        :param heard_s: monotonic time at which the server reported it
+        :returns: whether it is newer than what was known
+        """
+        estimate = self.estimates_by_key.get(key)
+        if estimate is None:
+            if len(self.estimates_by_key) >= self.MAX_SERVERS:
+                return False
+            estimate = self.estimates_by_key[key] = SpeedEstimate()
+        return estimate.record(percent, heard_s)
+
+    def record_time(self, key, route, took_s):
+        """Record the time from a request to its first event or its response.
+
+        :param key: key of the server
+        :param route: name of the route
+        :param took_s: seconds
+        """
+        log_ratio = self.baselines.normalise(route, took_s)
+        if log_ratio is None:
+            return
+        window = self.windows_by_key.get(key)
+        if window is None:
+            window = self.windows_by_key[key] = TimeWindow()
+        window.add(log_ratio, self.clock())
+
+    def record_peer_sums(self, address, key, sums, sent_s):
+        """Record the measured times of another router at a server.
+
+        :param address: (host, port) of the router
+        :param key: key of the server
+        :param sums: (number, sum of the normalised times)
+        :param sent_s: monotonic time at which they were measured
+        """
+        self.peer_sums.replace((address, key), [(key, *sums)], sent_s)
+
+    def slowness(self, record):
+        """Return the slowness by which a server is ordered.
+
+        :param record: :class:`~boragetrail.direct.model.ServerRecord`
+        """
+        now_s = self.clock()
+        key = server_key(record.id)
+        estimate = self.estimates_by_key.get(key)
+        reported = None if estimate is None else estimate.slowness(now_s)
+        comparison = compare(
+            self.sums(key),
+            self._service_sums(record.service, now_s),
+            self.baselines.spread,
+        )
+        return effective_slowness(reported, comparison)
+
+    def sums(self, key):
+        """Return (number, sum) of the recent times of all routers."""
+        count, total = self.peer_sums.sum(key)
+        window = self.windows_by_key.get(key)
+        if window is not None:
+            own_count, own_total = window.sums(self.clock())
+            count, total = count + own_count, total + own_total
+        return count, total
+
+    def slowness_by_id(self):
+        """Return the slowness of the servers that are not of usual speed."""
+        slowness_by_id = {
+            key: round(self.slowness(listed.record), 2)
+            for key, listed in self.directory.servers_by_id.items()
+        }
+        return {
+            key: slowness
+            for key, slowness in slowness_by_id.items()
+            if slowness != 1.0
+        }
+
+    def remove_unlisted(self):
+        """Remove what is known of servers that are no longer listed."""
+        keys = {server_key(each) for each in self.directory.servers_by_id}
+        for values_by_key in (self.estimates_by_key, self.windows_by_key):
+            for key in values_by_key.keys() - keys:
+                del values_by_key[key]
+        self.service_sums_by_name.clear()
+
+    def _service_sums(self, service, now_s):
+        known = self.service_sums_by_name.get(service)
+        if known is not None and now_s - known[0] < self.SUMS_REUSE_S:
+            return known[1]
+        sums = [
+            self.sums(server_key(listed.record.id))
+            for listed in self.directory.servers_of(service)
+        ]
+        total = tuple(map(sum, zip(*sums))) if sums else (0, 0)
+        self.service_sums_by_name[service] = (now_s, total)
+        return total
--- a/boragetrail/direct/daemon.py
+++ b/boragetrail/direct/daemon.py
@@ -8,12 +8,18 @@
 import aiohttp.web
 
 from boragetrail.direct.begunresponses import BegunResponses
+from boragetrail.direct.capacity import (
+    CapacityMetrics,
+    CapacityMonitor,
+    MemoryFilter,
+)
 from boragetrail.direct.crashes import CrashMonitor, log_quarantine
 from boragetrail.direct.datagrams import Update
 from boragetrail.direct.directory import Directory
 from boragetrail.direct.discovery import CacheDiscovery
 from boragetrail.direct.dispatch import Dispatcher
 from boragetrail.direct.dump import dump_state
+from boragetrail.direct.features import Feature
 from boragetrail.direct.feed import Feed
 from boragetrail.direct.filters import FilterChain
 from boragetrail.direct.fleet import Fleet
@@ -121,6 +127,9 @@
             self.crash_monitor,
             StreamVersions(self.fleet, names, self.list_confirmation),
         )
+        self.capacity = None
+        if Feature.ENGINE_CAPACITY in self.features:
+            self._add_capacity()
         filter_chain = FilterChain(
             self.directory, platform.HEADER_NAMES, self.random
         )
@@ -260,6 +269,12 @@
             (Reconnector.INTERVAL_S, reconnector.reconnect),
         ):
             self.tasks.start_calls(interval_s, function)
+        if self.capacity is not None:
+            metrics = CapacityMetrics(self.capacity, self.metrics.registry)
+            self.tasks.start_calls(CapacityMetrics.INTERVAL_S, metrics.update)
+            self.tasks.start_calls(
+                UNLISTED_REMOVAL_INTERVAL_S, self.capacity.remove_unlisted
+            )
         self.discovery_task = self.tasks.start(
             self._discover_caches(), "learn"
         )
@@ -299,6 +314,16 @@
         """Return the state of the process."""
         return dump_state(self)
 
+    def _add_capacity(self):
+        """Take the memory and the speed of servers into account."""
+        self.capacity = CapacityMonitor(
+            self.fleet, self.platform.HEADER_NAMES, self.clock
+        )
+        self.fleet.speeds = self.capacity.speeds
+        self.record_gossip.speeds = self.capacity.exchange
+        self.dispatcher.capacity = self.capacity
+        self.selector.filters.append(MemoryFilter(self.capacity, self.fleet))
+
     def _quarantine_changed(self, held, released):
         log_quarantine(held, released)
         self.fleet.abort_attempts(held)
--- a/boragetrail/direct/dispatch.py
+++ b/boragetrail/direct/dispatch.py
@@ -9,7 +9,7 @@
     overall_failure,
 )
 from boragetrail.direct.forwarding import ResponseForwarder, record_failure
-from boragetrail.direct.headers import HeaderRewriter
+from boragetrail.direct.headers import HeaderRewriter, is_number
 from boragetrail.direct.knowledge.requests import request_key
 from boragetrail.direct.phases import ExchangeOutcome
 from boragetrail.direct.progress import PendingWork, RequestProgress
@@ -44,6 +44,8 @@
     :param crash_monitor: :class:`~boragetrail.direct.crashes.CrashMonitor`
     :param stream_versions:
         :class:`~boragetrail.direct.resumption.StreamVersions`
+    :ivar capacity: :class:`~boragetrail.direct.capacity.CapacityMonitor`, or
+        ``None`` if memory and speed of servers are not taken into account
     """
 
     def __init__(
@@ -67,6 +69,7 @@
         self.random = random
         self.rewriter = HeaderRewriter(names)
         self.retry_quotas_by_service = {}
+        self.capacity = None
         self.request_log = RequestLog(fleet.peers, names, clock)
         self.forwarder = ResponseForwarder(
             names, crash_monitor, stream_versions, self.request_log
@@ -164,13 +167,22 @@
         plan = self.selector.plan(request, progress, record)
         self.request_log.sent(request, progress, state, plan)
         progress.pending_work = PendingWork(state, plan.prefill_tokens)
+        hold = self._hold_tokens(request, progress, state)
         try:
             return await self._exchange(request, caller, progress, plan)
         finally:
             progress.pending_work.end()
+            if self.capacity is not None:
+                self.capacity.release(request, hold)
+                self.capacity.record_attempt(request, attempt)
             state.attempts.discard(attempt)
             attempt.abort()
 
+    def _hold_tokens(self, request, progress, state):
+        if self.capacity is None:
+            return None
+        return self.capacity.hold(request, progress, state)
+
     async def _exchange(self, request, caller, progress, plan):
         attempt = progress.attempt
         state = attempt.server
@@ -254,11 +266,15 @@
 
     def _record_server_state(self, state, response):
         state.suspicion.record_life()
-        load = parse_load(response.headers.get(self.names.load, ""))
+        text = response.headers.get(self.names.load, "")
+        if self.capacity is None:
+            load = parse_load(text)
+        else:
+            load = self.capacity.record_header(state.record, text)
         if load is not None:
             self.fleet.reports.record(state.record.id, load)
         text = response.headers.get(self.names.cold_ms, "")
-        if text.isdigit():
+        if is_number(text):
             state.record_cold(int(text) / 1000.0)
 
     def _retry_quota(self, service):
--- a/boragetrail/direct/dump.py
+++ b/boragetrail/direct/dump.py
@@ -9,6 +9,9 @@
     :param daemon: :class:`~boragetrail.direct.daemon.DirectDaemon`
     """
     configuration = daemon.directory.configuration
+    capacity = {}
+    if daemon.capacity is not None:
+        capacity["capacity"] = daemon.capacity.state()
     return {
         "name": daemon.settings.name,
         "incarnation": daemon.incarnation,
@@ -38,4 +41,5 @@
         "datagrams_refused": daemon.socket.datagrams_refused,
         "store_calls": daemon.store.calls,
         "quarantined_parts": sorted(daemon.quarantine.held_until_s_by_part),
+        **capacity,
     }
--- a/boragetrail/direct/fleet.py
+++ b/boragetrail/direct/fleet.py
@@ -34,6 +34,8 @@
         that cache each prompt part
     :ivar placements:
         :class:`~boragetrail.direct.placements.PlacementQueue`
+    :ivar speeds: :class:`~boragetrail.direct.capacity.SpeedTable`, or ``None``
+        if all servers count as equally fast
     """
 
     # Silence after which an attempt at an unlisted server is aborted.
@@ -51,6 +53,7 @@
         self.prefix_index = PrefixCacheIndex(clock)
         self.placements = PlacementQueue(self.prefix_index, clock)
         self.reports = ReportTable(clock)
+        self.speeds = None
 
     def apply_load_reports(self, message):
         """Record the load reports of servers that another router received.
@@ -216,7 +219,9 @@
         in_zone = record.zone == self.zone
         rate = self._failure_rate(state)
         standing = self._standing(state)
-        return ServerView(record.id, load, in_zone, standing, rate)
+        return ServerView(
+            record.id, load, in_zone, standing, rate, self._slowness(state)
+        )
 
     def engine_view(self, state):
         """Return a :class:`~boragetrail.policy.prefix.EngineView`."""
@@ -232,8 +237,14 @@
             self._failure_rate(state),
             self.knowledge.limiter.is_limited(state.record),
             state.record.zone == self.zone,
+            self._slowness(state),
         )
 
+    def _slowness(self, state):
+        if self.speeds is None:
+            return 1.0
+        return self.speeds.slowness(state.record)
+
     def _standing(self, state):
         """Return a server's standing, with what other routers report."""
         if state.suspicion.failures:
--- a/boragetrail/direct/headers.py
+++ b/boragetrail/direct/headers.py
@@ -1,6 +1,6 @@
 """Header fields of requests to servers and of responses to callers."""
 
-__all__ = ["HeaderRewriter", "parse_prompt_parts"]
+__all__ = ["HeaderRewriter", "is_number", "parse_prompt_parts"]
 
 # Fields that apply to a single connection.
 HOP_BY_HOP_FIELDS = frozenset(
@@ -19,6 +19,8 @@
 FRAMING_FIELDS = frozenset((b"content-length", b"expect"))
 MIN_DEADLINE_MS = 1
 LOWEST_PRIORITY = 9
+# ``int`` refuses longer texts.
+MAX_DIGITS = 4300
 
 
 class HeaderRewriter:
@@ -116,6 +118,15 @@
             yield name, value
 
 
+def is_number(text):
+    """Return whether a text is a number of ASCII digits that can be read.
+
+    >>> is_number("12"), is_number("\u00b2"), is_number("1" * 5000)
+    (True, False, False)
+    """
+    return text.isascii() and text.isdigit() and len(text) <= MAX_DIGITS
+
+
 def parse_prompt_parts(text):
     """Return the parts of a prompt as a list of (id, tokens).
 
@@ -125,6 +136,6 @@
     parts = []
     for entry in text.split(","):
         part, _, tokens = entry.strip().partition(":")
-        if part and tokens.isdigit():
+        if part and is_number(tokens):
             parts.append((part, int(tokens)))
     return parts
--- a/boragetrail/direct/interfaces.py
+++ b/boragetrail/direct/interfaces.py
@@ -195,7 +195,8 @@
     :param seal: server's proof that a response is complete
     :param not_executed: set by a server that did not execute a request
     :param load: numbers of running requests, waiting requests and slots of
-        the server
+        the server, and the time that its work takes in percent of the usual;
+        some servers leave out the last, or the last two
     :param leaving: ``1`` in all responses of a server that shuts down
     :param limit: requests per second that the server takes from all routers
         together, in all its responses while the limit is in force
@@ -204,6 +205,7 @@
     :param prompt_parts: parts of the prompt, ``ID:TOKENS`` each
     :param tokens: number of tokens of the prompt, and limit on those of the
         response
+    :param length_hint: number of tokens that the response has at the median
     :param last_event_id: id of the event after which a stream is resumed
     :param resumed_request: id of the request that brought the first event of
         a stream that the caller resumes
@@ -227,6 +229,7 @@
     cold_ms: str
     prompt_parts: str
     tokens: str
+    length_hint: str
     last_event_id: str
     resumed_request: str
     priority: str
--- a/boragetrail/direct/model.py
+++ b/boragetrail/direct/model.py
@@ -83,12 +83,15 @@
     :param cold_rate_per_s: requests per second that a cold server can
         process; 0 for no limit
     :param is_model: whether its servers are model engines
+    :param token_capacity: tokens of the requests that one engine can hold, or
+        0 if unknown
     """
 
     name: str
     max_connections: int
     cold_rate_per_s: float
     is_model: bool
+    token_capacity: int = 0
 
 
 @slotted
--- a/boragetrail/direct/recordgossip.py
+++ b/boragetrail/direct/recordgossip.py
@@ -11,6 +11,7 @@
 from boragetrail.direct.recordmessages import decode_records, encode_records
 from boragetrail.policy.crashrecords import CrashReport, Survival, Trial
 from boragetrail.policy.serverlimits import LimitReport
+from boragetrail.policy.speed import SpeedReport
 
 __all__ = ["RecordGossip"]
 
@@ -32,6 +33,8 @@
     :param peers: :class:`~boragetrail.direct.peers.PeerTable`
     :param clock: function that returns monotonic seconds
     :ivar queue: (record, number of times that it is still to be sent)
+    :ivar speeds: :class:`~boragetrail.direct.capacity.SpeedExchange`, or
+        ``None`` if figures about the speed of servers are ignored
     :ivar send: function that sends a message to all peers
     :ivar send_to: function that sends a message to a list of addresses
 
@@ -51,6 +54,7 @@
         self.peers = peers
         self.clock = clock
         self.queue = collections.deque(maxlen=self.MAX_QUEUED)
+        self.speeds = None
         self.send = None
         self.send_to = None
         knowledge.tell = self.send_now
@@ -84,6 +88,10 @@
             if isinstance(record, STREAM_RECORDS):
                 self.knowledge.streams.apply(record, sender)
                 continue
+            if isinstance(record, SpeedReport):
+                if self.speeds is not None:
+                    self.speeds.apply(record, sender)
+                continue
             is_new = add_by_type[type(record)](record)
             if is_new and self.peers.needs_relaying():
                 self.add(record)
@@ -97,7 +105,11 @@
         for record, sends_left in batch:
             if sends_left > 1:
                 self.queue.append((record, sends_left - 1))
-        return self._messages([record for record, _ in batch])
+        records = [record for record, _ in batch]
+        # Figures about speed are sent once, since they are soon outdated.
+        if self.speeds is not None:
+            records += self.speeds.take_due()
+        return self._messages(records)
 
     def snapshot(self, count=None):
         """Return messages with all records that still matter.
--- a/boragetrail/direct/recordmessages.py
+++ b/boragetrail/direct/recordmessages.py
@@ -16,6 +16,12 @@
 )
 from boragetrail.policy.crashrecords import CrashReport, Survival, Trial
 from boragetrail.policy.serverlimits import MAX_RATE_PER_S, LimitReport
+from boragetrail.policy.speed import (
+    MAX_PERCENT,
+    MIN_PERCENT,
+    SpeedReport,
+    clamp_percent,
+)
 
 __all__ = [
     "RecordMessage",
@@ -32,6 +38,7 @@
 MAX_KEY = 2**64 - 1
 # Encoded limit of a server that names none.
 NO_LIMIT = 0
+MAX_SPEED_SAMPLES = 255
 MAX_RATE_PER_1000_S = int(1000 * MAX_RATE_PER_S)
 
 
@@ -49,7 +56,8 @@
         ``"stream"``, ``"query"`` and ``"unknown"`` for those of
         :mod:`boragetrail.direct.knowledge.streams`,
         ``"limit"`` for
-        :class:`~boragetrail.policy.serverlimits.LimitReport`
+        :class:`~boragetrail.policy.serverlimits.LimitReport`,
+        ``"speed"`` for :class:`~boragetrail.policy.speed.SpeedReport`
     """
 
     kind: str
@@ -141,6 +149,18 @@
     return checks.fixed_list(value, _key, _rate, _age)
 
 
+def _check_speed(value):
+    return checks.fixed_list(value, _key, _percent, _samples, _age)
+
+
+def _percent(value):
+    return checks.integer(value, MAX_PERCENT, MIN_PERCENT)
+
+
+def _samples(value):
+    return checks.integer(value, MAX_SPEED_SAMPLES)
+
+
 def _rate(value):
     return checks.integer(value, MAX_RATE_PER_1000_S)
 
@@ -186,6 +206,18 @@
     return LimitReport(server, rate_per_s, now_s - age_ms / 1000.0)
 
 
+def _encode_speed(report, now_s):
+    samples = min(MAX_SPEED_SAMPLES, report.samples)
+    percent = clamp_percent(report.percent)
+    age_ms = _age_ms(report.heard_s, now_s)
+    return [report.server, percent, samples, age_ms]
+
+
+def _decode_speed(value, now_s):
+    server, percent, samples, age_ms = value
+    return SpeedReport(server, percent, samples, now_s - age_ms / 1000.0)
+
+
 def _name(record):
     """Return the name of a record's type in messages."""
     if isinstance(record, CrashReport) and record.progressed:
@@ -203,6 +235,7 @@
     Trial: "trial",
     Leaving: "leaving",
     LimitReport: "limit",
+    SpeedReport: "speed",
     StreamOrigin: "stream",
     StreamQuery: "query",
     StreamUnknown: "unknown",
@@ -220,6 +253,7 @@
     ],
     "leaving": lambda record, now_s: record.server,
     "limit": _encode_limit,
+    "speed": _encode_speed,
     "stream": lambda record, now_s: [
         record.stream,
         record.version,
@@ -237,6 +271,7 @@
     "trial": lambda value, now_s: Trial(value[0], now_s - value[1] / 1000.0),
     "leaving": lambda value, now_s: Leaving(value),
     "limit": _decode_limit,
+    "speed": _decode_speed,
     "stream": lambda value, now_s: StreamOrigin(
         value[0], value[1], now_s - value[2] / 1000.0
     ),
@@ -250,6 +285,7 @@
     "trial": _check_part_with_age,
     "leaving": _key,
     "limit": _check_limit,
+    "speed": _check_speed,
     "stream": _check_stream,
     "query": _key,
     "unknown": _key,
--- a/boragetrail/direct/reports.py
+++ b/boragetrail/direct/reports.py
@@ -31,11 +31,17 @@
 
     >>> parse_load("3,1,8")
     4
+    >>> parse_load("\u00b2,1,8")
     """
     parts = text.split(",")
     if len(parts) < 2 or not (parts[0].isdigit() and parts[1].isdigit()):
         return None
-    return int(parts[0]) + int(parts[1])
+    try:
+        return int(parts[0]) + int(parts[1])
+    except ValueError:
+        # Some characters are digits but no decimals, and the length is
+        # limited.
+        return None
 
 
 class ReportTable:
--- a/boragetrail/events.py
+++ b/boragetrail/events.py
@@ -97,6 +97,11 @@
         "A call to the store got no response.",
     )
     SERVER_REACHABLE = (519, "INFO", "A server can be reached again.")
+    LOAD_FIGURE_INVALID = (
+        535,
+        "WARNING",
+        "A server reported an invalid load or speed.",
+    )
     ORDER_UNKNOWN = (600, "ERROR", "An order's outcome is unknown.")
     ORDER_FENCED = (601, "WARNING", "An order has a stale fencing token.")
     LEASE_ACQUIRED = (602, "INFO", "A lease on model loading was acquired.")
--- a/boragetrail/platform/decode.py
+++ b/boragetrail/platform/decode.py
@@ -160,15 +160,29 @@
 
 
 def _service(data):
+    backend = data.get("backend") or {}
     return Service(
         name=_string(data["name"]),
         max_connections=_integer(data["maxConns"]),
         cold_rate_per_s=_number(data.get("coldPerS", 0.0)),
         # ``backend`` is set only for services with model engines.
-        is_model=bool(data.get("backend")),
+        is_model=bool(backend),
+        token_capacity=_token_capacity(backend),
     )
 
 
+def _token_capacity(backend):
+    """Return the tokens for which an engine has memory; 0 if unknown.
+
+    An invalid number counts as unknown, since the configuration of all
+    services must not depend on it.
+    """
+    try:
+        return _integer(backend["kvCapacity"])
+    except DECODE_ERRORS:
+        return 0
+
+
 def _limits(data):
     return Limits(
         header_bytes=_integer(data["maxHeaderBytes"]),
--- a/boragetrail/platform/names.py
+++ b/boragetrail/platform/names.py
@@ -34,6 +34,7 @@
     cold_ms="X-Boragetrail-Cold-Ms",
     prompt_parts="X-Boragetrail-Prefix-Hash",
     tokens="X-Boragetrail-Token-Count",
+    length_hint="X-Boragetrail-Length-Hint",
     last_event_id="Last-Event-Id",
     resumed_request="Resumes",
     priority="X-Boragetrail-Request-Priority",
--- a/boragetrail/policy/leastloaded.py
+++ b/boragetrail/policy/leastloaded.py
@@ -32,7 +32,9 @@
     """Order of servers for requests that need no cached context.
 
     Servers on trial come before those above the load bound. Among equally
-    loaded servers, those in the router's own zone come first.
+    loaded servers, those in the router's own zone come first. The load of a
+    slow server, with the request to be placed, counts as many times as its
+    work takes longer.
     Remaining ties are broken at random, so that routers with the same view
     do not all choose the same server.
 
@@ -58,8 +60,17 @@
                 view.standing is Standing.AVOIDED,
                 view.load + 1 > bound,
                 view.standing,
-                view.load + self.FAILURE_COST_REQUESTS * view.failure_rate,
+                self._cost(view),
                 not view.in_zone,
                 self.random.random(),
             ),
         )
+
+    def _cost(self, view):
+        """Return the load with the time that the request itself would add.
+
+        At a server of the usual speed it is the load alone.
+        """
+        delay = (view.slowness - 1.0) * (view.load + 1)
+        failure_cost = self.FAILURE_COST_REQUESTS * view.failure_rate
+        return view.load + delay + failure_cost
--- a/boragetrail/policy/prefix.py
+++ b/boragetrail/policy/prefix.py
@@ -98,6 +98,9 @@
     [1]_, so that routers choose the same engine without knowing each other's
     placements.
 
+    The work counts in the time that it takes: the work there and all of the
+    request's own are multiplied by the engine's slowness.
+
     Besides that first engine, each router samples two of the engines that
     cache the most tokens of the prompt and two of the others [2]_. Engines
     out of the sample rank behind it, so that routers with the same view do
@@ -160,6 +163,7 @@
         cached = self.cached_tokens_by_engine(prompt)
         max_cached = max(cached.values(), default=0)
         uncached = max(0, _shared_tokens(prompt) - max_cached)
+        total = sum(tokens for _, tokens in prompt)
         preferred = (
             self._rendezvous_engine(prompt, engines) if uncached else None
         )
@@ -170,6 +174,8 @@
             copied = max_cached - cached.get(engine.id, 0)
             cost = engine.pending_tokens + self.COPY_COST_FACTOR * copied
             cost += self.COST_TOKENS_PER_RUNNING_REQUEST * engine.running
+            # Every engine has to process what none has cached.
+            cost += (engine.slowness - 1.0) * (cost + total - max_cached)
             cost += self.FAILURE_COST_TOKENS * engine.failure_rate
             if engine.id != preferred:
                 cost += uncached
--- /dev/null
+++ b/boragetrail/policy/responsetimes.py
@@ -0,0 +1,171 @@
+"""Comparison of the response times of a service's servers.
+
+The module handles servers that report no speed: 3 servers get 22 requests per
+second from 11 routers, so that each router measures only a few responses of
+each server in a second. Times are normalised by the kind of request, and the
+sums of all routers are compared.
+"""
+
+import dataclasses
+import math
+
+__all__ = ["Comparison", "RouteBaselines", "TimeWindow", "compare"]
+
+# Sums are kept in thousandths of natural logarithms, since sums of integers
+# can be subtracted without an error that grows.
+LOG_UNITS = 1000
+# Fewer responses say nothing about a server.
+MIN_SAMPLES = 3
+# Standard errors from which a difference is clear. With three servers that
+# are compared ten times per second, 3 give less than one error in a minute,
+# as the times of consecutive comparisons overlap.
+CLEAR_ERRORS = 3.0
+# Smallest ratio of times that counts as a difference.
+MIN_RATIO = 1.3
+
+
+@dataclasses.dataclass(slots=True, frozen=True)
+class Comparison:
+    """Compare the times at a server with those at others of its service.
+
+    :param log_ratio: natural logarithm of the ratio of the times
+    :param error: standard error of that logarithm
+    """
+
+    log_ratio: float
+    error: float
+
+    def contradicts(self, slowness):
+        """Return whether the times are clearly not those of a slowness."""
+        difference = abs(self.log_ratio - math.log(slowness))
+        margin = max(CLEAR_ERRORS * self.error, math.log(MIN_RATIO))
+        return difference >= margin
+
+    def slowness(self):
+        """Return the ratio of the times."""
+        return math.exp(self.log_ratio)
+
+
+def compare(own, service, spread):
+    """Compare a server's times with those of the other servers.
+
+    :param own: (number, sum of the normalised times) at the server
+    :param service: the same at all servers of the service
+    :param spread: standard deviation of the logarithm of a single time
+    :returns: :class:`Comparison`, or ``None`` if there are too few times
+
+    >>> comparison = compare((9, 9 * 900), (36, 9 * 900), 0.3)
+    >>> round(comparison.slowness(), 2), comparison.contradicts(1.0)
+    (2.46, True)
+    >>> compare((2, 1800), (36, 1800), 0.3)
+    """
+    count, total = own
+    other_count, other_total = service[0] - count, service[1] - total
+    if min(count, other_count) < MIN_SAMPLES:
+        return None
+    log_ratio = (total / count - other_total / other_count) / LOG_UNITS
+    error = spread * math.sqrt(1.0 / count + 1.0 / other_count)
+    return Comparison(log_ratio, error)
+
+
+class RouteBaselines:
+    """Moving means of the times of each route, over all its servers.
+
+    :ivar spread: standard deviation of the logarithm of a normalised time
+    """
+
+    __slots__ = ("means_by_route", "counts_by_route", "variance")
+
+    # A route's first times have no mean to be compared with.
+    MIN_SAMPLES = 4
+    MEAN_SAMPLES = 64
+    # The spread that is assumed first, and the least that is believed.
+    INITIAL_SPREAD = 0.5
+    MIN_SPREAD = 0.25
+    # A single time counts as at most so many times the mean, or its inverse.
+    MAX_RATIO = 8.0
+    MAX_ROUTES = 512
+
+    def __init__(self):
+        self.means_by_route = {}
+        self.counts_by_route = {}
+        self.variance = self.INITIAL_SPREAD**2
+
+    @property
+    def spread(self):
+        return max(self.MIN_SPREAD, math.sqrt(self.variance))
+
+    def normalise(self, route, took_s):
+        """Add a time to the mean of its route.
+
+        :param route: name of the route
+        :param took_s: seconds
+        :returns: logarithm of its ratio to the mean before, in thousandths,
+            or ``None`` if the mean is not known yet
+        """
+        log_s = math.log(max(took_s, 1e-4))
+        count = self.counts_by_route.get(route, 0)
+        if count == 0 and len(self.counts_by_route) >= self.MAX_ROUTES:
+            return None
+        mean = self.means_by_route.get(route, log_s)
+        weight = 1.0 / min(count + 1, self.MEAN_SAMPLES)
+        self.counts_by_route[route] = count + 1
+        limit = math.log(self.MAX_RATIO)
+        ratio = max(-limit, min(limit, log_s - mean))
+        self.means_by_route[route] = mean + weight * ratio
+        if count < self.MIN_SAMPLES:
+            return None
+        self.variance += (ratio**2 - self.variance) / self.MEAN_SAMPLES
+        return round(LOG_UNITS * ratio)
+
+
+class TimeWindow:
+    """Sum of a server's recent normalised times, of the last 0.4 to 0.8 s.
+
+    The window has two halves; the older is dropped as a whole.
+
+    :ivar added: number of times that were ever added
+
+    >>> window = TimeWindow()
+    >>> window.add(900, 10.0)
+    >>> window.sums(10.4), window.sums(11.1)
+    ((1, 900), (0, 0))
+    """
+
+    __slots__ = ("half", "current", "previous", "added")
+
+    HALF_WINDOW_S = 0.4
+
+    def __init__(self):
+        self.half = 0
+        self.current = (0, 0)
+        self.previous = (0, 0)
+        self.added = 0
+
+    def add(self, log_ratio, now_s):
+        """Add a normalised time.
+
+        :param log_ratio: result of :meth:`RouteBaselines.normalise`
+        :param now_s: current monotonic time
+        """
+        self._advance(now_s)
+        count, total = self.current
+        self.current = (count + 1, total + log_ratio)
+        self.added += 1
+
+    def sums(self, now_s):
+        """Return (number, sum) of the recent times."""
+        self._advance(now_s)
+        return (
+            self.current[0] + self.previous[0],
+            self.current[1] + self.previous[1],
+        )
+
+    def _advance(self, now_s):
+        half = int(now_s / self.HALF_WINDOW_S)
+        if half == self.half:
+            return
+        is_next = half == self.half + 1
+        self.previous = self.current if is_next else (0, 0)
+        self.current = (0, 0)
+        self.half = half
--- a/boragetrail/reasons.py
+++ b/boragetrail/reasons.py
@@ -94,6 +94,12 @@
         Executed.NO,
         "The request could not start before its deadline.",
     )
+    PROMPT_TOO_LARGE = (
+        "prompt-too-large",
+        503,
+        Executed.NO,
+        "The request needs more memory than any backend server has.",
+    )
     QUARANTINED = (
         "quarantined",
         503,
