--- a/boragetrail/direct/capacity/memoryfilter.py
+++ b/boragetrail/direct/capacity/memoryfilter.py
@@ -39,6 +39,8 @@
         if size.largest() > capacity:
             progress.refusal = _too_large(request, size, capacity)
             return []
+        if not progress.tried_ids:
+            self.monitor.record_demand(request.service, size)
         unknown = self._unknown_tokens(request.service, len(views_by_id))
         left, waits_s = [], []
         for state in states:
--- a/boragetrail/direct/capacity/monitor.py
+++ b/boragetrail/direct/capacity/monitor.py
@@ -87,6 +87,15 @@
         """
         return request_size(request.http_request.headers, self.names, prompt)
 
+    def record_demand(self, service, size):
+        """Count the tokens for which a request asks, sent or refused.
+
+        :param service: :class:`~boragetrail.direct.model.Service`
+        :param size: :class:`~boragetrail.policy.enginememory.RequestSize`
+        """
+        rate = self.tokens_by_service[service.name].rate
+        rate.add(size.expected(), self.clock())
+
     def hold(self, request, progress, state):
         """Count the tokens of an attempt until :meth:`release`.
 
@@ -103,7 +112,6 @@
         now_s = self.clock()
         tokens = self.tokens_by_service[request.service.name]
         tokens.mean.add(size.expected())
-        tokens.rate.add(size.expected(), now_s)
         hold = TokenHold(state.record.id, progress.prompt, size, now_s)
         self.held.add(hold)
         return hold
@@ -140,7 +148,7 @@
         return self.tokens_by_service[service.name].mean.value
 
     def token_rate(self, service):
-        """Return the tokens per second that this router sends."""
+        """Return the tokens per second for which requests ask."""
         return self.tokens_by_service[service.name].rate.per_s(self.clock())
 
     def hold_s(self, service):
--- a/boragetrail/direct/capacity/speedexchange.py
+++ b/boragetrail/direct/capacity/speedexchange.py
@@ -35,8 +35,10 @@
     # routers exchange already takes the larger part of their 3 KB/s.
     MAX_BYTES_PER_S = 600.0
     # Bytes that may be sent at once after a silence: one message with two
-    # figures to each of 20 peers.
-    MAX_BURST_BYTES = 1000.0
+    # figures to each of MAX_FANOUT peers.
+    MAX_BURST_BYTES = 1200.0
+    # Largest number of peers that get a message.
+    MAX_FANOUT = 24
     # Upper bounds of the encoded sizes.
     MESSAGE_BYTES = 20
     RECORD_BYTES = 15
@@ -94,19 +96,25 @@
         self._record_known(report)
 
     def take_due(self):
-        """Return the records that are due, as far as the bytes allow."""
+        """Return what is due, as far as the bytes allow.
+
+        :returns: (list of :class:`~boragetrail.policy.speed.SpeedReport`,
+            addresses of the peers that get them)
+        """
         now_s = self.clock()
+        self.speeds.judge_measured()
         self._refill(now_s)
         reports = self._due_figures(now_s) + self._due_sums(now_s)
         reports.sort(key=_difference, reverse=True)
-        reports = reports[: self._affordable()]
+        peers = self.peers.sample(self.MAX_FANOUT) if reports else []
+        reports = reports[: self._affordable(len(peers))]
         if not reports:
-            return []
+            return [], []
         size = self.MESSAGE_BYTES + self.RECORD_BYTES * len(reports)
-        self.budget_bytes -= size * self._fanout()
+        self.budget_bytes -= size * len(peers)
         for report in reports:
             self._record_sent(report, now_s)
-        return reports
+        return reports, [peer.address for peer in peers]
 
     def remove_unlisted(self, server_ids):
         """Remove what is known of servers that are no longer listed."""
@@ -164,18 +172,16 @@
             self.budget_bytes + passed_s * self.MAX_BYTES_PER_S,
         )
 
-    def _affordable(self):
-        """Return the number of records that may be sent now."""
-        fanout = self._fanout()
+    def _affordable(self, fanout):
+        """Return the number of records that may be sent now.
+
+        :param fanout: number of peers that would get them
+        """
         if not fanout:
             return 0
         left = self.budget_bytes / fanout - self.MESSAGE_BYTES
         return max(0, min(self.MAX_RECORDS, int(left / self.RECORD_BYTES)))
 
-    def _fanout(self):
-        count = len(self.peers.peers_by_address)
-        return min(count, self.peers.update_fanout())
-
 
 def _difference(report):
     """Return how much a figure differs from the usual speed."""
--- a/boragetrail/direct/capacity/speeds.py
+++ b/boragetrail/direct/capacity/speeds.py
@@ -22,6 +22,8 @@
     :param clock: function that returns monotonic seconds
     :ivar estimates_by_key: :class:`~boragetrail.policy.speed.SpeedEstimate`
         of servers that report figures
+    :ivar measured_by_key: the same of servers that report none, from
+        measured times
     :ivar windows_by_key: :class:`~boragetrail.policy.responsetimes.TimeWindow`
         of this router's own measured times
     :ivar peer_sums: :class:`~boragetrail.direct.loads.PeerSums` of the
@@ -40,6 +42,7 @@
         self.directory = directory
         self.clock = clock
         self.estimates_by_key = {}
+        self.measured_by_key = {}
         self.windows_by_key = {}
         self.baselines = RouteBaselines()
         self.peer_sums = PeerSums(clock, self.MAX_SUMS_AGE_S)
@@ -73,6 +76,8 @@
         window = self.windows_by_key.get(key)
         if window is None:
             window = self.windows_by_key[key] = TimeWindow()
+        if window.last is not None:
+            self.baselines.record_pair(window.last, log_ratio)
         window.add(log_ratio, self.clock())
 
     def record_peer_sums(self, address, key, sums, sent_s):
@@ -85,6 +90,25 @@
         """
         self.peer_sums.replace((address, key), [(key, *sums)], sent_s)
 
+    def judge_measured(self):
+        """Compare the servers of services that report no figures.
+
+        The results form an estimate like reported figures do, so a server
+        that is slow for long is remembered while it gets few requests.
+        """
+        now_s = self.clock()
+        for listed in self.directory.servers_by_id.values():
+            key = server_key(listed.record.id)
+            if key in self.estimates_by_key:
+                continue
+            comparison = self._compare(listed.record, key, now_s)
+            if comparison is not None:
+                estimate = self.measured_by_key.get(key)
+                if estimate is None:
+                    estimate = self.measured_by_key[key] = SpeedEstimate()
+                percent = round(100 * comparison.clear_slowness())
+                estimate.record(percent, now_s)
+
     def slowness(self, record):
         """Return the slowness by which a server is ordered.
 
@@ -93,13 +117,13 @@
         now_s = self.clock()
         key = server_key(record.id)
         estimate = self.estimates_by_key.get(key)
-        reported = None if estimate is None else estimate.slowness(now_s)
-        comparison = compare(
-            self.sums(key),
-            self._service_sums(record.service, now_s),
-            self.baselines.spread,
-        )
-        return effective_slowness(reported, comparison)
+        if estimate is not None:
+            comparison = self._compare(record, key, now_s)
+            return effective_slowness(estimate.slowness(now_s), comparison)
+        measured = self.measured_by_key.get(key)
+        if measured is not None:
+            return effective_slowness(measured.slowness(now_s))
+        return 1.0
 
     def sums(self, key):
         """Return (number, sum) of the recent times of all routers."""
@@ -125,11 +149,22 @@
     def remove_unlisted(self):
         """Remove what is known of servers that are no longer listed."""
         keys = {server_key(each) for each in self.directory.servers_by_id}
-        for values_by_key in (self.estimates_by_key, self.windows_by_key):
+        for values_by_key in (
+            self.estimates_by_key,
+            self.measured_by_key,
+            self.windows_by_key,
+        ):
             for key in values_by_key.keys() - keys:
                 del values_by_key[key]
         self.service_sums_by_name.clear()
 
+    def _compare(self, record, key, now_s):
+        return compare(
+            self.sums(key),
+            self._service_sums(record.service, now_s),
+            self.baselines.spread,
+        )
+
     def _service_sums(self, service, now_s):
         known = self.service_sums_by_name.get(service)
         if known is not None and now_s - known[0] < self.SUMS_REUSE_S:
--- a/boragetrail/direct/recordgossip.py
+++ b/boragetrail/direct/recordgossip.py
@@ -105,11 +105,9 @@
         for record, sends_left in batch:
             if sends_left > 1:
                 self.queue.append((record, sends_left - 1))
-        records = [record for record, _ in batch]
-        # Figures about speed are sent once, since they are soon outdated.
         if self.speeds is not None:
-            records += self.speeds.take_due()
-        return self._messages(records)
+            self._send_speeds()
+        return self._messages([record for record, _ in batch])
 
     def snapshot(self, count=None):
         """Return messages with all records that still matter.
@@ -126,6 +124,12 @@
             + self.knowledge.snapshot(count)
         )
 
+    def _send_speeds(self):
+        """Send the figures that are due, once, as they are soon outdated."""
+        reports, addresses = self.speeds.take_due()
+        for message in self._messages(reports):
+            self.send_to(message, addresses)
+
     def _send_to(self, record, addresses):
         for message in self._messages([record]):
             self.send_to(message, addresses)
--- a/boragetrail/direct/tests/fleetsimulation.py
+++ b/boragetrail/direct/tests/fleetsimulation.py
@@ -131,6 +131,7 @@
         self.held = dict.fromkeys(map(_server_id, range(servers)), 0)
         self.limited_until_s = dict.fromkeys(self.held, 0.0)
         self.rate_per_s = 0.0
+        self.kinds = KINDS
         self.hot_share = 0.0
         self.clump = 0.3
         self.clumps_share_router = False
@@ -176,7 +177,7 @@
             )
             self._at(Reconnector.TIMEOUT_S, self._reconnect, router)
             self._at(LimitWatch.INTERVAL_S, self._watch, router)
-        for kind in KINDS:
+        for kind in self.kinds:
             self._at(
                 self.rng.expovariate(load * kind[0]), self._arrive, kind, load
             )
@@ -230,10 +231,14 @@
             for i in range(len(choices))
         ]
         prompt = list(zip([*names, f"own-{number}"], tokens))
+        request = self._request(kind)
+        self._try(router, request, RequestProgress(prompt, []), held_s)
+
+    def _request(self, kind):
         request = DirectRequest(None, self.clock())
         request.route = ROUTE
         request.service = SERVICE
-        self._try(router, request, RequestProgress(prompt, []), held_s)
+        return request
 
     def _try(self, router, request, progress, held_s):
         state = router.selector.choose(request, progress)
@@ -251,10 +256,14 @@
         mean = sum(self.held.values()) / self.servers
         self.sent.append((self.clock(), self.held[record.id], mean))
         self.held[record.id] += 1
+        self._serve(router, request, progress, work, held_s)
+
+    def _serve(self, router, request, progress, work, held_s):
+        state = work.state
         held_s *= self.rng.uniform(0.6, 1.4)
         head_s = min(0.15, held_s / 2)
         self._at(head_s, self._hear, state, self.clock())
-        self._at(held_s, self._end, record.id, work)
+        self._at(held_s, self._end, state.record.id, work)
 
     def _is_cut(self, server_id):
         since_s, until_s = self.cuts_by_id.get(server_id, (0.0, 0.0))
--- a/boragetrail/policy/enginememory.py
+++ b/boragetrail/policy/enginememory.py
@@ -30,9 +30,9 @@
 # Time for which requests of other routers may be unknown, with a lost
 # datagram.
 NEWS_DELAY_S = 0.25
-# An engine may get so many times the mean of what all get, since requests
-# follow cached prompt parts.
-ENGINE_SHARE_FACTOR = 2.0
+# An engine gets about the mean of what all get; the load bound keeps it from
+# getting much more.
+ENGINE_SHARE_FACTOR = 1.0
 # Bounds of the wait that a refused caller is told.
 MIN_WAIT_S = 0.1
 MAX_WAIT_S = 5.0
@@ -97,7 +97,8 @@
 def fits(demand, tokens, capacity):
     """Return whether a request fits into an engine's memory.
 
-    A request that is larger than the part in use fits an empty engine.
+    An engine without a known request gets any request that it can hold, so
+    that the largest do not starve.
 
     :param demand: :class:`MemoryDemand`
     :param tokens: tokens that the request adds, with its expected output
@@ -114,7 +115,7 @@
     if held + tokens <= CAPACITY_FACTOR * capacity:
         return True
     is_empty = demand.own + demand.others <= 0
-    return is_empty and held + tokens <= capacity
+    return is_empty and tokens <= capacity
 
 
 def unknown_tokens(rate_per_s, routers, engines):
@@ -122,12 +123,13 @@
 
     The other routers are assumed to send as much as this one.
 
-    :param rate_per_s: tokens per second that this router sends to the service
+    :param rate_per_s: tokens per second that callers ask this router for,
+        refused requests included, since all routers see freed memory at once
     :param routers: number of routers, this one included
     :param engines: number of engines of the service
 
     >>> unknown_tokens(20000, 24, 23)
-    10000.0
+    5000.0
     """
     others_per_s = rate_per_s * max(0, routers - 1)
     per_engine = others_per_s * NEWS_DELAY_S / max(1, engines)
--- a/boragetrail/policy/prefix.py
+++ b/boragetrail/policy/prefix.py
@@ -174,8 +174,9 @@
             copied = max_cached - cached.get(engine.id, 0)
             cost = engine.pending_tokens + self.COPY_COST_FACTOR * copied
             cost += self.COST_TOKENS_PER_RUNNING_REQUEST * engine.running
-            # Every engine has to process what none has cached.
-            cost += (engine.slowness - 1.0) * (cost + total - max_cached)
+            # The request adds what no engine has cached, and itself.
+            added = total - max_cached + self.COST_TOKENS_PER_RUNNING_REQUEST
+            cost += (engine.slowness - 1.0) * (cost + added)
             cost += self.FAILURE_COST_TOKENS * engine.failure_rate
             if engine.id != preferred:
                 cost += uncached
--- a/boragetrail/policy/responsetimes.py
+++ b/boragetrail/policy/responsetimes.py
@@ -16,10 +16,10 @@
 LOG_UNITS = 1000
 # Fewer responses say nothing about a server.
 MIN_SAMPLES = 3
-# Standard errors from which a difference is clear. With three servers that
-# are compared ten times per second, 3 give less than one error in a minute,
-# as the times of consecutive comparisons overlap.
-CLEAR_ERRORS = 3.0
+# Standard errors from which a difference is clear. In simulated minutes with
+# three equally fast servers and 22 requests per second, no router took one for
+# slow; with 3, far fewer slow phases were noticed.
+CLEAR_ERRORS = 2.5
 # Smallest ratio of times that counts as a difference.
 MIN_RATIO = 1.3
 
@@ -45,6 +45,13 @@
         """Return the ratio of the times."""
         return math.exp(self.log_ratio)
 
+    def clear_slowness(self):
+        """Return the ratio if the server is clearly slower, else 1.0.
+
+        Faster responses than the usual are no reason to send more.
+        """
+        return max(1.0, self.slowness()) if self.contradicts(1.0) else 1.0
+
 
 def compare(own, service, spread):
     """Compare a server's times with those of the other servers.
@@ -74,13 +81,14 @@
     :ivar spread: standard deviation of the logarithm of a normalised time
     """
 
-    __slots__ = ("means_by_route", "counts_by_route", "variance")
+    __slots__ = ("means_by_route", "counts_by_route", "variance", "pairs")
 
     # A route's first times have no mean to be compared with.
     MIN_SAMPLES = 4
     MEAN_SAMPLES = 64
     # The spread that is assumed first, and the least that is believed.
     INITIAL_SPREAD = 0.5
+    PRIOR_PAIRS = 8
     MIN_SPREAD = 0.25
     # A single time counts as at most so many times the mean, or its inverse.
     MAX_RATIO = 8.0
@@ -90,6 +98,7 @@
         self.means_by_route = {}
         self.counts_by_route = {}
         self.variance = self.INITIAL_SPREAD**2
+        self.pairs = 0
 
     @property
     def spread(self):
@@ -115,9 +124,24 @@
         self.means_by_route[route] = mean + weight * ratio
         if count < self.MIN_SAMPLES:
             return None
-        self.variance += (ratio**2 - self.variance) / self.MEAN_SAMPLES
         return round(LOG_UNITS * ratio)
 
+    def record_pair(self, previous, current):
+        """Record two consecutive times at one server.
+
+        Their difference shows the spread of single times, whatever the
+        differences between servers are.
+
+        :param previous: normalised time
+        :param current: normalised time after it
+        """
+        difference = (current - previous) / LOG_UNITS
+        # The variance of a difference is twice that of a single time.
+        sample = difference**2 / 2
+        self.pairs += 1
+        weight = 1.0 / min(self.PRIOR_PAIRS + self.pairs, self.MEAN_SAMPLES)
+        self.variance += weight * (sample - self.variance)
+
 
 class TimeWindow:
     """Sum of a server's recent normalised times, of the last 0.4 to 0.8 s.
@@ -125,6 +149,7 @@
     The window has two halves; the older is dropped as a whole.
 
     :ivar added: number of times that were ever added
+    :ivar last: the last of them, or ``None``
 
     >>> window = TimeWindow()
     >>> window.add(900, 10.0)
@@ -132,7 +157,7 @@
     ((1, 900), (0, 0))
     """
 
-    __slots__ = ("half", "current", "previous", "added")
+    __slots__ = ("half", "current", "previous", "added", "last")
 
     HALF_WINDOW_S = 0.4
 
@@ -141,6 +166,7 @@
         self.current = (0, 0)
         self.previous = (0, 0)
         self.added = 0
+        self.last = None
 
     def add(self, log_ratio, now_s):
         """Add a normalised time.
@@ -152,6 +178,7 @@
         count, total = self.current
         self.current = (count + 1, total + log_ratio)
         self.added += 1
+        self.last = log_ratio
 
     def sums(self, now_s):
         """Return (number, sum) of the recent times."""
--- a/boragetrail/policy/speed.py
+++ b/boragetrail/policy/speed.py
@@ -123,25 +123,21 @@
     return max(MIN_PERCENT, min(MAX_PERCENT, percent))
 
 
-def effective_slowness(reported, comparison=None):
+def effective_slowness(slowness, comparison=None):
     """Return the slowness by which servers are ordered.
 
     Measured times outweigh a figure that they clearly contradict.
 
-    :param reported: estimate from the server's figures, or ``None`` without
+    :param slowness: estimate from figures or from earlier measured times
     :param comparison: :class:`~boragetrail.policy.responsetimes.Comparison`
-        of the measured times, or ``None`` if there are too few
+        of the recent measured times, or ``None`` if there are too few
     :returns: slowness, 1.0 if the server is not clearly different
 
     >>> effective_slowness(1.05), effective_slowness(2.5)
     (1.0, 2.5)
     """
-    slowness = 1.0 if reported is None else reported
     if comparison is not None and comparison.contradicts(slowness):
         slowness = comparison.slowness()
-        if reported is None:
-            # Faster responses than the usual are no reason to send more.
-            slowness = max(1.0, slowness)
     slowness = max(MIN_SLOWNESS, min(MAX_SLOWNESS, slowness))
     return slowness if abs(slowness - 1.0) >= MIN_DIFFERENCE else 1.0
 
