--- a/boragetrail/direct/capacity/speedexchange.py
+++ b/boragetrail/direct/capacity/speedexchange.py
@@ -142,7 +142,6 @@
                 count
                 and window.added != added
                 and now_s - sent_s >= self.SUMS_INTERVAL_S
-                and key not in self.speeds.estimates_by_key
             ):
                 percent = round(100 * math.exp(total / count / LOG_UNITS))
                 reports.append(SpeedReport(key, percent, count, now_s))
--- a/boragetrail/direct/capacity/speeds.py
+++ b/boragetrail/direct/capacity/speeds.py
@@ -1,9 +1,13 @@
 """Speed of each server, from its own figures and from measured times."""
 
+import math
+
 from boragetrail.direct.counts import server_key
 from boragetrail.direct.loads import PeerSums
 from boragetrail.policy.responsetimes import (
+    LOG_UNITS,
     RouteBaselines,
+    Spread,
     TimeWindow,
     compare,
 )
@@ -26,6 +30,8 @@
         measured times
     :ivar windows_by_key: :class:`~boragetrail.policy.responsetimes.TimeWindow`
         of this router's own measured times
+    :ivar residuals_by_key: the same of the times relative to the reported
+        figures; a server whose mean differs from the others' reports falsely
     :ivar peer_sums: :class:`~boragetrail.direct.loads.PeerSums` of the
         measured times of other routers
     """
@@ -35,6 +41,9 @@
     MAX_SUMS_AGE_S = 0.4
     # Peers cannot make the table grow beyond this number of servers.
     MAX_SERVERS = 4096
+    # Half of the time over which reported figures are compared with measured
+    # times. A router sends an engine two requests per second.
+    RESIDUALS_HALF_S = 4.0
     # Time for which the sums of a service are used again.
     SUMS_REUSE_S = 0.02
 
@@ -44,7 +53,10 @@
         self.estimates_by_key = {}
         self.measured_by_key = {}
         self.windows_by_key = {}
+        self.residuals_by_key = {}
         self.baselines = RouteBaselines()
+        self.spread = Spread()
+        self.residual_spread = Spread()
         self.peer_sums = PeerSums(clock, self.MAX_SUMS_AGE_S)
         self.service_sums_by_name = {}
 
@@ -73,12 +85,19 @@
         log_ratio = self.baselines.normalise(route, took_s)
         if log_ratio is None:
             return
-        window = self.windows_by_key.get(key)
+        now_s = self.clock()
+        estimate = self.estimates_by_key.get(key)
+        if estimate is None:
+            window = self.windows_by_key.setdefault(key, TimeWindow())
+            _add_time(window, self.spread, log_ratio, now_s)
+            return
+        slowness = estimate.slowness(now_s)
+        log_ratio -= round(LOG_UNITS * math.log(slowness))
+        window = self.residuals_by_key.get(key)
         if window is None:
-            window = self.windows_by_key[key] = TimeWindow()
-        if window.last is not None:
-            self.baselines.record_pair(window.last, log_ratio)
-        window.add(log_ratio, self.clock())
+            window = TimeWindow(self.RESIDUALS_HALF_S)
+            self.residuals_by_key[key] = window
+        _add_time(window, self.residual_spread, log_ratio, now_s)
 
     def record_peer_sums(self, address, key, sums, sent_s):
         """Record the measured times of another router at a server.
@@ -101,7 +120,11 @@
             key = server_key(listed.record.id)
             if key in self.estimates_by_key:
                 continue
-            comparison = self._compare(listed.record, key, now_s)
+            comparison = compare(
+                self.sums(key),
+                self._service_sums(listed.record.service, self.sums),
+                self.spread.value,
+            )
             if comparison is not None:
                 estimate = self.measured_by_key.get(key)
                 if estimate is None:
@@ -118,7 +141,11 @@
         key = server_key(record.id)
         estimate = self.estimates_by_key.get(key)
         if estimate is not None:
-            comparison = self._compare(record, key, now_s)
+            comparison = compare(
+                self._residual_sums(key),
+                self._service_sums(record.service, self._residual_sums),
+                self.residual_spread.value,
+            )
             return effective_slowness(estimate.slowness(now_s), comparison)
         measured = self.measured_by_key.get(key)
         if measured is not None:
@@ -153,26 +180,36 @@
             self.estimates_by_key,
             self.measured_by_key,
             self.windows_by_key,
+            self.residuals_by_key,
         ):
             for key in values_by_key.keys() - keys:
                 del values_by_key[key]
         self.service_sums_by_name.clear()
 
-    def _compare(self, record, key, now_s):
-        return compare(
-            self.sums(key),
-            self._service_sums(record.service, now_s),
-            self.baselines.spread,
-        )
+    def _residual_sums(self, key):
+        window = self.residuals_by_key.get(key)
+        return (0, 0) if window is None else window.sums(self.clock())
 
-    def _service_sums(self, service, now_s):
-        known = self.service_sums_by_name.get(service)
+    def _service_sums(self, service, sums_of):
+        """Return the sums over all servers of a service.
+
+        :param sums_of: function that returns the sums of one server
+        """
+        now_s = self.clock()
+        known = self.service_sums_by_name.get((service, sums_of))
         if known is not None and now_s - known[0] < self.SUMS_REUSE_S:
             return known[1]
         sums = [
-            self.sums(server_key(listed.record.id))
+            sums_of(server_key(listed.record.id))
             for listed in self.directory.servers_of(service)
         ]
         total = tuple(map(sum, zip(*sums))) if sums else (0, 0)
-        self.service_sums_by_name[service] = (now_s, total)
+        self.service_sums_by_name[service, sums_of] = (now_s, total)
         return total
+
+
+def _add_time(window, spread, log_ratio, now_s):
+    """Add a time to a window, and its difference to the last to a spread."""
+    if window.last is not None:
+        spread.record_pair(window.last, log_ratio)
+    window.add(log_ratio, now_s)
--- a/boragetrail/direct/tests/test_capacity.py
+++ b/boragetrail/direct/tests/test_capacity.py
@@ -81,12 +81,13 @@
         assert simulation.sent_by_id["i-0"] < 1.25 * mean
         assert simulation.over(1.0, 5.0)[0] <= 3
 
-    def test_engine_that_reports_to_be_far_slower(self):
-        """Fails if a false figure of 100000 keeps all requests away."""
+    @pytest.mark.parametrize("figure", [9999, 100000])
+    def test_engine_that_reports_to_be_far_slower(self, figure):
+        """Fails if a false figure keeps all requests away."""
         simulation = CapacitySimulation(3, routers=4, servers=5)
         simulation.kinds = OWN_PROMPTS
-        simulation.lies_by_id["i-0"] = 100000
-        simulation.run(5.0)
+        simulation.lies_by_id["i-0"] = figure
+        simulation.run(8.0)
         mean = sum(simulation.sent_by_id.values()) / 5
         assert simulation.sent_by_id["i-0"] > 0.5 * mean
 
--- a/boragetrail/policy/responsetimes.py
+++ b/boragetrail/policy/responsetimes.py
@@ -9,7 +9,13 @@
 import dataclasses
 import math
 
-__all__ = ["Comparison", "RouteBaselines", "TimeWindow", "compare"]
+__all__ = [
+    "Comparison",
+    "RouteBaselines",
+    "Spread",
+    "TimeWindow",
+    "compare",
+]
 
 # Sums are kept in thousandths of natural logarithms, since sums of integers
 # can be subtracted without an error that grows.
@@ -20,6 +26,9 @@
 # three equally fast servers and 22 requests per second, no router took one for
 # slow; with 3, far fewer slow phases were noticed.
 CLEAR_ERRORS = 2.5
+# Times of the last 0.4 to 0.8 s are compared, since servers are slow for half a
+# second.
+HALF_WINDOW_S = 0.4
 # Smallest ratio of times that counts as a difference.
 MIN_RATIO = 1.3
 
@@ -76,20 +85,13 @@
 
 
 class RouteBaselines:
-    """Moving means of the times of each route, over all its servers.
+    """Moving means of the times of each route, over all its servers."""
 
-    :ivar spread: standard deviation of the logarithm of a normalised time
-    """
-
-    __slots__ = ("means_by_route", "counts_by_route", "variance", "pairs")
+    __slots__ = ("means_by_route", "counts_by_route")
 
     # A route's first times have no mean to be compared with.
     MIN_SAMPLES = 4
     MEAN_SAMPLES = 64
-    # The spread that is assumed first, and the least that is believed.
-    INITIAL_SPREAD = 0.5
-    PRIOR_PAIRS = 8
-    MIN_SPREAD = 0.25
     # A single time counts as at most so many times the mean, or its inverse.
     MAX_RATIO = 8.0
     MAX_ROUTES = 512
@@ -97,12 +99,6 @@
     def __init__(self):
         self.means_by_route = {}
         self.counts_by_route = {}
-        self.variance = self.INITIAL_SPREAD**2
-        self.pairs = 0
-
-    @property
-    def spread(self):
-        return max(self.MIN_SPREAD, math.sqrt(self.variance))
 
     def normalise(self, route, took_s):
         """Add a time to the mean of its route.
@@ -126,6 +122,35 @@
             return None
         return round(LOG_UNITS * ratio)
 
+
+class Spread:
+    """Standard deviation of the logarithm of a single normalised time.
+
+    >>> spread = Spread()
+    >>> spread.value
+    0.5
+    >>> for _ in range(200):
+    ...     spread.record_pair(0, 600)
+    >>> round(spread.value, 2)
+    0.43
+    """
+
+    __slots__ = ("variance", "pairs")
+
+    MEAN_SAMPLES = 64
+    # The deviation that is assumed first, and the least that is believed.
+    INITIAL = 0.5
+    PRIOR_PAIRS = 8
+    MINIMUM = 0.25
+
+    def __init__(self):
+        self.variance = self.INITIAL**2
+        self.pairs = 0
+
+    @property
+    def value(self):
+        return max(self.MINIMUM, math.sqrt(self.variance))
+
     def record_pair(self, previous, current):
         """Record two consecutive times at one server.
 
@@ -144,10 +169,12 @@
 
 
 class TimeWindow:
-    """Sum of a server's recent normalised times, of the last 0.4 to 0.8 s.
+    """Sum of a server's recent normalised times.
 
     The window has two halves; the older is dropped as a whole.
 
+    :param half_s: length of each half in seconds
+
     :ivar added: number of times that were ever added
     :ivar last: the last of them, or ``None``
 
@@ -157,11 +184,10 @@
     ((1, 900), (0, 0))
     """
 
-    __slots__ = ("half", "current", "previous", "added", "last")
+    __slots__ = ("half", "current", "previous", "added", "last", "half_s")
 
-    HALF_WINDOW_S = 0.4
-
-    def __init__(self):
+    def __init__(self, half_s=HALF_WINDOW_S):
+        self.half_s = half_s
         self.half = 0
         self.current = (0, 0)
         self.previous = (0, 0)
@@ -189,7 +215,7 @@
         )
 
     def _advance(self, now_s):
-        half = int(now_s / self.HALF_WINDOW_S)
+        half = int(now_s / self.half_s)
         if half == self.half:
             return
         is_next = half == self.half + 1
--- a/boragetrail/policy/speed.py
+++ b/boragetrail/policy/speed.py
@@ -126,18 +126,19 @@
 def effective_slowness(slowness, comparison=None):
     """Return the slowness by which servers are ordered.
 
-    Measured times outweigh a figure that they clearly contradict.
+    Measured times outweigh figures that they clearly contradict.
 
     :param slowness: estimate from figures or from earlier measured times
     :param comparison: :class:`~boragetrail.policy.responsetimes.Comparison`
-        of the recent measured times, or ``None`` if there are too few
+        of the measured times, each divided by the slowness that was expected
+        of it, or ``None`` if there are too few
     :returns: slowness, 1.0 if the server is not clearly different
 
     >>> effective_slowness(1.05), effective_slowness(2.5)
     (1.0, 2.5)
     """
-    if comparison is not None and comparison.contradicts(slowness):
-        slowness = comparison.slowness()
+    if comparison is not None and comparison.contradicts(1.0):
+        slowness *= comparison.slowness()
     slowness = max(MIN_SLOWNESS, min(MAX_SLOWNESS, slowness))
     return slowness if abs(slowness - 1.0) >= MIN_DIFFERENCE else 1.0
 
--- a/boragetrail/policy/tests/test_speed.py
+++ b/boragetrail/policy/tests/test_speed.py
@@ -13,12 +13,11 @@
 from boragetrail.policy.leastloaded import LeastLoadedOrder, ServerView
 from boragetrail.policy.responsetimes import (
     RouteBaselines,
+    Spread,
     TimeWindow,
     compare,
 )
 from boragetrail.policy.speed import (
-    MAX_SLOWNESS,
-    MIN_SLOWNESS,
     SpeedEstimate,
     effective_slowness,
 )
@@ -93,7 +92,7 @@
 
     def _comparison(self, factor, per_server, seed):
         rng = random.Random(seed)
-        baselines = RouteBaselines()
+        baselines, spread = RouteBaselines(), Spread()
         windows = {key: TimeWindow() for key in range(3)}
         for number in range(600 + 3 * per_server):
             key = number % 3
@@ -102,10 +101,12 @@
             took_s = 0.06 * slow * rng.lognormvariate(0.0, 0.35)
             log_ratio = baselines.normalise("look-up", took_s)
             if log_ratio is not None:
+                if windows[key].last is not None:
+                    spread.record_pair(windows[key].last, log_ratio)
                 windows[key].add(log_ratio, now_s)
         sums = [window.sums(20.0) for window in windows.values()]
         service = tuple(map(sum, zip(*sums)))
-        return compare(sums[0], service, baselines.spread)
+        return compare(sums[0], service, spread.value)
 
     def _slow_count(self, factor, per_server):
         comparisons = [
@@ -125,14 +126,16 @@
         assert compare((2, 2000), (30, 2000), 0.3) is None
 
     def test_measured_times_outweigh_a_false_figure(self):
-        slow = compare((20, 18000), (200, 18000), 0.4)
-        usual = compare((20, 0), (200, 0), 0.4)
-        assert effective_slowness(0.8, slow) > 2.0
-        assert effective_slowness(4.0, usual) == 1.0
+        slower = compare((8, 8 * 1100), (200, 8 * 1100), 0.4)
+        faster = compare((8, -8 * 1386), (200, -8 * 1386), 0.4)
+        as_expected = compare((8, 800), (200, 800), 0.4)
+        assert effective_slowness(0.8, slower) > 2.0
+        assert effective_slowness(4.0, faster) == 1.0
+        assert effective_slowness(2.5, as_expected) == 2.5
 
     def test_limits(self):
-        assert effective_slowness(1000.0) == MAX_SLOWNESS
-        assert effective_slowness(0.01) == MIN_SLOWNESS
+        assert effective_slowness(1000.0) == 4.0
+        assert effective_slowness(0.01) == 0.8
         assert effective_slowness(1.09) == 1.0
 
 
