--- a/boragetrail/policy/responsetimes.py
+++ b/boragetrail/policy/responsetimes.py
@@ -26,8 +26,8 @@
 # three equally fast servers and 22 requests per second, no router took one for
 # slow; with 3, far fewer slow phases were noticed.
 CLEAR_ERRORS = 2.5
-# Times of the last 0.4 to 0.8 s are compared, since servers are slow for half a
-# second.
+# Times of the last 0.4 to 0.8 s are compared, since servers are slow for half
+# a second.
 HALF_WINDOW_S = 0.4
 # Smallest ratio of times that counts as a difference.
 MIN_RATIO = 1.3
