--- a/boragetrail/direct/capacity/speedexchange.py
+++ b/boragetrail/direct/capacity/speedexchange.py
@@ -31,8 +31,8 @@
     :ivar due_by_key: figures to be sent, by key of the server
     """
 
-    # Bytes per second that all messages together may have. The state that
-    # routers exchange already takes the larger part of their 3 KB/s.
+    # Bytes per second that all messages together may have: a fifth of the
+    # 3 KB/s that a router may send of control messages.
     MAX_BYTES_PER_S = 600.0
     # Bytes that may be sent at once after a silence: one message with two
     # figures to each of MAX_FANOUT peers.
--- a/boragetrail/direct/tests/test_capacity.py
+++ b/boragetrail/direct/tests/test_capacity.py
@@ -295,6 +295,19 @@
             assert status == 200
         assert daemon.capacity.malformed_ids == {server.id}
 
+    async def test_figure_reaches_another_router(self, cluster):
+        """Fails if figures are not sent, or not accepted from a peer."""
+        first = await cluster.add_router(rules=["pressure"])
+        second = await cluster.add_router(rules=["pressure"])
+        await cluster.until(lambda: first.peers.peers_by_address)
+        server = cluster.servers[0]
+        server.default = report_load("2,0,8,250")
+        while not server.requests:
+            await cluster.call(first, "/status/1")
+        figures = second.capacity.speeds.estimates_by_key
+        await cluster.until(lambda: server_key(server.id) in figures)
+        assert figures[server_key(server.id)].figure == 2.5
+
     async def test_memory(self, cluster):
         data = configuration(
             version=2,
