--- a/boragetrail/policy/enginememory.py
+++ b/boragetrail/policy/enginememory.py
@@ -30,9 +30,9 @@
 # Time for which requests of other routers may be unknown, with a lost
 # datagram.
 NEWS_DELAY_S = 0.25
-# An engine gets about the mean of what all get; the load bound keeps it from
-# getting much more.
-ENGINE_SHARE_FACTOR = 1.0
+# An engine may get so many times the mean of what all get. With 1.0, engines
+# exceeded their memory in 2 of 8 simulated bursts at 24 routers with loss.
+ENGINE_SHARE_FACTOR = 1.5
 # Bounds of the wait that a refused caller is told.
 MIN_WAIT_S = 0.1
 MAX_WAIT_S = 5.0
@@ -129,7 +129,7 @@
     :param engines: number of engines of the service
 
     >>> unknown_tokens(20000, 24, 23)
-    5000.0
+    7500.0
     """
     others_per_s = rate_per_s * max(0, routers - 1)
     per_engine = others_per_s * NEWS_DELAY_S / max(1, engines)
