--- a/boragetrail/direct/headers.py
+++ b/boragetrail/direct/headers.py
@@ -19,8 +19,8 @@
 FRAMING_FIELDS = frozenset((b"content-length", b"expect"))
 MIN_DEADLINE_MS = 1
 LOWEST_PRIORITY = 9
-# No real number is longer. ``int`` refuses texts of 4,300 digits, and ``float``
-# numbers of 308.
+# No real number is longer. ``int`` refuses texts of over 4,300 digits, and
+# ``float`` numbers of over 308.
 MAX_DIGITS = 18
 
 
