--- a/boragetrail/direct/daemon.py
+++ b/boragetrail/direct/daemon.py
@@ -8,6 +8,11 @@
 import aiohttp.web
 
 from boragetrail.direct.begunresponses import BegunResponses
+from boragetrail.direct.capacity import (
+    CapacityMetrics,
+    CapacityMonitor,
+    MemoryFilter,
+)
 from boragetrail.direct.crashes import CrashMonitor, log_quarantine
 from boragetrail.direct.datagrams import Update
 from boragetrail.direct.directory import Directory
@@ -126,6 +131,9 @@
             self.crash_monitor,
             StreamVersions(self.fleet, names, self.list_confirmation),
         )
+        self.capacity = None
+        if Feature.ENGINE_CAPACITY in self.features:
+            self._add_capacity()
         filter_chain = FilterChain(
             self.directory, platform.HEADER_NAMES, self.random
         )
@@ -272,6 +280,12 @@
             self.tasks.start_calls(
                 EjectionMonitor.INTERVAL_S, self.ejection.advance
             )
+        if self.capacity is not None:
+            metrics = CapacityMetrics(self.capacity, self.metrics.registry)
+            self.tasks.start_calls(CapacityMetrics.INTERVAL_S, metrics.update)
+            self.tasks.start_calls(
+                UNLISTED_REMOVAL_INTERVAL_S, self.capacity.remove_unlisted
+            )
         self.discovery_task = self.tasks.start(
             self._discover_caches(), "learn"
         )
@@ -324,6 +338,16 @@
             EjectionFilter(self.ejection, self.fleet, self.metrics)
         )
 
+    def _add_capacity(self):
+        """Take the memory and the speed of servers into account."""
+        self.capacity = CapacityMonitor(
+            self.fleet, self.platform.HEADER_NAMES, self.clock
+        )
+        self.fleet.speeds = self.capacity.speeds
+        self.record_gossip.speeds = self.capacity.exchange
+        self.dispatcher.capacity = self.capacity
+        self.selector.filters.append(MemoryFilter(self.capacity, self.fleet))
+
     def _quarantine_changed(self, held, released):
         log_quarantine(held, released)
         self.fleet.abort_attempts(held)
--- a/boragetrail/direct/recordgossip.py
+++ b/boragetrail/direct/recordgossip.py
@@ -12,6 +12,7 @@
 from boragetrail.direct.recordmessages import decode_records, encode_records
 from boragetrail.policy.crashrecords import CrashReport, Survival, Trial
 from boragetrail.policy.serverlimits import LimitReport
+from boragetrail.policy.speed import SpeedReport
 
 __all__ = ["RecordGossip"]
 
@@ -33,6 +34,8 @@
     :param peers: :class:`~boragetrail.direct.peers.PeerTable`
     :param clock: function that returns monotonic seconds
     :ivar queue: (record, number of times that it is still to be sent)
+    :ivar speeds: :class:`~boragetrail.direct.capacity.SpeedExchange`, or
+        ``None`` if figures about the speed of servers are ignored
     :ivar send: function that sends a message to all peers
     :ivar send_to: function that sends a message to a list of addresses
     :ivar outcomes: :class:`~boragetrail.direct.ejection.EjectionMonitor`, or
@@ -54,6 +57,7 @@
         self.peers = peers
         self.clock = clock
         self.queue = collections.deque(maxlen=self.MAX_QUEUED)
+        self.speeds = None
         self.send = None
         self.send_to = None
         self.outcomes = None
@@ -92,6 +96,10 @@
                 if self.outcomes is not None:
                     self.outcomes.apply(record)
                 continue
+            if isinstance(record, SpeedReport):
+                if self.speeds is not None:
+                    self.speeds.apply(record, sender)
+                continue
             is_new = add_by_type[type(record)](record)
             if is_new and self.peers.needs_relaying():
                 self.add(record)
@@ -105,6 +113,8 @@
         for record, sends_left in batch:
             if sends_left > 1:
                 self.queue.append((record, sends_left - 1))
+        if self.speeds is not None:
+            self._send_speeds()
         return self._messages([record for record, _ in batch])
 
     def snapshot(self, count=None):
@@ -129,6 +139,12 @@
             return []
         return self.outcomes.snapshot(includes_peers=count is None)
 
+    def _send_speeds(self):
+        """Send the figures that are due, once, as they are soon outdated."""
+        reports, addresses = self.speeds.take_due()
+        for message in self._messages(reports):
+            self.send_to(message, addresses)
+
     def _send_to(self, record, addresses):
         for message in self._messages([record]):
             self.send_to(message, addresses)
--- a/boragetrail/direct/recordmessages.py
+++ b/boragetrail/direct/recordmessages.py
@@ -18,6 +18,12 @@
 )
 from boragetrail.policy.crashrecords import CrashReport, Survival, Trial
 from boragetrail.policy.serverlimits import MAX_RATE_PER_S, LimitReport
+from boragetrail.policy.speed import (
+    MAX_PERCENT,
+    MIN_PERCENT,
+    SpeedReport,
+    clamp_percent,
+)
 
 __all__ = [
     "RecordMessage",
@@ -39,6 +45,7 @@
 NO_LIMIT = 0
 MAX_COUNT = 0xFFFF
 OUTCOME_COUNTS = 6
+MAX_SPEED_SAMPLES = 255
 MAX_RATE_PER_1000_S = int(1000 * MAX_RATE_PER_S)
 
 
@@ -58,7 +65,8 @@
         ``"limit"`` for
         :class:`~boragetrail.policy.serverlimits.LimitReport`,
         ``"outcomes"`` for
-        :class:`~boragetrail.direct.ejection.outcomes.OutcomeReport`
+        :class:`~boragetrail.direct.ejection.outcomes.OutcomeReport`,
+        ``"speed"`` for :class:`~boragetrail.policy.speed.SpeedReport`
     """
 
     kind: str
@@ -171,6 +179,18 @@
     return counts
 
 
+def _check_speed(value):
+    return checks.fixed_list(value, _key, _percent, _samples, _age)
+
+
+def _percent(value):
+    return checks.integer(value, MAX_PERCENT, MIN_PERCENT)
+
+
+def _samples(value):
+    return checks.integer(value, MAX_SPEED_SAMPLES)
+
+
 def _rate(value):
     return checks.integer(value, MAX_RATE_PER_1000_S)
 
@@ -249,6 +269,18 @@
     )
 
 
+def _encode_speed(report, now_s):
+    samples = min(MAX_SPEED_SAMPLES, report.samples)
+    percent = clamp_percent(report.percent)
+    age_ms = _age_ms(report.heard_s, now_s)
+    return [report.server, percent, samples, age_ms]
+
+
+def _decode_speed(value, now_s):
+    server, percent, samples, age_ms = value
+    return SpeedReport(server, percent, samples, now_s - age_ms / 1000.0)
+
+
 def _name(record):
     """Return the name of a record's type in messages."""
     if isinstance(record, CrashReport) and record.progressed:
@@ -267,6 +299,7 @@
     Leaving: "leaving",
     LimitReport: "limit",
     OutcomeReport: "outcomes",
+    SpeedReport: "speed",
     StreamOrigin: "stream",
     StreamQuery: "query",
     StreamUnknown: "unknown",
@@ -285,6 +318,7 @@
     "leaving": lambda record, now_s: record.server,
     "limit": _encode_limit,
     "outcomes": _encode_outcomes,
+    "speed": _encode_speed,
     "stream": lambda record, now_s: [
         record.stream,
         record.version,
@@ -303,6 +337,7 @@
     "leaving": lambda value, now_s: Leaving(value),
     "limit": _decode_limit,
     "outcomes": _decode_outcomes,
+    "speed": _decode_speed,
     "stream": lambda value, now_s: StreamOrigin(
         value[0], value[1], now_s - value[2] / 1000.0
     ),
@@ -317,6 +352,7 @@
     "leaving": _key,
     "limit": _check_limit,
     "outcomes": _check_outcomes,
+    "speed": _check_speed,
     "stream": _check_stream,
     "query": _key,
     "unknown": _key,
--- a/boragetrail/events.py
+++ b/boragetrail/events.py
@@ -103,6 +103,11 @@
         "A server that fails more requests than others was ejected.",
     )
     SERVER_READMITTED = (526, "INFO", "An ejected server was readmitted.")
+    LOAD_FIGURE_INVALID = (
+        535,
+        "WARNING",
+        "A server reported an invalid load or speed.",
+    )
     ORDER_UNKNOWN = (600, "ERROR", "An order's outcome is unknown.")
     ORDER_FENCED = (601, "WARNING", "An order has a stale fencing token.")
     LEASE_ACQUIRED = (602, "INFO", "A lease on model loading was acquired.")
