Prefer servers in the router's zone, and let a damped share leave it

Zones above the common level of a water-filling send load to those below it. Requests to engines leave for cached parts if reading them again takes longer; a part that is used often is read once in each zone. Copies come from the same zone first. Active with the feature zone-affinity and the setting zones only.

--- a/boragetrail/direct/daemon.py
+++ b/boragetrail/direct/daemon.py
@@ -14,6 +14,7 @@
 from boragetrail.direct.discovery import CacheDiscovery
 from boragetrail.direct.dispatch import Dispatcher
 from boragetrail.direct.dump import dump_state
+from boragetrail.direct.features import Feature
 from boragetrail.direct.feed import Feed
 from boragetrail.direct.filters import FilterChain
 from boragetrail.direct.fleet import Fleet
@@ -24,7 +25,7 @@
 from boragetrail.direct.listconfirmation import ListConfirmation
 from boragetrail.direct.liveness import StoreLiveness
 from boragetrail.direct.messagebuilder import MessageBuilder
-from boragetrail.direct.metrics import DirectMetrics
+from boragetrail.direct.metrics import CrossingMetrics, DirectMetrics
 from boragetrail.direct.peers import PeerTable
 from boragetrail.direct.peersocket import PeerSocket
 from boragetrail.direct.readers import reader_role
@@ -38,6 +39,7 @@
 from boragetrail.direct.shutdown import Shutdown
 from boragetrail.direct.streamarchive import StreamArchive
 from boragetrail.direct.versionledger import VersionLedger
+from boragetrail.direct.zones import ZoneAffinity
 from boragetrail.events import Event, log_event
 from boragetrail.policy.quarantine import PromptQuarantine
 from boragetrail.utils import BackgroundTasks, new_incarnation, split_address
@@ -104,6 +106,14 @@
         self.selector = ServerSelector(
             self.fleet, names, bounds, self.clock, self.random
         )
+        if Feature.ZONE_AFFINITY in self.features and settings.zones:
+            self.selector.zones = ZoneAffinity(
+                self.fleet,
+                settings.zones,
+                self.clock,
+                self.random,
+                CrossingMetrics(self.metrics.registry).record,
+            )
         self.crash_monitor = CrashMonitor(
             self.directory,
             self.quarantine,
@@ -260,6 +270,9 @@
             (Reconnector.INTERVAL_S, reconnector.reconnect),
         ):
             self.tasks.start_calls(interval_s, function)
+        zones = self.selector.zones
+        if zones is not None:
+            self.tasks.start_calls(ZoneAffinity.INTERVAL_S, zones.update)
         self.discovery_task = self.tasks.start(
             self._discover_caches(), "learn"
         )
@@ -338,6 +351,8 @@
             return
         self.selector.bounds = settings.bounds
         self.dispatcher.bounds = settings.bounds
+        if self.selector.zones is not None and settings.zones:
+            self.selector.zones.set_costs(settings.zones)
         self.settings.seed_hosts = settings.seed_hosts
         self.settings.grace_s = settings.grace_s
         log_event(Event.SETTINGS_RELOADED, name=settings.name)
--- a/boragetrail/direct/dump.py
+++ b/boragetrail/direct/dump.py
@@ -8,6 +8,20 @@
 
     :param daemon: :class:`~boragetrail.direct.daemon.DirectDaemon`
     """
+    state = _basic_state(daemon)
+    zones = daemon.selector.zones
+    if zones is not None:
+        state["zone_shares"] = {
+            service: {
+                "share": share.flow.share,
+                "weights": share.flow.weights_by_zone,
+            }
+            for service, share in zones.shares_by_service.items()
+        }
+    return state
+
+
+def _basic_state(daemon):
     configuration = daemon.directory.configuration
     return {
         "name": daemon.settings.name,
--- a/boragetrail/direct/metrics.py
+++ b/boragetrail/direct/metrics.py
@@ -2,11 +2,33 @@
 
 import aioprometheus
 
-__all__ = ["DirectMetrics"]
+__all__ = ["CrossingMetrics", "DirectMetrics"]
 
 BUCKETS_S = [0.01, 0.025, 0.05, 0.1, 0.25, 0.5, 1.0, 2.5, 5.0, 15.0]
 
 
+class CrossingMetrics:
+    """Holds the metrics of traffic between zones.
+
+    :param registry: ``aioprometheus.Registry`` of the router's metrics
+    """
+
+    def __init__(self, registry):
+        self.crossings = aioprometheus.Counter(
+            "boragetrail_zone_crossings_total",
+            "Attempts at servers of another zone, by service and cause.",
+            registry=registry,
+        )
+
+    def record(self, service, cause):
+        """Record an attempt at a server of another zone.
+
+        :param service: name of the service
+        :param cause: ``share``, ``cached``, ``limits`` or ``no-server``
+        """
+        self.crossings.inc({"service": service, "cause": cause})
+
+
 class DirectMetrics:
     """Holds the metrics of requests, lost responses and store calls."""
 
--- a/boragetrail/direct/progress.py
+++ b/boragetrail/direct/progress.py
@@ -55,6 +55,9 @@
     :ivar mean_load: mean known number of requests of the engines among which
         the last one was selected
     :ivar survey: :class:`ServiceSurvey` of that selection
+    :ivar detours: :class:`~boragetrail.direct.zones.Detours` of that
+        selection, or ``None`` if zones did not matter
+    :ivar crossing: why the selected server is in another zone, or empty
     :ivar media_type: type of the content of the stream that has started
     :ivar stream_begun: whether the caller got an event
     :ivar version: software version at which its stream must go on, ``None``
@@ -85,6 +88,8 @@
         "refusal",
         "mean_load",
         "survey",
+        "detours",
+        "crossing",
         "media_type",
         "stream_begun",
         "version",
@@ -108,6 +113,8 @@
         self.refusal = None
         self.mean_load = 0.0
         self.survey = ServiceSurvey()
+        self.detours = None
+        self.crossing = ""
         self.media_type = ""
         self.stream_begun = False
         self.version = None
--- a/boragetrail/direct/requestlog.py
+++ b/boragetrail/direct/requestlog.py
@@ -48,6 +48,8 @@
         if progress.prompt:
             inputs["unread_tokens"] = plan.prefill_tokens
             inputs["copied_from"] = plan.copy_from
+        if progress.crossing:
+            inputs["crosses"] = progress.crossing
         log_event(
             Event.REQUEST_SENT,
             request=request.id,
--- a/boragetrail/direct/selector.py
+++ b/boragetrail/direct/selector.py
@@ -44,6 +44,8 @@
     :ivar filters: list of
         :class:`~boragetrail.direct.serverfilter.ServerFilter`, applied to the
         usable servers in this order
+    :ivar zones: :class:`~boragetrail.direct.zones.ZoneAffinity`, or ``None``
+        if zones do not matter
     """
 
     def __init__(self, fleet, names, bounds, clock, random):
@@ -54,6 +56,7 @@
         self.prefix_placement = PrefixPlacement(fleet.prefix_index, random)
         self.least_loaded = LeastLoadedOrder(random)
         self.filters = []
+        self.zones = None
 
     def choose(self, request, progress):
         """Return the state of the server to try next, or ``None``.
@@ -86,11 +89,37 @@
         for each in self.filters:
             if usable:
                 usable = each.select(request, progress, usable, views_by_id)
+        if self.zones is not None:
+            self._set_detours(request, progress, usable, views_by_id)
         chosen = self._choose(request, progress, usable, views_by_id)
         if chosen is not None:
+            self._record_crossing(request, progress, chosen, usable)
             progress.counted_s = limiter.try_acquire(chosen.record)
         return chosen
 
+    def _set_detours(self, request, progress, usable, views_by_id):
+        """Set which zones are detours for a request.
+
+        Without a usable server in the zone of the router, none is.
+        """
+        progress.detours = None
+        if any(each.record.zone == self.fleet.zone for each in usable):
+            progress.detours = self.zones.detours(request.service)
+            for each in usable:
+                if progress.detours.rank(each.record.zone):
+                    view = views_by_id[each.record.id]
+                    view.detour_tokens = progress.detours.tokens
+
+    def _record_crossing(self, request, progress, chosen, usable):
+        progress.crossing = ""
+        if self.zones is None or chosen.record.zone == self.fleet.zone:
+            return
+        cached = self.prefix_placement.cached_tokens_by_engine(progress.prompt)
+        progress.crossing = self.zones.crossing_cause(
+            progress, chosen, usable, cached
+        )
+        self.zones.record_crossing(request.service.name, progress.crossing)
+
     def _survey(self, ready, usable, views_by_id):
         """Return the :class:`ServiceSurvey` of the listed servers."""
         views = views_by_id.values()
@@ -182,6 +211,10 @@
             )
         else:
             views = [self.fleet.server_view(state) for state in states]
+            if progress.detours is not None:
+                for view in views:
+                    zone = by_id[view.id].record.zone
+                    view.detour = progress.detours.rank(zone)
             ordered = self.least_loaded.order(views)
         return [by_id[view.id] for view in ordered]
 
@@ -205,11 +238,15 @@
         copy_sources = self.fleet.copy_sources(
             request.service.name, record.version
         )
+        far_ids, far_cost = (), 0.0
+        if self.zones is not None:
+            far_ids = self.zones.far_ids(request.service.name, record.zone)
+            far_cost = self.zones.far_copy_cost
         source_id = self.prefix_placement.copy_source(
-            prompt, server_id, copy_sources
+            prompt, server_id, copy_sources, far_ids, far_cost
         )
         prefill_tokens = self.prefix_placement.prefill_tokens(
-            prompt, server_id, source_id
+            prompt, server_id, source_id, source_id in far_ids
         )
         self.fleet.placements.add_prompt(prompt, server_id)
         self.prefix_placement.record_placement(prompt, server_id)
--- a/boragetrail/emulator/baselines.py
+++ b/boragetrail/emulator/baselines.py
@@ -18,7 +18,9 @@
             engines, key=lambda each: (each.running, self.random.random())
         )
 
-    def copy_source(self, prompt, engine_id, usable_ids):
+    def copy_source(
+        self, prompt, engine_id, usable_ids, far_ids=(), far_cost=0.0
+    ):
         """Return ``None``: baselines copy no cached prompt parts."""
         return None
 
--- a/boragetrail/events.py
+++ b/boragetrail/events.py
@@ -97,6 +97,11 @@
         "A call to the store got no response.",
     )
     SERVER_REACHABLE = (519, "INFO", "A server can be reached again.")
+    ZONE_SHARE_CHANGED = (
+        540,
+        "INFO",
+        "The share of a service's requests that leaves the zone changed.",
+    )
     ORDER_UNKNOWN = (600, "ERROR", "An order's outcome is unknown.")
     ORDER_FENCED = (601, "WARNING", "An order has a stale fencing token.")
     LEASE_ACQUIRED = (602, "INFO", "A lease on model loading was acquired.")
--- a/boragetrail/policy/leastloaded.py
+++ b/boragetrail/policy/leastloaded.py
@@ -18,6 +18,8 @@
     :param standing: :class:`~boragetrail.policy.suspicion.Standing`
     :param failure_rate: expected fraction of failed requests
     :param slowness: time that its work takes, relative to the usual time
+    :param detour: rank of its zone for the request, 0 for the first; 0 for
+        all servers if zones do not matter
     """
 
     id: str
@@ -26,12 +28,15 @@
     standing: Standing
     failure_rate: float = 0.0
     slowness: float = 1.0
+    detour: int = 0
 
 
 class LeastLoadedOrder:
     """Order of servers for requests that need no cached context.
 
-    Servers on trial come before those above the load bound. Among equally
+    Servers on trial come before those above the load bound. The zone that
+    the request should be served in comes next, unless its servers are
+    expected to fail often. Among equally
     loaded servers, those in the router's own zone come first.
     Remaining ties are broken at random, so that routers with the same view
     do not all choose the same server.
@@ -52,14 +57,25 @@
         """
         mean = sum(view.load for view in views) / max(1, len(views))
         bound = load_bound(mean)
+        has_detours = any(view.detour for view in views)
         return sorted(
             views,
             key=lambda view: (
                 view.standing is Standing.AVOIDED,
                 view.load + 1 > bound,
                 view.standing,
+                has_detours and self._detour_rank(view),
                 view.load + self.FAILURE_COST_REQUESTS * view.failure_rate,
                 not view.in_zone,
                 self.random.random(),
             ),
         )
+
+    def _detour_rank(self, view):
+        """Return the rank of a zone, with failures of its server as detours.
+
+        A zone ranks behind the next if a quarter of its requests fail.
+        """
+        return view.detour + int(
+            self.FAILURE_COST_REQUESTS * view.failure_rate
+        )
--- a/boragetrail/policy/prefix.py
+++ b/boragetrail/policy/prefix.py
@@ -29,6 +29,8 @@
     :param is_limited: whether the engine limits the rate of its requests
     :param in_zone: whether it is in the router's zone
     :param slowness: time that its work takes, relative to the usual time
+    :param detour_tokens: cost, in prefill tokens, of serving the request in
+        the engine's zone and not in the zone that it should be served in
     """
 
     id: str
@@ -39,6 +41,7 @@
     is_limited: bool = False
     in_zone: bool = True
     slowness: float = 1.0
+    detour_tokens: float = 0.0
 
 
 class PrefixCacheIndex:
@@ -106,6 +109,13 @@
     engines or :func:`~boragetrail.policy.cap.max_load` of their service, and
     last those that are avoided.
 
+    If engines of some zones cost a detour, engines are sampled from the other
+    zones. Engines that cost a detour are sampled if they alone cache some
+    tokens of the prompt, but not always: with a probability of the cost of the
+    detour divided by that of the tokens, the request stays and its tokens are
+    computed again. So a part that is used often is soon cached in each zone,
+    and one that is used rarely is not, without a count of its requests [3]_.
+
     :param prefix_index: :class:`PrefixCacheIndex`
     :param random: random generator
 
@@ -114,6 +124,9 @@
     .. [2] M. Mitzenmacher, "The Power of Two Choices in Randomized Load
        Balancing", IEEE Transactions on Parallel and Distributed Systems
        12(10), 2001.
+    .. [3] A. Karlin, M. Manasse, L. McGeoch, S. Owicki, "Competitive
+       Randomized Algorithms for Nonuniform Problems", Algorithmica 11(6),
+       1994.
 
     >>> import random
     >>> prefix_index = PrefixCacheIndex(lambda: 0.0)
@@ -138,6 +151,8 @@
     # Number of engines sampled from those that cache most of the prompt, and
     # number of engines sampled from the others.
     SAMPLE_SIZE = 2
+    # A copy from another zone takes this many times as long.
+    FAR_COPY_MULTIPLE = 2.0
 
     def __init__(self, prefix_index, random):
         self.prefix_index = prefix_index
@@ -159,16 +174,28 @@
         bounds = (max_load(service_mean), load_bound(mean))
         cached = self.cached_tokens_by_engine(prompt)
         max_cached = max(cached.values(), default=0)
+        near = [each for each in engines if not each.detour_tokens] or engines
+        near_cached = max_cached
+        if len(near) < len(engines):
+            near_cached = max(cached.get(each.id, 0) for each in near)
+        missing = max_cached - near_cached
+        if missing and self._stays(engines, missing):
+            max_cached, missing = near_cached, 0
         uncached = max(0, _shared_tokens(prompt) - max_cached)
-        preferred = (
-            self._rendezvous_engine(prompt, engines) if uncached else None
-        )
-        sampled = self._sampled_engines(engines, cached, max_cached, preferred)
+        preferred = self._rendezvous_engine(prompt, near) if uncached else None
+        sampled = self._sampled_engines(near, cached, near_cached, preferred)
+        if missing:
+            sampled.update(self._far_holders(engines, cached, max_cached))
 
         def rank(engine):
             excess = sum(engine.running + 1 > bound for bound in bounds)
-            copied = max_cached - cached.get(engine.id, 0)
-            cost = engine.pending_tokens + self.COPY_COST_FACTOR * copied
+            copied = max(0, max_cached - cached.get(engine.id, 0))
+            cost = engine.pending_tokens + engine.detour_tokens
+            if engine.detour_tokens or not missing:
+                cost += self.COPY_COST_FACTOR * copied
+            else:
+                # The tokens that no engine in reach caches are computed.
+                cost += self.COPY_COST_FACTOR * (copied - missing) + missing
             cost += self.COST_TOKENS_PER_RUNNING_REQUEST * engine.running
             cost += self.FAILURE_COST_TOKENS * engine.failure_rate
             if engine.id != preferred:
@@ -202,25 +229,37 @@
                 cached[engine_id] = cached.get(engine_id, 0) + tokens
         return cached
 
-    def copy_source(self, prompt, engine_id, usable_ids):
+    def copy_source(
+        self, prompt, engine_id, usable_ids, far_ids=(), far_cost=0.0
+    ):
         """Return the engine to copy parts of a prompt from, or ``None``.
 
         :param engine_id: id of the engine that gets the request
         :param usable_ids: ids of the engines that parts may be copied from
+        :param far_ids: ids of those that are in another zone than the engine
+        :param far_cost: price of copying a token from another zone, in
+            prefill tokens
         :returns: id of an engine, or ``None`` if copying saves too little
         """
         cached = self.cached_tokens_by_engine(prompt)
         own = cached.get(engine_id, 0)
+
+        def saved(key):
+            tokens = cached[key] - own
+            if key not in far_ids or tokens <= 0:
+                return tokens
+            return tokens * (1 / self.FAR_COPY_MULTIPLE - far_cost)
+
         best = max(
             (key for key in cached if key in usable_ids and key != engine_id),
-            key=cached.get,
+            key=saved,
             default=None,
         )
-        if best is None or cached[best] - own < self.MIN_COPIED_TOKENS:
+        if best is None or saved(best) < self.MIN_COPIED_TOKENS:
             return None
         return best
 
-    def prefill_tokens(self, prompt, engine_id, source_id):
+    def prefill_tokens(self, prompt, engine_id, source_id, is_far=False):
         """Return an engine's work before a first token, in prefill tokens.
 
         Copied tokens are multiplied by :attr:`COPY_COST_FACTOR`.
@@ -228,18 +267,41 @@
         :param engine_id: id of the engine that gets the request
         :param source_id: id of the engine that parts are copied from, or
             ``None``
+        :param is_far: whether that engine is in another zone
         """
         cached = self.cached_tokens_by_engine(prompt)
         own = cached.get(engine_id, 0)
         copied = max(0, cached.get(source_id, 0) - own)
         total = sum(tokens for _, tokens in prompt)
-        return int(total - own - (1 - self.COPY_COST_FACTOR) * copied)
+        factor = self.COPY_COST_FACTOR
+        if is_far:
+            factor *= self.FAR_COPY_MULTIPLE
+        return int(total - own - (1 - factor) * copied)
 
     def record_placement(self, prompt, engine_id):
         """Record that an engine got a request and caches its prompt."""
         for part, _ in prompt:
             self.prefix_index.add_holder(part, engine_id)
 
+    def _stays(self, engines, missing):
+        """Return whether tokens are computed again to avoid a detour.
+
+        :param missing: number of tokens that are cached only in zones that
+            cost a detour
+        """
+        costs = (each.detour_tokens for each in engines if each.detour_tokens)
+        return self.random.random() * missing < min(costs)
+
+    def _far_holders(self, engines, cached, max_cached):
+        """Return ids of some engines that alone cache most of a prompt."""
+        return self._sample(
+            [
+                each.id
+                for each in engines
+                if each.detour_tokens and cached.get(each.id, 0) >= max_cached
+            ]
+        )
+
     def _sampled_engines(self, engines, cached, max_cached, preferred):
         """Return the ids of the engines that rank before all others."""
         holders, others = [], []
