--- a/boragetrail/direct/selector.py
+++ b/boragetrail/direct/selector.py
@@ -98,17 +98,12 @@
         return chosen
 
     def _set_detours(self, request, progress, usable, views_by_id):
-        """Set which zones are detours for a request.
-
-        Without a usable server in the zone of the router, none is.
-        """
-        progress.detours = None
-        if any(each.record.zone == self.fleet.zone for each in usable):
-            progress.detours = self.zones.detours(request.service)
-            for each in usable:
-                if progress.detours.rank(each.record.zone):
-                    view = views_by_id[each.record.id]
-                    view.detour_tokens = progress.detours.tokens
+        """Draw the zone for a request, and set which zones are detours."""
+        progress.detours = self.zones.detours(request.service)
+        for each in usable:
+            if progress.detours.rank(each.record.zone):
+                view = views_by_id[each.record.id]
+                view.detour_tokens = progress.detours.tokens
 
     def _record_crossing(self, request, progress, chosen, usable):
         progress.crossing = ""
--- a/boragetrail/direct/zones.py
+++ b/boragetrail/direct/zones.py
@@ -178,6 +178,7 @@
             load = self._server_load(service, state)
             zone.load += load.load
             zone.capacity += load.capacity
+            zone.requests += load.requests
         return loads_by_zone
 
     def _server_load(self, service, state):
@@ -191,7 +192,8 @@
         if service.is_model:
             view = self.fleet.engine_view(state)
             cost = PrefixPlacement.COST_TOKENS_PER_RUNNING_REQUEST
-            load = ZoneLoad(view.pending_tokens + cost * view.running, 1.0)
+            load = view.pending_tokens + cost * view.running
+            load = ZoneLoad(load, 1.0, view.running)
         else:
             view = self.fleet.server_view(state)
             slots = state.record.slots or UNKNOWN_SLOTS
--- a/boragetrail/policy/tests/test_zones.py
+++ b/boragetrail/policy/tests/test_zones.py
@@ -67,6 +67,22 @@
         assert shares == sorted(shares, reverse=True)
         assert shares[0] > 0.5 and shares[-1] == 0.0
 
+    # The level was that of zones that exchange load without a price.
+    @pytest.mark.parametrize("time", TIMES)
+    def test_waits_differ_by_the_price(self, time):
+        loads = {"a": ZoneLoad(9e4, 6), "b": ZoneLoad(8e4, 6)}
+        loads["c"] = ZoneLoad(1e3, 6)
+        price_s = time.time_s(1e4, 6)
+        flows = {zone: outflow(zone, loads, time, price_s) for zone in loads}
+        moved = sum(flows[zone].share * loads[zone].load for zone in loads)
+        loads["c"].load += moved
+        low_s = time.time_s(loads["c"].load, 6)
+        for zone in "ab":
+            kept = (1 - flows[zone].share) * loads[zone].load
+            assert time.time_s(kept, 6) - low_s == pytest.approx(
+                price_s, rel=0.01
+            )
+
     @pytest.mark.parametrize("time", TIMES)
     def test_times_are_inverted(self, time):
         for wait_s in (0.001, 0.02, 0.5):
@@ -80,6 +96,30 @@
         assert outflow("z", loads, TIMES[0], 0.0).share == 0.0
 
 
+class TestLimitOfRequests:
+    """Guard against a zone whose engines exceed the limits on their load."""
+
+    def _flow(self, requests, crossing_s):
+        loads = {
+            zone: ZoneLoad(60.0 * count, 15, count)
+            for zone, count in zip("abc", requests)
+        }
+        return outflow("a", loads, EngineZoneTime(), crossing_s)
+
+    # 3.4% of the requests came to engines above twice the mean + 3.
+    def test_limit_outranks_the_price(self):
+        made = self._flow((180, 60, 30), 10.0)
+        assert made.share == pytest.approx(1 - (1.35 * 90 + 7.5) / 180)
+        assert made.weights_by_zone == {"b": 1 / 3, "c": 2 / 3}
+
+    def test_few_requests(self):
+        assert self._flow((9, 3, 3), 10.0).share == 0.0
+
+    def test_no_other_zone(self):
+        loads = {"a": ZoneLoad(60.0, 15, 100), "b": ZoneLoad(60.0, 0)}
+        assert outflow("a", loads, EngineZoneTime(), 0.0).share == 0.0
+
+
 class TestShareOverTime:
     """Guard against a share that swings between routers with old news."""
 
@@ -239,10 +279,12 @@
         self.placement.record_placement(self.PROMPT[:2], "e9")
         assert "e9" not in self._firsts(self._engines(9000.0))
 
-    def test_busy_holder_elsewhere(self):
+    # The holder has less work than reading takes, but not with the detour.
+    @pytest.mark.parametrize("pending_tokens", [5800, 9000])
+    def test_busy_holder_elsewhere(self, pending_tokens):
         self.placement.record_placement(self.PROMPT[:2], "e9")
         engines = self._engines()
-        engines[9].pending_tokens = 9000
+        engines[9].pending_tokens = pending_tokens
         assert "e9" not in self._firsts(engines)
 
     def test_near_holder_comes_first(self):
--- a/boragetrail/policy/zones.py
+++ b/boragetrail/policy/zones.py
@@ -34,6 +34,11 @@
 # Steps of the bisection for the common level; the error is the largest time
 # divided by 2**24.
 BISECTION_STEPS = 24
+# Mean number of requests at the servers of a zone, relative to that of all
+# zones, from which on requests leave in any case. The limits on one server's
+# load (see cap.py) leave this room to the servers that have more than others.
+MAX_ZONE_MULTIPLE = 1.35
+ZONE_SLACK_REQUESTS = 0.5
 # A larger share would not allow to tell what load the zone has by itself.
 MAX_SHARE = 0.9
 
@@ -44,10 +49,26 @@
 
     :param load: load of the servers, in the unit of a :class:`ZoneTime`
     :param capacity: capacity of the servers that may get requests, 0 if none
+    :param requests: number of requests, if their number per capacity is
+        limited relative to the mean of all zones, else 0
     """
 
     load: float
     capacity: float
+    requests: float = 0.0
+
+    def between(self, end, part):
+        """Return the loads after a part of the way to others.
+
+        The capacity is that of the others.
+
+        :param end: :class:`ZoneLoad`
+        """
+        return ZoneLoad(
+            _between(self.load, end.load, part),
+            end.capacity,
+            _between(self.requests, end.requests, part),
+        )
 
 
 @dataclasses.dataclass(slots=True)
@@ -192,17 +213,46 @@
     level_s = _level_s(usable.values(), time, crossing_s)
     own = usable[home]
     moved = own.load - time.load_at(level_s + crossing_s, own.capacity)
-    rooms = {
-        zone: time.load_at(level_s, each.capacity) - each.load
-        for zone, each in usable.items()
-        if zone != home
-    }
-    rooms = {zone: room for zone, room in rooms.items() if room > 0}
-    total = sum(rooms.values())
-    if moved <= 0 or not total:
+    weights = _weights(
+        {
+            zone: time.load_at(level_s, each.capacity) - each.load
+            for zone, each in usable.items()
+            if zone != home
+        }
+    )
+    flow = Outflow(min(MAX_SHARE, max(0.0, moved / own.load)), weights)
+    if not weights or not flow.share:
+        flow = Outflow()
+    limited = _limited_outflow(home, usable)
+    return limited if limited.share > flow.share else flow
+
+
+def _limited_outflow(home, usable):
+    """Return the :class:`Outflow` that limits the requests in a zone.
+
+    :param usable: :class:`ZoneLoad` with capacity by the name of the zone
+    """
+    requests = sum(each.requests for each in usable.values())
+    mean = requests / sum(each.capacity for each in usable.values())
+    own = usable[home]
+    limit = (MAX_ZONE_MULTIPLE * mean + ZONE_SLACK_REQUESTS) * own.capacity
+    if own.requests <= limit:
         return Outflow()
-    weights = {zone: room / total for zone, room in rooms.items()}
-    return Outflow(min(MAX_SHARE, moved / own.load), weights)
+    weights = _weights(
+        {
+            zone: mean * each.capacity - each.requests
+            for zone, each in usable.items()
+            if zone != home
+        }
+    )
+    return Outflow(1 - limit / own.requests if weights else 0.0, weights)
+
+
+def _weights(rooms_by_zone):
+    """Return the parts of zones in the room of all; others are left out."""
+    rooms = {zone: room for zone, room in rooms_by_zone.items() if room > 0}
+    total = sum(rooms.values())
+    return {zone: room / total for zone, room in rooms.items()}
 
 
 def _level_s(loads, time, crossing_s):
@@ -287,7 +337,7 @@
         self._average(loads_by_zone, 1 - math.exp(-passed_s / self.MEAN_S))
         target = outflow(
             self.home,
-            self._own_loads(loads_by_zone),
+            self._own_loads(),
             self.time,
             self.crossing_s + self.time.NOISE_S,
         )
@@ -309,7 +359,7 @@
     def _average(self, loads_by_zone, part):
         means = self.loads_by_zone
         self.loads_by_zone = {
-            zone: _between(means.get(zone, each.load), each.load, part)
+            zone: means.get(zone, each).between(each, part)
             for zone, each in loads_by_zone.items()
         }
         for zone in loads_by_zone | self.sent_by_zone:
@@ -317,16 +367,22 @@
             mean = self.sent_by_zone.get(zone, 0.0)
             self.sent_by_zone[zone] = _between(mean, sent, part)
 
-    def _own_loads(self, loads_by_zone):
+    def _own_loads(self):
         """Return the loads that the zones would have without the share."""
         left = min(MAX_SHARE, sum(self.sent_by_zone.values()))
-        own = self.loads_by_zone.get(self.home, 0.0) / (1 - left)
-        loads = {}
-        for zone, each in loads_by_zone.items():
-            load = self.loads_by_zone[zone]
-            load -= own * self.sent_by_zone.get(zone, 0.0)
-            load = own if zone == self.home else max(0.0, load)
-            loads[zone] = ZoneLoad(load, each.capacity)
+        home = self.loads_by_zone.get(self.home, ZoneLoad(0.0, 0.0))
+        own = ZoneLoad(
+            home.load / (1 - left), home.capacity, home.requests / (1 - left)
+        )
+        loads = {self.home: own}
+        for zone, each in self.loads_by_zone.items():
+            sent = self.sent_by_zone.get(zone, 0.0)
+            if zone != self.home:
+                loads[zone] = ZoneLoad(
+                    max(0.0, each.load - sent * own.load),
+                    each.capacity,
+                    max(0.0, each.requests - sent * own.requests),
+                )
         return loads
 
     def _approach(self, target, part):
