Add a check of configurations before they are put in force

The command check-configuration names errors, entries that never match, limits that contradict each other, and differences from the version in force. A file with a router's dump tells how many servers a service has.

--- a/boragetrail/cli.py
+++ b/boragetrail/cli.py
@@ -66,6 +66,39 @@
     typer.echo(f"{settings}: {loaded.role} {loaded.name!r} is valid")
 
 
+@app.command()
+def check_configuration(
+    path: str = typer.Argument(metavar="FILE", help="Configuration."),
+    in_force: str = typer.Option(
+        None, help="File with the configuration in force."
+    ),
+    dump: str = typer.Option(
+        None, help="File with a router's dump, to count servers."
+    ),
+    as_json: bool = typer.Option(False, "--json", help="Show JSON."),
+):
+    """Check a configuration; exits with 1 for warnings, 2 for errors."""
+    from boragetrail.configurationcheck import (
+        exit_code,
+        render_json,
+        render_text,
+    )
+    from boragetrail.configurationcheck.command import (
+        check_files,
+        count_servers,
+    )
+    from boragetrail.platform.configurationfile import read_document
+
+    counts, findings = count_servers(dump) if dump else ({}, [])
+    findings += check_files(path, in_force, read_document, counts)
+    name = ascii(path)[1:-1]
+    if as_json:
+        typer.echo(render_json(name, findings))
+    else:
+        typer.echo("\n".join(render_text(name, findings)))
+    raise typer.Exit(exit_code(findings))
+
+
 @app.command()
 def experiment(
     path: pathlib.Path = typer.Argument(help="Experiment file."),
--- a/boragetrail/platform/decode.py
+++ b/boragetrail/platform/decode.py
@@ -23,7 +23,7 @@
 )
 from boragetrail.utils import split_address
 
-__all__ = ["DECODE_ERRORS", "PlatformRowDecoder"]
+__all__ = ["DECODE_ERRORS", "ENTRY_DECODERS", "PlatformRowDecoder"]
 
 LOWEST_PRIORITY = 9
 # Larger numbers in a row make it invalid.
@@ -178,6 +178,16 @@
     )
 
 
+# Decoders of the entries of each section of the configuration.
+ENTRY_DECODERS = {
+    "version": _integer,
+    "routes": _route,
+    "services": _service,
+    "tenants": _customer,
+    "limits": _limits,
+}
+
+
 def _address(text):
     """Return an address to which a connection can be opened."""
     host, port = split_address(_string(text))
