--- a/boragetrail/configurationcheck/tests/test_check.py
+++ b/boragetrail/configurationcheck/tests/test_check.py
@@ -157,6 +157,14 @@
         assert "error: services[0]: " in output
         assert "error: limits: " in output
 
+    # Routers used the last of two members, and nobody saw the first.
+    def test_member_that_is_listed_twice(self):
+        text = json.dumps(document())
+        twice = text.replace('"timeoutMs"', '"timeoutMs": 9, "timeoutMs"', 1)
+        code, output = self.run(twice.encode())
+        assert code == 2
+        assert 'member "timeoutMs" is listed twice' in output
+
     # Each letter of the text was a key.
     def test_keys_that_are_no_list(self):
         made = document(tenants=[{"name": "a", "apiKeys": "secret"}])
