--- a/boragetrail/events.py
+++ b/boragetrail/events.py
@@ -108,6 +108,11 @@
         "WARNING",
         "A server reported an invalid load or speed.",
     )
+    ZONE_SHARE_CHANGED = (
+        540,
+        "INFO",
+        "The share of a service's requests that leaves the zone changed.",
+    )
     ORDER_UNKNOWN = (600, "ERROR", "An order's outcome is unknown.")
     ORDER_FENCED = (601, "WARNING", "An order has a stale fencing token.")
     LEASE_ACQUIRED = (602, "INFO", "A lease on model loading was acquired.")
