Move services to new versions by the operator's orders

Routers send a small part of the requests to the new version, compare its responses with those of the old one on the same routes in the same seconds, and write one verdict to the store under a condition.

--- a/boragetrail/direct/attempt.py
+++ b/boragetrail/direct/attempt.py
@@ -50,6 +50,8 @@
         because the caller reads slowly
     :ivar progressed_s: monotonic time at which the first event, or all of the
         body, had arrived, or ``None`` before
+    :ivar longest_pause_s: longest time in seconds between two pieces of the
+        body
     :ivar survived: whether the server has survived the begin of the response
     :ivar lost_s: monotonic time at which the connection was lost, or the
         server sent invalid bytes, before the response was complete, else
@@ -67,6 +69,7 @@
         self.sent_s = 0.0
         self.waiting_since_s = None
         self.progressed_s = None
+        self.longest_pause_s = 0.0
         self.survived = False
         self.lost_s = None
         self.was_reset = False
@@ -166,6 +169,7 @@
             while True:
                 self.waiting_since_s = self.clock()
                 data = await payload.readany()
+                self._record_pause_between_pieces()
                 self.waiting_since_s = None
                 if not data:
                     break
@@ -303,6 +307,11 @@
             return "success without the request id"
         return ""
 
+    def _record_pause_between_pieces(self):
+        if self.progressed_s is not None and self.waiting_since_s is not None:
+            pause_s = self.clock() - self.waiting_since_s
+            self.longest_pause_s = max(self.longest_pause_s, pause_s)
+
     def _record_loss(self):
         self.lost_s = self.clock()
 
--- a/boragetrail/direct/daemon.py
+++ b/boragetrail/direct/daemon.py
@@ -14,6 +14,7 @@
 from boragetrail.direct.discovery import CacheDiscovery
 from boragetrail.direct.dispatch import Dispatcher
 from boragetrail.direct.dump import dump_state
+from boragetrail.direct.features import Feature
 from boragetrail.direct.feed import Feed
 from boragetrail.direct.filters import FilterChain
 from boragetrail.direct.fleet import Fleet
@@ -34,6 +35,12 @@
 from boragetrail.direct.registration import Registration
 from boragetrail.direct.relay import PeerSource, PeerFetcher, RelayServer
 from boragetrail.direct.resumption import StreamVersions
+from boragetrail.direct.rollouts import (
+    RolloutController,
+    RolloutObserver,
+    StatusWriter,
+    VersionFilter,
+)
 from boragetrail.direct.selector import ServerSelector
 from boragetrail.direct.shutdown import Shutdown
 from boragetrail.direct.streamarchive import StreamArchive
@@ -121,6 +128,10 @@
             self.crash_monitor,
             StreamVersions(self.fleet, names, self.list_confirmation),
         )
+        self.rollouts = None
+        self.rollout_observer = None
+        if Feature.ROLLOUTS in self.features and settings.rollout:
+            self._add_rollouts()
         filter_chain = FilterChain(
             self.directory, platform.HEADER_NAMES, self.random
         )
@@ -245,6 +256,7 @@
             streams, self.store, ledger.are_mixed, self.peers
         )
         self.tasks.start(archive.run(ledger.loaded), "streams")
+        self._start_rollouts()
         self.engines = self.platform.PlatformEngineClient(self.session)
         watch = LimitWatch(self.fleet, self.engines)
         self.tasks.start(watch.run(), "limits")
@@ -342,6 +354,35 @@
         self.settings.grace_s = settings.grace_s
         log_event(Event.SETTINGS_RELOADED, name=settings.name)
 
+    def _add_rollouts(self):
+        self.rollouts = RolloutController(
+            self.fleet,
+            self.settings.rollout,
+            self.record_gossip,
+            self.random,
+            self.incarnation,
+        )
+        self.rollout_observer = RolloutObserver(self.rollouts, self.metrics)
+        self.metrics.count_rollouts()
+        self.selector.filters.append(VersionFilter(self.rollouts, self.fleet))
+        self.dispatcher.attempt_observers.append(self.rollout_observer)
+
+    def _start_rollouts(self):
+        if self.rollouts is None:
+            return
+        writer = StatusWriter(
+            self.rollouts, self.directory, self.store, self._reader_role
+        )
+        self.tasks.start(writer.run(), "rollout status")
+        for interval_s, function in (
+            (self.rollouts.INTERVAL_S, self.rollouts.advance),
+            (
+                self.rollout_observer.INTERVAL_S,
+                self.rollout_observer.find_slow,
+            ),
+        ):
+            self.tasks.start_calls(interval_s, function)
+
     def _archive_crashes(self):
         """Start to read the saved reports of crashes, and to save new ones."""
         archive = CrashArchive(
--- a/boragetrail/direct/directory.py
+++ b/boragetrail/direct/directory.py
@@ -45,6 +45,9 @@
     :ivar evacuated_zones: zones that get no new work
     :ivar version_history:
         :class:`~boragetrail.policy.versionhistory.VersionHistory`
+    :ivar on_rollout_order: function that is called with a service and its new
+        :class:`~boragetrail.direct.model.RolloutOrder`, or ``None`` if the
+        order was withdrawn; ``None`` to ignore orders
     """
 
     # Length of the grace period after the store has recovered. Expired entries
@@ -70,6 +73,7 @@
         self.version_history = VersionHistory(clock)
         self.retained_until_s_by_table = {}
         self.unreadable_keys = set()
+        self.on_rollout_order = None
 
     def apply(self, table, change_set):
         """Apply changes of a table.
@@ -223,6 +227,21 @@
             self._zone_changed(zone, row.data is not None, row.version)
         elif self.decoder.is_configuration(row.key) and row.data is not None:
             self._configuration_changed(row)
+        elif self.on_rollout_order is not None:
+            self._rollout_changed(row)
+
+    def _rollout_changed(self, row):
+        """Pass on an order; one that is invalid changes nothing."""
+        service = self.decoder.rollout_service(row.key)
+        if service is None:
+            return
+        order = None
+        if row.data is not None:
+            epoch = self.epoch(Table.OPERATORS)
+            order = self.decoder.rollout_order(row, epoch)
+            if order is None:
+                return
+        self.on_rollout_order(service, order)
 
     def _zone_changed(self, zone, is_out, version):
         if is_out:
--- a/boragetrail/direct/dispatch.py
+++ b/boragetrail/direct/dispatch.py
@@ -44,6 +44,8 @@
     :param crash_monitor: :class:`~boragetrail.direct.crashes.CrashMonitor`
     :param stream_versions:
         :class:`~boragetrail.direct.resumption.StreamVersions`
+    :ivar attempt_observers: list of
+        :class:`~boragetrail.direct.attemptobserver.AttemptObserver`
     """
 
     def __init__(
@@ -67,6 +69,7 @@
         self.random = random
         self.rewriter = HeaderRewriter(names)
         self.retry_quotas_by_service = {}
+        self.attempt_observers = []
         self.request_log = RequestLog(fleet.peers, names, clock)
         self.forwarder = ResponseForwarder(
             names, crash_monitor, stream_versions, self.request_log
@@ -161,12 +164,16 @@
         )
         progress.attempt = attempt
         state.attempts.add(attempt)
+        for each in self.attempt_observers:
+            each.attempt_began(request, attempt)
         plan = self.selector.plan(request, progress, record)
         self.request_log.sent(request, progress, state, plan)
         progress.pending_work = PendingWork(state, plan.prefill_tokens)
         try:
             return await self._exchange(request, caller, progress, plan)
         finally:
+            for each in self.attempt_observers:
+                each.attempt_ended(request, attempt)
             progress.pending_work.end()
             state.attempts.discard(attempt)
             attempt.abort()
--- a/boragetrail/direct/interfaces.py
+++ b/boragetrail/direct/interfaces.py
@@ -180,6 +180,20 @@
         :returns: name of the zone, or ``None`` for a key of another kind
         """
 
+    @abc.abstractmethod
+    def rollout_service(self, key):
+        """Return the service whose rollout the row of a key orders.
+
+        :returns: name of the service, or ``None`` for a key of another kind
+        """
+
+    @abc.abstractmethod
+    def rollout_order(self, row, epoch):
+        """Return a :class:`~boragetrail.direct.model.RolloutOrder`.
+
+        :param epoch: epoch of the store in which the row was written
+        """
+
 
 @dataclasses.dataclass(slots=True, frozen=True)
 class HeaderNames:
--- a/boragetrail/direct/metrics.py
+++ b/boragetrail/direct/metrics.py
@@ -8,7 +8,10 @@
 
 
 class DirectMetrics:
-    """Holds the metrics of requests, lost responses and store calls."""
+    """Holds the metrics of requests, lost responses and store calls.
+
+    :ivar rollout_requests: ``None`` unless the feature is on
+    """
 
     def __init__(self):
         self.registry = aioprometheus.Registry()
@@ -35,6 +38,26 @@
             registry=self.registry,
         )
 
+        self.rollout_requests = None
+
+    def count_rollouts(self):
+        """Count the requests of rollouts from now on."""
+        self.rollout_requests = aioprometheus.Counter(
+            "boragetrail_rollout_requests_total",
+            "Attempts during rollouts, by service, version and outcome.",
+            registry=self.registry,
+        )
+
+    def record_rollout_request(self, service, version, outcome):
+        """Record an attempt at a server of a service in a rollout.
+
+        :param service: name of the service
+        :param version: software version of the server
+        :param outcome: how the response counts, or empty if it does not
+        """
+        labels = {"service": service, "version": version, "outcome": outcome}
+        self.rollout_requests.inc(labels)
+
     def record_lost_response(self, phase, crashed):
         """Record a response whose connection to the server was lost.
 
--- a/boragetrail/direct/model.py
+++ b/boragetrail/direct/model.py
@@ -8,6 +8,7 @@
     "Customer",
     "Limits",
     "RequestKind",
+    "RolloutOrder",
     "Route",
     "ServerRecord",
     "Service",
@@ -175,3 +176,25 @@
     cold_s: float
     started_ms: int
     version: str = ""
+
+
+@dataclasses.dataclass(slots=True, frozen=True)
+class RolloutOrder:
+    """Describe an order to move a service to another software version.
+
+    :param service: name of the service
+    :param to: version to which it moves
+    :param duration_s: seconds within which it moves
+    :param row_version: version of the order's row
+    :param epoch: epoch of the store in which that version was given out
+    :param key: number that tells this order from all others
+    :param row_key: key of the order's row
+    """
+
+    service: str
+    to: str
+    duration_s: float
+    row_version: int = 0
+    epoch: int = 0
+    key: int = 0
+    row_key: str = ""
--- a/boragetrail/direct/recordgossip.py
+++ b/boragetrail/direct/recordgossip.py
@@ -10,6 +10,7 @@
 )
 from boragetrail.direct.recordmessages import decode_records, encode_records
 from boragetrail.policy.crashrecords import CrashReport, Survival, Trial
+from boragetrail.policy.rollout import RolloutEvidence
 from boragetrail.policy.serverlimits import LimitReport
 
 __all__ = ["RecordGossip"]
@@ -34,6 +35,10 @@
     :ivar queue: (record, number of times that it is still to be sent)
     :ivar send: function that sends a message to all peers
     :ivar send_to: function that sends a message to a list of addresses
+    :ivar add_rollout_evidence: function that gets a
+        :class:`~boragetrail.policy.rollout.RolloutEvidence` and returns
+        whether other routers need it
+    :ivar rollout_snapshot: function that returns a list of such records
 
     .. [1] A. Demers et al., "Epidemic Algorithms for Replicated Database
        Maintenance", PODC 1987.
@@ -53,6 +58,8 @@
         self.queue = collections.deque(maxlen=self.MAX_QUEUED)
         self.send = None
         self.send_to = None
+        self.add_rollout_evidence = lambda record: False
+        self.rollout_snapshot = list
         knowledge.tell = self.send_now
         knowledge.streams.send_to = self._send_to
 
@@ -66,6 +73,13 @@
             self.send(message)
         self.queue.append((record, self.SEND_COUNT - 1))
 
+    def tell(self, record, addresses):
+        """Send a record of this router to some peers.
+
+        :param addresses: their (host, port)
+        """
+        self._send_to(record, addresses)
+
     def apply(self, message, sender):
         """Apply the records of a peer.
 
@@ -79,6 +93,7 @@
             Trial: self.quarantine.add_trial,
             Leaving: self.knowledge.apply,
             LimitReport: self.knowledge.apply,
+            RolloutEvidence: self.add_rollout_evidence,
         }
         for record in decode_records(message, self.clock()):
             if isinstance(record, STREAM_RECORDS):
@@ -112,6 +127,7 @@
             quarantine.active_reports()
             + quarantine.active_trials()
             + self.knowledge.snapshot(count)
+            + self.rollout_snapshot()
         )
 
     def _send_to(self, record, addresses):
--- a/boragetrail/direct/recordmessages.py
+++ b/boragetrail/direct/recordmessages.py
@@ -15,6 +15,7 @@
     StreamUnknown,
 )
 from boragetrail.policy.crashrecords import CrashReport, Survival, Trial
+from boragetrail.policy.rollout import Counts, RolloutEvidence, Stage
 from boragetrail.policy.serverlimits import MAX_RATE_PER_S, LimitReport
 
 __all__ = [
@@ -32,6 +33,12 @@
 MAX_KEY = 2**64 - 1
 # Encoded limit of a server that names none.
 NO_LIMIT = 0
+# Limits on the evidence of a rollout. Counts are those of one router in one
+# slot and route.
+MAX_CELLS = 64
+MAX_SLOT = 10_000
+MAX_ROUTE_KEY = 2**16 - 1
+MAX_COUNT = 100_000
 MAX_RATE_PER_1000_S = int(1000 * MAX_RATE_PER_S)
 
 
@@ -49,7 +56,9 @@
         ``"stream"``, ``"query"`` and ``"unknown"`` for those of
         :mod:`boragetrail.direct.knowledge.streams`,
         ``"limit"`` for
-        :class:`~boragetrail.policy.serverlimits.LimitReport`
+        :class:`~boragetrail.policy.serverlimits.LimitReport`,
+        ``"rollout"`` for
+        :class:`~boragetrail.policy.rollout.RolloutEvidence`
     """
 
     kind: str
@@ -137,6 +146,32 @@
     return checks.text(value) if value != "" else ""
 
 
+def _check_rollout(value):
+    return checks.fixed_list(value, _key, _key, _stage, _age, _cells)
+
+
+def _stage(value):
+    return checks.integer(value, max(Stage))
+
+
+def _cells(value):
+    return [_cell(each) for each in checks.bounded_list(value, MAX_CELLS)]
+
+
+def _cell(value):
+    """Return a slot, a route and counts, of which the last may be missing."""
+    numbers = checks.bounded_list(value, 2 + len(Counts.__slots__))
+    if len(numbers) < 2:
+        raise ValueError("not a slot and a route")
+    slot = checks.integer(numbers[0], MAX_SLOT)
+    route = checks.integer(numbers[1], MAX_ROUTE_KEY)
+    return [
+        slot,
+        route,
+        *(checks.integer(each, MAX_COUNT) for each in numbers[2:]),
+    ]
+
+
 def _check_limit(value):
     return checks.fixed_list(value, _key, _rate, _age)
 
@@ -186,6 +221,32 @@
     return LimitReport(server, rate_per_s, now_s - age_ms / 1000.0)
 
 
+def _encode_rollout(record, now_s):
+    cells = [_encode_cell(*cell) for cell in record.cells]
+    age_ms = _age_ms(record.read_s, now_s)
+    stage = int(record.stage)
+    return [record.order, record.router, stage, age_ms, cells]
+
+
+def _encode_cell(slot, route, counts):
+    """Return a list without the zeros at its end, which are the rule."""
+    values = [min(MAX_COUNT, each) for each in counts.values()]
+    while values and not values[-1]:
+        values.pop()
+    return [min(MAX_SLOT, slot), route, *values]
+
+
+def _decode_rollout(value, now_s):
+    order, router, stage, age_ms, cells = value
+    return RolloutEvidence(
+        order,
+        router,
+        Stage(stage),
+        now_s - age_ms / 1000.0,
+        tuple((cell[0], cell[1], Counts(*cell[2:])) for cell in cells),
+    )
+
+
 def _name(record):
     """Return the name of a record's type in messages."""
     if isinstance(record, CrashReport) and record.progressed:
@@ -203,6 +264,7 @@
     Trial: "trial",
     Leaving: "leaving",
     LimitReport: "limit",
+    RolloutEvidence: "rollout",
     StreamOrigin: "stream",
     StreamQuery: "query",
     StreamUnknown: "unknown",
@@ -220,6 +282,7 @@
     ],
     "leaving": lambda record, now_s: record.server,
     "limit": _encode_limit,
+    "rollout": _encode_rollout,
     "stream": lambda record, now_s: [
         record.stream,
         record.version,
@@ -237,6 +300,7 @@
     "trial": lambda value, now_s: Trial(value[0], now_s - value[1] / 1000.0),
     "leaving": lambda value, now_s: Leaving(value),
     "limit": _decode_limit,
+    "rollout": _decode_rollout,
     "stream": lambda value, now_s: StreamOrigin(
         value[0], value[1], now_s - value[2] / 1000.0
     ),
@@ -250,6 +314,7 @@
     "trial": _check_part_with_age,
     "leaving": _key,
     "limit": _check_limit,
+    "rollout": _check_rollout,
     "stream": _check_stream,
     "query": _key,
     "unknown": _key,
--- a/boragetrail/direct/registries.py
+++ b/boragetrail/direct/registries.py
@@ -10,6 +10,8 @@
 __all__ = [
     "CrashRegistry",
     "MemberRegistry",
+    "RolloutRegistry",
+    "SavedRollout",
     "SavedVersions",
     "StreamRegistry",
     "VersionRegistry",
@@ -122,3 +124,48 @@
         :param data: bytes
         :returns: whether they were saved
         """
+
+
+@dataclasses.dataclass(slots=True, frozen=True)
+class SavedRollout:
+    """Hold how far the rollout of a service is, as it is saved.
+
+    :param stage: :class:`~boragetrail.policy.rollout.Stage`: ``CANARY`` if it
+        is in progress, ``COMPLETED`` or ``REVERTED``
+    :param to: version to which the service moves
+    :param row_version: version of the row, or 0 if there is none
+    :param epoch: epoch of the registry in which it was given out
+    """
+
+    stage: object = None
+    to: str = ""
+    row_version: int = 0
+    epoch: int = 0
+
+
+class RolloutRegistry(abc.ABC):
+    """Save how far rollouts are.
+
+    :ivar epoch: as in a :class:`MemberRegistry`
+    """
+
+    @abc.abstractmethod
+    async def read_rollouts(self):
+        """Return what was saved last.
+
+        :returns: dictionary of :class:`SavedRollout` by service, or
+            :class:`~boragetrail.direct.interfaces.SourceFailure`
+        """
+
+    @abc.abstractmethod
+    async def save_rollout(self, order, stage, saved):
+        """Save how far a rollout is.
+
+        Nothing is saved if another router saved the rollout since, or if the
+        order was withdrawn or followed by another.
+
+        :param order: :class:`~boragetrail.direct.model.RolloutOrder`
+        :param stage: as in a :class:`SavedRollout`
+        :param saved: :class:`SavedRollout` that it replaces
+        :returns: whether it was saved
+        """
--- a/boragetrail/events.py
+++ b/boragetrail/events.py
@@ -97,6 +97,15 @@
         "A call to the store got no response.",
     )
     SERVER_REACHABLE = (519, "INFO", "A server can be reached again.")
+    ROLLOUT_ORDERED = (520, "INFO", "A rollout was ordered.")
+    ROLLOUT_STAGE = (521, "INFO", "A rollout entered another stage.")
+    ROLLOUT_STATUS_SAVED = (522, "INFO", "The status of a rollout was saved.")
+    ROLLOUT_STATUS_UNSAVED = (
+        523,
+        "WARNING",
+        "The status of a rollout was not saved and is tried again.",
+    )
+    ROLLOUT_WITHDRAWN = (524, "INFO", "The order of a rollout was withdrawn.")
     ORDER_UNKNOWN = (600, "ERROR", "An order's outcome is unknown.")
     ORDER_FENCED = (601, "WARNING", "An order has a stale fencing token.")
     LEASE_ACQUIRED = (602, "INFO", "A lease on model loading was acquired.")
--- a/boragetrail/platform/decode.py
+++ b/boragetrail/platform/decode.py
@@ -3,11 +3,14 @@
 import ipaddress
 import json
 
+import xxhash
+
 from boragetrail.direct.model import (
     Configuration,
     Customer,
     Limits,
     RequestKind,
+    RolloutOrder,
     Route,
     ServerRecord,
     Service,
@@ -20,6 +23,7 @@
     EVACUATION_PREFIX,
     KINDS_BY_ROUTE_TYPE,
     READY_STATE,
+    ROLLOUT_PREFIX,
 )
 from boragetrail.utils import split_address
 
@@ -73,6 +77,26 @@
             return None
         return key.removeprefix(EVACUATION_PREFIX)
 
+    def rollout_service(self, key):
+        """Return the service whose rollout a row orders.
+
+        :param key: key of the row
+        :returns: name of the service, or ``None`` if the row is for another
+            purpose
+        """
+        if not key.startswith(ROLLOUT_PREFIX):
+            return None
+        return key.removeprefix(ROLLOUT_PREFIX)
+
+    def rollout_order(self, row, epoch):
+        """Decode a row with the order of a rollout.
+
+        :param epoch: epoch of the store in which the row was written
+        :returns: :class:`~boragetrail.direct.model.RolloutOrder`, or ``None``
+            if the row is invalid
+        """
+        return _decode_row(row, lambda data: _rollout(row, epoch, data))
+
 
 def _decode_row(row, decode):
     try:
@@ -203,3 +227,23 @@
         started_ms=_number(data.get("born", 0)),
         version=_string(data.get("version", "")),
     )
+
+
+def _rollout(row, epoch, data):
+    service, version = _string(data["service"]), _string(data["to"])
+    if row.key != ROLLOUT_PREFIX + service or not version:
+        raise ValueError("the service is not that of the key, or no version")
+    duration_s = _number(data["durationS"])
+    if not duration_s:
+        raise ValueError("the rollout has no duration")
+    # The store gives versions out again after its return from a copy.
+    identity = f"{row.key}/{row.version}/".encode() + row.data
+    return RolloutOrder(
+        service,
+        version,
+        duration_s,
+        row.version,
+        epoch,
+        xxhash.xxh64_intdigest(identity),
+        row.key,
+    )
--- a/boragetrail/platform/names.py
+++ b/boragetrail/platform/names.py
@@ -3,6 +3,7 @@
 from boragetrail.direct.features import Feature
 from boragetrail.direct.model import RequestKind
 from boragetrail.direct.interfaces import HeaderNames, Table
+from boragetrail.policy.rollout import Stage
 
 __all__ = [
     "CONFIGURATION_KEY",
@@ -13,6 +14,9 @@
     "KINDS_BY_ROUTE_TYPE",
     "MEMBERS_TABLE",
     "READY_STATE",
+    "ROLLOUT_PREFIX",
+    "STATES_BY_STAGE",
+    "STATUS_TABLE",
     "STREAMS_TABLE",
     "TABLE_NAMES",
     "VERSIONS_TABLE",
@@ -80,6 +84,14 @@
 CONFIGURATION_KEY = "config"
 EVACUATION_PREFIX = "evacuate/"
 READY_STATE = "ready"
+# Prefix of the keys of orders, and of the rows that tell how far they are.
+ROLLOUT_PREFIX = "rollout/"
+STATUS_TABLE = "status"
+STATES_BY_STAGE = {
+    Stage.CANARY: "in_progress",
+    Stage.COMPLETED: "completed",
+    Stage.REVERTED: "reverted",
+}
 
 KINDS_BY_ROUTE_TYPE = {
     "idempotent": RequestKind.IDEMPOTENT,
--- a/boragetrail/platform/rows.py
+++ b/boragetrail/platform/rows.py
@@ -14,13 +14,16 @@
     SourceFailure,
 )
 from boragetrail.direct.registries import (
+    SavedRollout,
     SavedVersions,
 )
 from boragetrail.platform.decode import DECODE_ERRORS
+from boragetrail.platform.names import STATES_BY_STAGE
 
 __all__ = [
     "TIME",
     "decode_change_set",
+    "decode_saved_rollout",
     "decode_saved_versions",
     "decode_streams",
     "decode_time_ms",
@@ -31,6 +34,7 @@
 MAX_ERROR_LENGTH = 80
 # Time of the store at which a row was saved, in front of its content.
 TIME = struct.Struct(">d")
+_STAGES_BY_STATE = {state: stage for stage, state in STATES_BY_STAGE.items()}
 
 
 def decode_change_set(content, is_snapshot, epoch=None):
@@ -81,6 +85,22 @@
     return SavedVersions(listed, gone_ms, now_ms, row.version, epoch)
 
 
+def decode_saved_rollout(row, epoch):
+    """Return the saved status of a rollout.
+
+    :param row: :class:`~boragetrail.direct.interfaces.Row` as it was read
+    :param epoch: epoch of the store at the read
+    :returns: :class:`~boragetrail.direct.registries.SavedRollout`; without a
+        stage if the row is invalid
+    """
+    try:
+        content = json.loads(row.data)
+        stage = _STAGES_BY_STATE[content["state"]]
+        return SavedRollout(stage, str(content["to"]), row.version, epoch)
+    except DECODE_ERRORS:
+        return SavedRollout(None, "", row.version, epoch)
+
+
 def decode_streams(data):
     """Return the saved streams of a row.
 
--- a/boragetrail/platform/store.py
+++ b/boragetrail/platform/store.py
@@ -13,10 +13,12 @@
     ChangeSet,
     RowSource,
     SourceFailure,
+    Table,
 )
 from boragetrail.direct.registries import (
     CrashRegistry,
     MemberRegistry,
+    RolloutRegistry,
     StreamRegistry,
     VersionRegistry,
 )
@@ -26,6 +28,9 @@
     CRASHES_TABLE,
     EPOCH_HEADER,
     MEMBERS_TABLE,
+    ROLLOUT_PREFIX,
+    STATES_BY_STAGE,
+    STATUS_TABLE,
     STREAMS_TABLE,
     TABLE_NAMES,
     VERSIONS_TABLE,
@@ -33,6 +38,7 @@
 from boragetrail.platform.rows import (
     TIME,
     decode_change_set,
+    decode_saved_rollout,
     decode_saved_versions,
     decode_streams,
     decode_time_ms,
@@ -61,7 +67,12 @@
 
 
 class PlatformStoreClient(
-    RowSource, MemberRegistry, VersionRegistry, StreamRegistry, CrashRegistry
+    RowSource,
+    MemberRegistry,
+    VersionRegistry,
+    StreamRegistry,
+    CrashRegistry,
+    RolloutRegistry,
 ):
     """Client that reads tables and saves what outlives routers in the store.
 
@@ -190,6 +201,32 @@
         data = TIME.pack(self._now_ms()) + data
         return await self._write_row(CRASHES_TABLE, name, data)
 
+    async def read_rollouts(self):
+        """Return the saved status of rollouts; see the base class."""
+        rows = await self._read_table(STATUS_TABLE)
+        if isinstance(rows, SourceFailure):
+            return rows
+        return {
+            row.key.removeprefix(ROLLOUT_PREFIX): decode_saved_rollout(
+                row, rows.epoch
+            )
+            for row in rows.rows
+            if row.key.startswith(ROLLOUT_PREFIX)
+        }
+
+    async def save_rollout(self, order, stage, saved):
+        """Save how far a rollout is; see the base class."""
+        key = ROLLOUT_PREFIX + order.service
+        content = {"state": STATES_BY_STAGE[stage], "to": order.to}
+        ordered = _row(TABLE_NAMES[Table.OPERATORS], order.row_key)
+        return await self._write_row(
+            STATUS_TABLE,
+            key,
+            json.dumps(content).encode(),
+            saved.row_version,
+            [{**ordered, "ver": order.row_version}],
+        )
+
     def _now_ms(self):
         """Return the store's time, or 0 if no response has named it."""
         if self.store_time is None:
@@ -203,15 +240,19 @@
         if type(now_ms) in (int, float) and 0 <= now_ms < MAX_TIME_MS:
             self.store_time = (float(now_ms), time.monotonic())
 
-    async def _write_row(self, table, key, data, expected_version=None):
+    async def _write_row(
+        self, table, key, data, expected_version=None, expected_rows=()
+    ):
         """Write a row, under a condition if a version is expected.
 
+        :param expected_rows: further rows, each with the version that it must
+            have
         :returns: whether it was written
         """
-        row = {"table": table, "part": "", "key": key}
-        expect = []
+        row = _row(table, key)
+        expect = list(expected_rows)
         if expected_version is not None:
-            expect = [{**row, "ver": expected_version}]
+            expect.append({**row, "ver": expected_version})
         content = base64.b64encode(data).decode()
         body = {
             "expect": expect,
@@ -334,6 +375,11 @@
     epoch: int
 
 
+def _row(table, key):
+    """Return the fields that name a row in a transaction."""
+    return {"table": table, "part": "", "key": key}
+
+
 def _parse_epoch(text):
     """Return the epoch that a text names, or ``None`` if it names none."""
     if text is None or not (text.isascii() and text.isdigit()):
