--- a/boragetrail/direct/rollouts/controller.py
+++ b/boragetrail/direct/rollouts/controller.py
@@ -32,6 +32,8 @@
     # The records of 23 routers, each with two slots of five routes, are about
     # 2 KB/s at this interval.
     TELL_INTERVAL_S = 1.0
+    # Interval in the short steps after the canary stage.
+    STEP_TELL_INTERVAL_S = 0.4
     # Interval after a bad response, which others need soon.
     MIN_TELL_INTERVAL_S = 0.2
     MAX_PARTICIPANTS = 24
@@ -120,9 +122,9 @@
         for service, rollout in self.rollouts_by_service.items():
             self._note_listed(service, rollout)
             others = self.others(rollout)
-            if self._may_decide(rollout):
-                if rollout.advance(others, False):
-                    self._stage_changed(rollout)
+            rollout.check_alarm()
+            if self._may_decide(rollout) and rollout.advance(others):
+                self._stage_changed(rollout)
             self._tell_if_due(service, rollout)
 
     def others(self, rollout):
@@ -279,6 +281,8 @@
         if not self.participates(rollout):
             return
         interval_s = self.TELL_INTERVAL_S
+        if rollout.stage in (Stage.FIRST_STEP, Stage.SECOND_STEP):
+            interval_s = self.STEP_TELL_INTERVAL_S
         if service in self.urgent_services:
             interval_s = self.MIN_TELL_INTERVAL_S
         now_s = self.clock()
--- a/boragetrail/direct/rollouts/evidence.py
+++ b/boragetrail/direct/rollouts/evidence.py
@@ -1,6 +1,6 @@
 """Responses to the requests of a rollout, summed over routers."""
 
-from boragetrail.policy.rollout import Counts, compare
+from boragetrail.policy.rollout import Counts, compare, is_alarming
 
 __all__ = ["EvidenceTable"]
 
@@ -46,6 +46,18 @@
             self.compared = compare(self.sums)
         return self.compared
 
+    def is_alarming(self, first_slot):
+        """Return whether the slots from one on give rise to an alarm.
+
+        See :func:`~boragetrail.policy.rollout.is_alarming`.
+        """
+        recent = [
+            counts
+            for (slot, _), counts in self.sums.items()
+            if slot >= first_slot
+        ]
+        return is_alarming(_total(recent), _total(self.sums.values()))
+
     def _add_cell(self, known, stratum, counts):
         if stratum not in self.sums:
             if len(self.sums) >= self.MAX_STRATA:
@@ -62,3 +74,8 @@
         known[stratum] = Counts(*after)
         self.sums[stratum] = Counts(*total)
         self.compared = None
+
+
+def _total(many):
+    columns = zip(*(counts.values() for counts in many))
+    return Counts(*map(sum, columns))
--- a/boragetrail/direct/rollouts/rollout.py
+++ b/boragetrail/direct/rollouts/rollout.py
@@ -29,6 +29,8 @@
     :ivar stage_entered_s: monotonic time at which this router entered it
     :ivar is_status_known: whether the store or another router told how far
         the rollout was when this router read the order
+    :ivar is_alarmed: whether the versions are compared again in the last
+        stage, see :func:`~boragetrail.policy.rollout.is_alarming`
     :ivar old_listed_s: monotonic time at which a server of an old version was
         last listed
     :ivar cells: :class:`~boragetrail.policy.rollout.Counts` of this router's
@@ -64,6 +66,7 @@
         self.stage = Stage.CANARY
         self.stage_entered_s = self.read_s
         self.is_status_known = False
+        self.is_alarmed = False
         self.old_listed_s = float("-inf")
         self.cells = {}
         self.heard_s_by_router = {}
@@ -82,6 +85,7 @@
         if stage <= self.stage:
             return False
         self.stage = stage
+        self.is_alarmed = False
         self.stage_entered_s = self.clock()
         return True
 
@@ -104,6 +108,10 @@
             return False
         return self.is_current(others)
 
+    def share(self):
+        """Return the part of the requests that the new version gets."""
+        return share_of(self.stage, self.quota.share, self.is_alarmed)
+
     def takes_sample(self, route, position):
         """Return whether the new version is due for a request.
 
@@ -115,7 +123,7 @@
         :param position: position of the session from 0 to 1, or ``None`` for
             a request without one
         """
-        share = share_of(self.stage, self.quota.share)
+        share = self.share()
         if self.stage is not Stage.CANARY:
             if position is None:
                 position = self.random.random()
@@ -179,14 +187,20 @@
             tuple(cells[-self.MAX_TOLD_CELLS :]),
         )
 
-    def advance(self, others, is_idle):
+    def check_alarm(self):
+        """Decide whether the versions have to be compared again."""
+        is_draining = self.stage is Stage.DRAINING
+        self.is_alarmed = is_draining and self.evidence.is_alarming(
+            self._slot() - 1
+        )
+
+    def advance(self, others):
         """Decide on the stage.
 
         :param others: see :meth:`is_current`
-        :param is_idle: whether no router has work at old servers
         :returns: whether the stage changed
         """
-        situation = self._situation(others, is_idle)
+        situation = self._situation(others, False)
         return self.enter(next_stage(self.plan, situation))
 
     def status(self, others, is_idle):
@@ -211,6 +225,7 @@
             self.evidence.comparison(),
             self.is_current(others),
             is_idle,
+            self.is_alarmed,
         )
 
     def _slot(self):
--- a/boragetrail/direct/rollouts/versionfilter.py
+++ b/boragetrail/direct/rollouts/versionfilter.py
@@ -6,7 +6,9 @@
 
 from boragetrail.direct.crashes import shared_parts
 from boragetrail.direct.serverfilter import ServerFilter
+from boragetrail.policy.cap import max_load
 from boragetrail.policy.placement import rendezvous_score
+from boragetrail.policy.prefix import mean_running
 from boragetrail.policy.rollout import Stage
 from boragetrail.policy.suspicion import Standing
 
@@ -76,7 +78,7 @@
             return old
         if progress.version is not None:
             return old or (new if self._may_take(rollout) else [])
-        if rollout.stage in (Stage.DRAINING, Stage.COMPLETED):
+        if rollout.share() == 1.0:
             return new or old
         if not old:
             return new if new and self._may_take(rollout) else []
@@ -107,6 +109,7 @@
     def _sample(self, rollout, request, progress, new, views_by_id):
         """Return the new servers for a request that is due there, if any."""
         is_canary = rollout.stage is Stage.CANARY
+        mean = mean_running(list(views_by_id.values()))
         if is_canary and not self.controller.participates(rollout):
             return []
         position = _position(rollout.order.key, progress.prompt)
@@ -116,28 +119,37 @@
         free = [
             state
             for state in new
-            if self._is_free(state, views_by_id[state.record.id])
+            if self._is_free(state, views_by_id[state.record.id], mean)
         ]
-        if not is_canary or not free:
-            return free
-        if not rollout.quota.try_acquire(self.fleet.peers.size()):
+        if not free:
             return []
-        rollout.sample_taken(route)
-        return self._concentrate(rollout, free, len(views_by_id))
+        if is_canary:
+            if not rollout.quota.try_acquire(self.fleet.peers.size()):
+                return []
+            rollout.sample_taken(route)
+        return self._concentrate(rollout, free, len(new))
 
-    def _is_free(self, state, view):
-        """Return whether a server is as good a choice as an old one."""
+    def _is_free(self, state, view, mean):
+        """Return whether a server is as good a choice as an old one.
+
+        :param mean: mean number of requests at the servers of the service
+        """
         if self.fleet.is_cold(state) or view.standing is Standing.AVOIDED:
             return False
         slots = state.record.slots
-        return not slots or view.running < slots
+        if slots and view.running >= slots:
+            return False
+        return view.running + 1 <= max_load(mean)
+
+    def _concentrate(self, rollout, states, count):
+        """Return so few servers that each has its load of the last stage.
 
-    def _concentrate(self, rollout, states, listed):
-        """Return so few servers that each has about the load of an old one.
+        Otherwise a version that fails under load would seem good until all
+        requests are at it.
 
-        Otherwise no version would be seen to fail under load.
+        :param count: number of usable servers of the new version
         """
-        count = math.ceil(rollout.quota.share * listed)
+        count = math.ceil(rollout.share() * count)
         key = f"canary/{rollout.order.key}"
         ranked = sorted(
             states, key=lambda each: -rendezvous_score(key, each.record.id)
--- a/boragetrail/policy/rollout.py
+++ b/boragetrail/policy/rollout.py
@@ -29,6 +29,7 @@
     "Situation",
     "Stage",
     "compare",
+    "is_alarming",
     "may_complete",
     "next_stage",
     "share_of",
@@ -63,6 +64,10 @@
 
 # A crash is noticed in two slots at most. Losses in more have another cause.
 MIN_LOSSY_SLOTS = 3
+# Bad responses of the new version in the last slots, above this number and
+# this multiple of the usual, are compared before the rollout goes on.
+MIN_ALARMING_BAD = 5
+ALARMING_FACTOR = 2.0
 # Part of the requests that goes to the new version, after the canary stage.
 SHARES_BY_STAGE = {
     Stage.FIRST_STEP: 0.25,
@@ -74,11 +79,14 @@
 }
 
 
-def share_of(stage, canary_share):
+def share_of(stage, canary_share, is_alarmed=False):
     """Return the part of the requests that the new version gets in a stage.
 
     :param canary_share: its part in the canary stage
+    :param is_alarmed: see :func:`is_alarming`
     """
+    if is_alarmed:
+        stage = min(stage, Stage.SECOND_STEP)
     return SHARES_BY_STAGE.get(stage, canary_share)
 
 
@@ -135,12 +143,14 @@
     :param responses: number of compared responses of the new version
     :param excess: number of its bad responses above the expected
     :param variance: variance of that number if the versions are alike
+    :param routes: list of the same for each route by itself, since a route
+        that often fails would hide another that the new version fails
     """
 
     # One response in ten is the new version's, so four bad ones among a few
     # are its alone by chance in 1 of 10**4 cases.
     BAD_SCORE = 4.0
-    MIN_BAD_EXCESS = 3.5
+    MIN_BAD_EXCESS = 3.2
     # The canary stage ends without a doubt. 1 of 160 good versions has a
     # higher score at a time; it may fall again.
     DOUBT_SCORE = 2.5
@@ -150,6 +160,7 @@
     responses: int = 0
     excess: float = 0.0
     variance: float = 0.0
+    routes: tuple = ()
 
     @property
     def score(self):
@@ -160,15 +171,19 @@
 
     @property
     def is_bad(self):
-        """Return whether the new version is worse."""
+        """Return whether the new version is worse, if on one route only."""
         is_large = self.excess >= self.MIN_BAD_EXCESS
-        return is_large and self.score >= self.BAD_SCORE
+        if is_large and self.score >= self.BAD_SCORE:
+            return True
+        return any(each.is_bad for each in self.routes)
 
     @property
     def is_doubtful(self):
         """Return whether the new version may be worse."""
         is_large = self.excess >= self.MIN_DOUBT_EXCESS
-        return is_large and self.score >= self.DOUBT_SCORE
+        if is_large and self.score >= self.DOUBT_SCORE:
+            return True
+        return any(each.is_doubtful for each in self.routes)
 
     @property
     def is_good(self):
@@ -177,7 +192,7 @@
 
 
 def compare(counts_by_stratum):
-    """Compare the versions over all strata.
+    """Compare the versions over all strata, and over those of each route.
 
     A server that crashes ends many responses at a time. The lost responses of
     a version in a slot therefore count as one bad response, unless the new
@@ -203,18 +218,50 @@
     lossy = {slot for (slot, _), each in comparable.items() if each.new_lost}
     old_losses = _LossCount(len(lossy) >= MIN_LOSSY_SLOTS)
     new_losses = _LossCount(len(lossy) >= MIN_LOSSY_SLOTS)
-    responses, excess, variance = 0, 0.0, 0.0
-    for (slot, _), counts in comparable.items():
+    sums_by_route = {}
+    for (slot, route), counts in comparable.items():
         new_bad = counts.new_bad + new_losses.take(counts.new_lost, slot)
         bad = new_bad + counts.old_bad
         bad += old_losses.take(counts.old_lost, slot)
-        total = counts.old + counts.new
-        part = counts.new / total
-        responses += counts.new
-        excess += new_bad - bad * part
-        others = (total - bad) / max(1, total - 1)
-        variance += bad * part * (1 - part) * others
-    return Comparison(responses, excess, variance)
+        sums = sums_by_route.setdefault(route, [0, 0.0, 0.0])
+        for i, each in enumerate(_stratum_sums(counts, new_bad, bad)):
+            sums[i] += each
+    totals = [sum(column) for column in zip(*sums_by_route.values())]
+    routes = tuple(Comparison(*sums) for sums in sums_by_route.values())
+    return Comparison(*totals or (0, 0.0, 0.0), routes)
+
+
+def _stratum_sums(counts, new_bad, bad):
+    """Return what a stratum adds to (responses, excess, variance).
+
+    :param new_bad: bad responses of the new version
+    :param bad: bad responses of both versions
+    """
+    total = counts.old + counts.new
+    part = counts.new / total
+    others = (total - bad) / max(1, total - 1)
+    variance = bad * part * (1 - part) * others
+    return counts.new, new_bad - bad * part, variance
+
+
+def is_alarming(recent, overall):
+    """Return whether the new version has got worse, or both have.
+
+    Without responses of the old version there is nothing to compare with, so
+    the old version gets requests again until the versions can be compared.
+
+    :param recent: :class:`Counts` of the last slots
+    :param overall: :class:`Counts` of all slots
+
+    >>> overall = Counts(900, 90, 9, 1)
+    >>> is_alarming(Counts(0, 50, 0, 20), overall)
+    True
+    >>> is_alarming(Counts(0, 50, 0, 4), overall)
+    False
+    """
+    usual = overall.old_bad / max(1, overall.old)
+    bad = recent.new_bad + recent.new_lost
+    return bad > MIN_ALARMING_BAD + ALARMING_FACTOR * usual * recent.new
 
 
 class _LossCount:
@@ -305,8 +352,8 @@
     :param duration_s: time in which a good version is in place
 
     >>> plan = RolloutPlan(12.0)
-    >>> plan.canary_s, plan.step_s, plan.slot_s
-    (6.0, 0.72, 1.5)
+    >>> round(plan.canary_s, 2), plan.step_s, plan.slot_s
+    (6.6, 0.72, 1.5)
     """
 
     MIN_SLOT_S = 1.5
@@ -315,6 +362,9 @@
     # Requests on their way reach the old servers for this time after the last
     # router has learned of the stage.
     MIN_DRAIN_S = 1.0
+    # Time that responses of the old servers have to end. A short order leaves
+    # less time for the canary stage instead.
+    DRAIN_S = 3.0
 
     duration_s: float
 
@@ -326,7 +376,8 @@
     @property
     def canary_s(self):
         """Return the end of the canary stage."""
-        return 0.5 * self.duration_s
+        left_s = self.completion_s - 2 * self.step_s - self.DRAIN_S
+        return max(0.4 * self.duration_s, min(0.62 * self.duration_s, left_s))
 
     @property
     def step_s(self):
@@ -359,6 +410,7 @@
     :param comparison: :class:`Comparison`
     :param is_current: whether the evidence of enough other routers is recent
     :param is_idle: whether no router has work at old servers
+    :param is_alarmed: see :func:`is_alarming`
     """
 
     stage: Stage
@@ -367,6 +419,7 @@
     comparison: Comparison
     is_current: bool
     is_idle: bool = False
+    is_alarmed: bool = False
 
 
 def next_stage(plan, situation):
@@ -384,7 +437,7 @@
     ...         Stage.CANARY, age_s, age_s, Comparison(*comparison), is_current
     ...     )
     ...     return next_stage(RolloutPlan(20.0), situation).name
-    >>> at(10.0, 50, 0.0, 1.0), at(10.0, 9, 0.0, 1.0), at(16.0, 9, 0.0, 1.0)
+    >>> at(13.0, 50, 0.0, 1.0), at(13.0, 9, 0.0, 1.0), at(16.0, 9, 0.0, 1.0)
     ('FIRST_STEP', 'CANARY', 'REVERTING')
     >>> at(2.0, 5, 4.5, 0.4), at(16.0, 50, 0.0, 1.0, is_current=False)
     ('REVERTING', 'CANARY')
@@ -420,5 +473,6 @@
         return False
     if situation.age_s >= plan.completion_s:
         return True
-    is_settled = situation.stage_s >= plan.MIN_DRAIN_S
-    return situation.is_current and situation.is_idle and is_settled
+    if situation.is_alarmed or not situation.is_current:
+        return False
+    return situation.is_idle and situation.stage_s >= plan.MIN_DRAIN_S
