--- a/boragetrail/direct/rollouts/controller.py
+++ b/boragetrail/direct/rollouts/controller.py
@@ -100,7 +100,7 @@
             if rollout.order.key == record.order:
                 changed = rollout.apply(record)
                 if changed:
-                    self._stage_changed(rollout)
+                    self._log_stage(rollout)
                 return changed
         return False
 
@@ -261,6 +261,11 @@
         return addresses
 
     def _stage_changed(self, rollout):
+        """Log and tell a stage that this router decided on or read."""
+        self._log_stage(rollout)
+        self.record_gossip.send_now(rollout.told())
+
+    def _log_stage(self, rollout):
         order = rollout.order
         comparison = rollout.evidence.comparison()
         log_event(
@@ -273,7 +278,6 @@
             excess=round(comparison.excess, 1),
             score=round(comparison.score, 1),
         )
-        self.record_gossip.send_now(rollout.told())
 
     def _tell_if_due(self, service, rollout):
         if not rollout.is_status_known:
--- a/boragetrail/direct/tests/rolloutsimulation.py
+++ b/boragetrail/direct/tests/rolloutsimulation.py
@@ -18,7 +18,6 @@
     RolloutObserver,
     VersionFilter,
 )
-from boragetrail.policy.rollout import Stage
 from boragetrail.policy.suspicion import Standing
 from boragetrail.settings.direct import RolloutBounds
 from standins.clock import ManualClock
@@ -161,11 +160,13 @@
     :param rate_per_s: requests per second of all routers
     :param new: list of :class:`Behavior` of the new version
     :param both: list of :class:`Behavior` of both versions
-    :param crash_s: seconds after the order of a crash of a new server
+    :param crash_s: seconds after the order at which a new server crashes
     :ivar sent_s: times of the requests to the new version
     :ivar bad_s: times of its bad responses
     :ivar requests: number of requests between the order and its end
     :ivar written: (time, stage) of the verdict in the store, or ``None``
+    :ivar cut: numbers of the routers that are cut off from the others
+    :ivar senders: numbers of the routers that sent the requests in ``sent_s``
     :ivar told_bytes: bytes of all datagrams
     """
 
@@ -188,7 +189,7 @@
         self.duration_s = duration_s
         self.rate_per_s = rate_per_s
         self.new, self.both = new, both
-        self.sent_s, self.bad_s = [], []
+        self.sent_s, self.senders, self.bad_s = [], [], []
         self.requests = self.told_bytes = 0
         self.written = None
         self.cut = set()
@@ -203,8 +204,7 @@
         for router in self.routers:
             self._at(self.rng.uniform(0, 0.1), self._advance, router, 0)
         self._at(WRITE_INTERVAL_S, self._write)
-        if crash_s is not None:
-            self._at(crash_s, self._crash, "v2-0")
+        self.crash_s = crash_s
 
     def _connect(self):
         self.routers_by_address = {
@@ -217,8 +217,13 @@
         for number, router in enumerate(self.routers):
             router.peers.others = shared[:number] + shared[number + 1 :]
 
-    def run(self, warm_up_s=5.0):
-        """Play up to the end of an order."""
+    def run(self, warm_up_s=5.0, cut=(), cut_s=0.0):
+        """Play up to the end of an order.
+
+        :param warm_up_s: seconds before the order
+        :param cut: numbers of routers that lose all others
+        :param cut_s: seconds after the order at which they do
+        """
         self._run(warm_up_s)
         self.began_s = self.clock()
         self._start_servers("v2", self.SERVERS[1])
@@ -226,6 +231,9 @@
         for router in self.routers:
             self._at(self.rng.uniform(0, 0.4), self._order, router, order)
         self.requests = 0
+        self._at(cut_s, self.cut.update, cut)
+        if self.crash_s is not None:
+            self._at(self.crash_s, self._crash)
         self._run(self.duration_s)
         return self
 
@@ -349,6 +357,7 @@
             is_bad = True
         if _is_new(state):
             self.sent_s.append(self.clock())
+            self.senders.append(router.number)
         ending = (router, request, attempt, is_bad)
         self.attempts_by_id[record.id][attempt] = ending
         self._at(took_s, self._end, *ending)
@@ -366,7 +375,10 @@
             self.bad_s.append(self.clock())
         router.observer.attempt_ended(request, attempt)
 
-    def _crash(self, server_id):
+    def _crash(self):
+        """Let the new server with the most requests lose all of them."""
+        new = filter(_is_new, self.states)
+        server_id = max(new, key=_load).record.id
         for attempt, ending in list(self.attempts_by_id[server_id].items()):
             attempt.connection_lost = True
             self._end(*ending[:3], True)
@@ -392,8 +404,3 @@
 
 def _load(state):
     return state.load
-
-
-def is_good(simulation):
-    """Return whether a good version was completed in time."""
-    return simulation.stage is Stage.COMPLETED
--- /dev/null
+++ b/boragetrail/direct/tests/test_rolloutdecisions.py
@@ -0,0 +1,261 @@
+"""Decisions in rollouts, without sockets."""
+
+import itertools
+import json
+import random
+
+import pytest
+
+from boragetrail.direct.interfaces import Row
+from boragetrail.direct.model import RolloutOrder
+from boragetrail.direct.recordmessages import (
+    check_lists,
+    decode_records,
+    encode_records,
+)
+from boragetrail.direct.rollouts.evidence import EvidenceTable
+from boragetrail.direct.rollouts.versiongate import VersionGate
+from boragetrail.direct.tests.rolloutsimulation import (
+    Behavior,
+    RolloutSimulation,
+)
+from boragetrail.platform import PlatformRowDecoder
+from boragetrail.policy.rollout import (
+    Counts,
+    RolloutEvidence,
+    Stage,
+    compare,
+)
+from standins.clock import ManualClock
+
+BAD_BEHAVIORS = {
+    "at once": Behavior(fails=1.0),
+    "in part": Behavior(fails=0.3),
+    "slow": Behavior(slowness=4.0),
+    "late": Behavior(fails=0.5, since_s=7.0),
+    "under load": Behavior(fails=0.5, min_load=4),
+    "on one route": Behavior(fails=0.5, route="chat"),
+}
+
+
+class TestBadVersion:
+    """Guard against a bad version that is completed, or gets too much."""
+
+    @pytest.mark.parametrize("name", BAD_BEHAVIORS)
+    def test_fleet_with_loss(self, name):
+        played = RolloutSimulation(
+            1, loss=0.2, duration_s=12.0, new=[BAD_BEHAVIORS[name]]
+        ).run()
+        self._check(played)
+
+    @pytest.mark.parametrize("loss", (0.0, 0.2))
+    def test_few_routers(self, loss):
+        played = RolloutSimulation(
+            2, routers=4, loss=loss, new=[BAD_BEHAVIORS["on one route"]]
+        ).run()
+        self._check(played)
+
+    def test_bad_once_all_requests_are_there(self):
+        # Guards against a last stage in which nothing is compared.
+        late = Behavior(fails=0.5, since_s=15.0)
+        self._check(RolloutSimulation(3, loss=0.2, new=[late]).run())
+
+    @staticmethod
+    def _check(played):
+        assert played.stage is Stage.REVERTED
+        assert played.is_within_exposure()
+        assert played.sent_after_50_bad_s() <= 5.0
+
+
+class TestGoodVersion:
+    """Guard against a good version that is reverted."""
+
+    @pytest.mark.parametrize("routers, crash_s", ((4, 5.0), (23, 7.9)))
+    def test_one_crash(self, routers, crash_s):
+        # Guards against all requests that one crash ends counting as bad.
+        played = RolloutSimulation(
+            4, routers, 0.2, 12.0, crash_s=crash_s
+        ).run()
+        assert played.bad_s
+        self._check(played)
+
+    @pytest.mark.parametrize("since_s", (4.0, 7.0))
+    def test_impairment_of_both_versions(self, since_s):
+        both = Behavior(0.3, 4.0, since_s, since_s + 3.0)
+        played = RolloutSimulation(
+            5, loss=0.2, duration_s=12.0, both=[both]
+        ).run()
+        self._check(played)
+
+    def test_verdicts_over_seeds(self):
+        # Guards against thresholds that chance exceeds. One route fails one
+        # request in seven at both versions.
+        wrong = sum(self._is_reverted(random.Random(n)) for n in range(150))
+        assert wrong <= 1
+
+    @staticmethod
+    def _is_reverted(rng):
+        counts = {}
+        for slot, (route, part) in itertools.product(
+            range(8), enumerate((1 / 7, 0.01, 0.01, 0.0, 0.0))
+        ):
+            drawn = [
+                sum(rng.random() < part for _ in range(size))
+                for size in (30, 2)
+            ]
+            counts[slot, route] = Counts(30, 2, *drawn)
+            if route == 4 and compare(counts).is_bad:
+                return True
+        return False
+
+    @staticmethod
+    def _check(played):
+        assert played.stage is Stage.COMPLETED
+        assert played.written[0] - played.began_s <= played.duration_s
+
+
+class TestIsolation:
+    """Guard against requests to the new version without recent evidence."""
+
+    def test_router_that_loses_the_others_stops(self):
+        played = RolloutSimulation(6, duration_s=12.0).run(cut=[3], cut_s=2.0)
+        last_s = max(
+            (
+                sent_s
+                for sent_s, sender in zip(played.sent_s, played.senders)
+                if sender == 3
+            ),
+            default=0.0,
+        )
+        assert last_s - played.began_s < 5.0
+
+    def test_all_routers_isolated(self):
+        # Guards against a completion that no other router agrees with.
+        played = RolloutSimulation(7, duration_s=12.0).run(cut=range(23))
+        assert (played.sent_s, played.stage) == ([], Stage.REVERTED)
+
+    def test_version_that_appears_before_its_order(self):
+        clock = ManualClock(100.0)
+        gate = VersionGate(clock)
+        gate.note("apps", {"v1"})
+        gate.note("apps", {"v1", "v2"})
+        assert gate.is_open("apps", "v1")
+        assert not gate.is_open("apps", "v2")
+        clock.now_s += VersionGate.ORDER_WAIT_S
+        assert gate.is_open("apps", "v2")
+
+
+class TestEvidence:
+    """Guard against evidence that is counted twice, or for another order."""
+
+    def test_repeated_and_late_records(self):
+        table = EvidenceTable()
+        for counts in (Counts(5, 2), Counts(3, 1), Counts(5, 2)):
+            table.add(1, [(0, 9, counts)])
+        table.add(2, [(0, 9, Counts(1, 1, 0, 1))])
+        assert table.sums == {(0, 9): Counts(6, 3, 0, 1)}
+
+    def test_evidence_of_an_earlier_order(self):
+        controller = _controller()
+        controller.order_changed("apps", _order(1))
+        controller.order_changed("apps", _order(2))
+        cells = ((0, 9, Counts(90, 30, 0, 30)),)
+        earlier = RolloutEvidence(1, 5, Stage.REVERTING, 100.0, cells)
+        assert not controller.apply(earlier)
+        rollout = controller.rollouts_by_service["apps"]
+        assert rollout.stage is Stage.CANARY
+        assert not rollout.evidence.sums
+
+    def test_record_on_the_way(self):
+        record = RolloutEvidence(
+            2**64 - 1, 7, Stage.CANARY, 95.0, ((3, 65535, Counts(1, 0, 1)),)
+        )
+        message = encode_records([record], 100.0)
+        check_lists(message.lists_by_type)
+        assert decode_records(message, 100.0) == [record]
+
+    @pytest.mark.parametrize(
+        "value",
+        (
+            [1, 2, 9, 0, []],
+            [1, 2, 0, 0, [[1]]],
+            [1, 2, 0, 0, [[1, 2, -1]]],
+            [1, 2, 0, 0, [[1, 2] + [1] * 7]],
+            [1, 2, 0],
+        ),
+    )
+    def test_invalid_record(self, value):
+        with pytest.raises(ValueError):
+            check_lists({"rollout": [value]})
+
+
+class TestOrders:
+    """Guard against orders that are confused with each other."""
+
+    def test_order_that_overtakes_another(self):
+        # Guards against requests to the version of the first order.
+        controller = _controller()
+        controller.order_changed("apps", _order(1, "v2"))
+        controller.order_changed("apps", _order(2, "v3"))
+        assert controller.rollouts_by_service["apps"].order.to == "v3"
+        assert ("apps", "v2") in controller.gate.rejected
+
+    def test_return_to_the_version_in_service(self):
+        controller = _controller()
+        controller.gate.note("apps", {"v1"})
+        controller.order_changed("apps", _order(1, "v2"))
+        controller.order_changed("apps", _order(2, "v1"))
+        rollout = controller.rollouts_by_service["apps"]
+        assert rollout.stage is Stage.DRAINING
+
+    def test_lost_order_that_is_written_again(self):
+        # Guards against a bad version that is tried anew once the store has
+        # returned from a copy.
+        controller = _controller()
+        controller.order_changed("apps", _order(1))
+        controller.rollouts_by_service["apps"].enter(Stage.REVERTED)
+        controller.order_changed("apps", _order(2, epoch=2))
+        rollout = controller.rollouts_by_service["apps"]
+        assert rollout.stage is Stage.REVERTING
+
+    def test_two_services(self):
+        controller = _controller()
+        controller.order_changed("apps", _order(1))
+        controller.order_changed("chat", _order(2, service="chat"))
+        record = RolloutEvidence(2, 5, Stage.REVERTING, 100.0)
+        controller.apply(record)
+        stages = {
+            service: rollout.stage
+            for service, rollout in controller.rollouts_by_service.items()
+        }
+        assert stages == {"apps": Stage.CANARY, "chat": Stage.REVERTING}
+
+    @pytest.mark.parametrize(
+        "fields",
+        ({"to": ""}, {"to": None}, {"durationS": 0}, {"service": "other"}),
+    )
+    def test_invalid_order(self, fields):
+        row = {"service": "apps", "to": "v2", "durationS": 30, **fields}
+        decoder = PlatformRowDecoder()
+        data = json.dumps(row).encode()
+        order = decoder.rollout_order(Row("rollout/apps", 4, data), 1)
+        assert order is None
+
+    def test_key_of_an_order(self):
+        # Guards against one order that is taken for the next with its words.
+        row = json.dumps({"service": "a", "to": "v2", "durationS": 9}).encode()
+        first, second = (
+            PlatformRowDecoder().rollout_order(Row("rollout/a", n, row), 1)
+            for n in (4, 5)
+        )
+        assert first.key != second.key
+
+
+def _controller():
+    """Return the controller of one of two routers."""
+    simulation = RolloutSimulation(1, routers=2)
+    return simulation.routers[0].controller
+
+
+def _order(key, to="v2", epoch=1, service="apps"):
+    return RolloutOrder(service, to, 20.0, key, epoch, key, "rollout/apps")
