--- a/boragetrail/direct/attemptobserver.py
+++ b/boragetrail/direct/attemptobserver.py
@@ -20,8 +20,6 @@
     def attempt_ended(self, request, attempt):
         """Observe that an attempt has ended, in whatever way.
 
-        It is called before the connection of an incomplete attempt is closed.
-
         :param request: as in :meth:`attempt_began`
         :param attempt: as in :meth:`attempt_began`
         """
--- a/boragetrail/direct/dispatch.py
+++ b/boragetrail/direct/dispatch.py
@@ -172,11 +172,11 @@
         try:
             return await self._exchange(request, caller, progress, plan)
         finally:
-            for each in self.attempt_observers:
-                each.attempt_ended(request, attempt)
             progress.pending_work.end()
             state.attempts.discard(attempt)
             attempt.abort()
+            for each in self.attempt_observers:
+                each.attempt_ended(request, attempt)
 
     async def _exchange(self, request, caller, progress, plan):
         attempt = progress.attempt
--- a/boragetrail/direct/rollouts/controller.py
+++ b/boragetrail/direct/rollouts/controller.py
@@ -41,7 +41,7 @@
     OUTSIDE_FANOUT = 24
     # Age of an order whose service has no servers of another version, from
     # which these are not just still unknown.
-    MIN_SOLE_VERSION_S = 1.0
+    MIN_SOLE_VERSION_S = 3.0
 
     def __init__(self, fleet, bounds, record_gossip, random, incarnation):
         self.fleet = fleet
@@ -157,7 +157,12 @@
         )
 
     def status(self, rollout):
-        """Return the stage that the store should name, see ``Rollout``."""
+        """Return the stage that the store should name, see ``Rollout``.
+
+        A version that has been the only one since the order is in place.
+        """
+        if self._is_sole(rollout):
+            return Stage.COMPLETED
         is_idle = rollout.stage is Stage.DRAINING and self.is_idle(rollout)
         return rollout.status(self.others(rollout), is_idle)
 
@@ -217,18 +222,20 @@
             self.gate.reject(order.service, order.to)
 
     def _note_listed(self, service, rollout):
-        """Record which versions are listed; one alone is in place."""
+        """Record whether servers of old versions are listed."""
         versions = self._versions(service)
         order = rollout.order
         old = versions - {order.to}
         if any((service, each) not in self.gate.rejected for each in old):
             rollout.old_listed_s = self.clock()
-        is_sole = versions == {order.to}
-        had_old = rollout.old_listed_s > float("-inf")
-        if is_sole and not had_old and rollout.is_status_known:
-            if rollout.age_s() >= self.MIN_SOLE_VERSION_S:
-                if rollout.enter(Stage.DRAINING):
-                    self._stage_changed(rollout)
+
+    def _is_sole(self, rollout):
+        """Return whether a service has had no old servers since its order."""
+        order = rollout.order
+        if rollout.stage.is_final or rollout.old_listed_s > float("-inf"):
+            return False
+        is_old_enough = rollout.age_s() >= self.MIN_SOLE_VERSION_S
+        return is_old_enough and self._versions(order.service) == {order.to}
 
     def _versions(self, service):
         return self._versions_by_service().get(service, set())
--- a/boragetrail/direct/rollouts/writer.py
+++ b/boragetrail/direct/rollouts/writer.py
@@ -88,14 +88,14 @@
             return False
         if not rollout.is_status_known:
             return True
+        others = self.controller.others(rollout)
+        if not rollout.stage.is_final and not rollout.is_current(others):
+            return True
         wanted = self.controller.status(rollout)
         if self._is_saved(rollout, wanted):
             return False
         if wanted is not self.wanted_by_order.get(key, (None, 0.0))[0]:
             self.wanted_by_order[key] = (wanted, now_s)
-        others = self.controller.others(rollout)
-        if not rollout.is_current(others):
-            return True
         waited_s = now_s - self.wanted_by_order[key][1]
         return waited_s >= self._delay_s(rollout)
 
--- a/boragetrail/direct/tests/test_rolloutdecisions.py
+++ b/boragetrail/direct/tests/test_rolloutdecisions.py
@@ -60,6 +60,26 @@
         late = Behavior(fails=0.5, since_s=15.0)
         self._check(RolloutSimulation(3, loss=0.2, new=[late]).run())
 
+    @pytest.mark.parametrize("name", ("at once", "slow"))
+    def test_time_of_the_verdict(self, name):
+        # Guards against a verdict that comes only when the time runs out.
+        played = RolloutSimulation(8, new=[BAD_BEHAVIORS[name]]).run(2.0)
+        assert played.written[0] - played.began_s < 5.0
+
+    def test_route_beside_one_that_often_fails(self):
+        # Guards against a failing route that chance on another one hides.
+        counts = {(0, 1): Counts(400, 40, 200, 18)}
+        counts |= {(0, 2): Counts(60, 6, 0, 4)}
+        assert compare(counts).is_bad
+        del counts[0, 2]
+        assert not compare(counts).is_bad
+
+    def test_version_that_never_appears(self):
+        played = RolloutSimulation(9, routers=4, duration_s=12.0)
+        played.SERVERS = (12, 0)
+        played.run(2.0)
+        assert (played.sent_s, played.stage) == ([], Stage.REVERTED)
+
     @staticmethod
     def _check(played):
         assert played.stage is Stage.REVERTED
--- a/boragetrail/direct/tests/test_rollouts.py
+++ b/boragetrail/direct/tests/test_rollouts.py
@@ -7,6 +7,7 @@
 import pytest
 
 from boragetrail.direct.peers import PeerTable
+from boragetrail.policy.rollout import Stage
 from standins.httpserver import whole_answer
 
 ROLLOUT = {
@@ -14,7 +15,7 @@
     "exposure_margin": 50,
     "rollback_ms": 5000,
 }
-DURATION_S = 5.0
+DURATION_S = 4.0
 OUTAGE = 503
 
 
@@ -112,7 +113,10 @@
         took_s = await self.until_status(cluster, "reverted")
         assert took_s < 3.0
         count = len(new.requests)
-        await asyncio.sleep(0.5)
+        late = await cluster.add_router(rules=["rollout"], rollout=ROLLOUT)
+        # Guards against a router that reads the order after the verdict.
+        for _ in range(30):
+            await cluster.call(late, "/status/1")
         assert len(new.requests) == count < 50
 
     async def test_bad_version_with_the_store_away(self, cluster, traffic):
@@ -122,9 +126,50 @@
         self.order(cluster)
         await self.until_status(cluster, "in_progress")
         cluster.store.status = OUTAGE
-        await asyncio.sleep(2.0)
+        await asyncio.sleep(1.5)
         count = len(new.requests)
         await asyncio.sleep(0.5)
         assert len(new.requests) == count
+        # Guards against a verdict that is written once more, or lost, if the
+        # response to the write is.
+        cluster.store.drops_responses = True
         cluster.store.status = 0
         await self.until_status(cluster, "reverted")
+        version, _ = cluster.store.rows_by_key["status", "rollout/apps"]
+        await asyncio.sleep(0.7)
+        assert cluster.store.rows_by_key["status", "rollout/apps"][0] == (
+            version
+        )
+
+    async def test_write_for_an_order_that_was_overtaken(self, cluster):
+        # Guards against two verdicts, and one for an earlier order.
+        daemon = await cluster.add_router(rules=["rollout"], rollout=ROLLOUT)
+        self.order(cluster, "v2")
+        rollouts = daemon.rollouts.rollouts_by_service
+        await cluster.until(lambda: "apps" in rollouts)
+        await self.until_status(cluster, "in_progress")
+        first = rollouts["apps"].order
+        saved = (await daemon.store.read_rollouts())["apps"]
+        self.order(cluster, "v3")
+        assert not await daemon.store.save_rollout(
+            first, Stage.COMPLETED, saved
+        )
+        await self.until_status(cluster, "in_progress", "v3")
+        saved = (await daemon.store.read_rollouts())["apps"]
+        second = rollouts["apps"].order
+        assert await daemon.store.save_rollout(second, Stage.REVERTED, saved)
+        assert not await daemon.store.save_rollout(
+            second, Stage.COMPLETED, saved
+        )
+
+    async def test_store_that_returns_from_a_copy(self, cluster, traffic):
+        # Guards against a verdict that is lost with the store's last rows.
+        new = await cluster.add_server(version="v2")
+        new.default = failing
+        self.order(cluster)
+        await self.until_status(cluster, "in_progress")
+        cluster.store.save_copy()
+        await self.until_status(cluster, "reverted")
+        cluster.store.return_from_copy()
+        assert self.status(cluster)["state"] == "in_progress"
+        await self.until_status(cluster, "reverted")
