--- a/boragetrail/direct/rollouts/observer.py
+++ b/boragetrail/direct/rollouts/observer.py
@@ -94,12 +94,18 @@
                 self._count(observed, Outcome.BAD)
 
     def _compare_times(self, request, attempt, observed):
-        """Return the outcome of a complete response by its times."""
+        """Return the outcome of a complete response by its times.
+
+        Until the usual times are known, a response says nothing.
+        """
         times = self._times(request)
+        were_known = times.are_known()
         first_s = attempt.progressed_s - attempt.sent_s
         is_slow = times.is_slow(first_s, attempt.longest_pause_s)
         if observed is None or observed.side == "old":
             times.add(first_s, attempt.longest_pause_s)
+        if not were_known:
+            return None
         return Outcome.BAD if is_slow else Outcome.USUAL
 
     @staticmethod
--- a/boragetrail/direct/rollouts/responsetimes.py
+++ b/boragetrail/direct/rollouts/responsetimes.py
@@ -27,7 +27,7 @@
     """
 
     COUNT = 32
-    MIN_COUNT = 6
+    MIN_COUNT = 3
     # A version that needs several times as long exceeds this multiple of the
     # median; sizes of requests of one route differ less.
     SLOW_FACTOR = 2.5
@@ -45,13 +45,17 @@
         self.first_s.append(first_s)
         self.pauses_s.append(pause_s)
 
+    def are_known(self):
+        """Return whether there are enough times to compare with."""
+        return len(self.first_s) >= self.MIN_COUNT
+
     def is_slow(self, first_s, pause_s=0.0):
         """Return whether a response took several times as long as usual.
 
         :param first_s: seconds to its first event, or until now without one
         :param pause_s: its longest pause in seconds
         """
-        if len(self.first_s) < self.MIN_COUNT:
+        if not self.are_known():
             return False
         return self._exceeds(first_s, self.first_s) or self._exceeds(
             pause_s, self.pauses_s
--- a/boragetrail/direct/rollouts/rollout.py
+++ b/boragetrail/direct/rollouts/rollout.py
@@ -42,6 +42,9 @@
     # Age from which the evidence of another router is not recent. Routers send
     # theirs every second, and two in a row may be lost.
     MAX_EVIDENCE_AGE_S = 2.5
+    # Multiple of the share that the routes together ask for, so that the
+    # margin is used too; the quota limits their sum.
+    CREDIT_FACTOR = 3.0
     # Requests that a route may be behind its share. More would be sent in
     # bursts.
     MAX_CREDIT = 3.0
@@ -129,16 +132,26 @@
                 position = self.random.random()
             return position < share
         credit = self.credits_by_route.get(route, self.random.random())
+        share *= self.CREDIT_FACTOR
         credit = min(self.MAX_CREDIT, credit + share)
-        is_sampled = position is None or position < 2 * share
+        is_sampled = position is None or position < share
         is_due = credit >= (1.0 if is_sampled else self.OPEN_CREDIT)
         self.credits_by_route[route] = credit
         return is_due
 
-    def sample_taken(self, route):
-        """Record that the request was sent to the new version."""
+    def try_acquire(self, route, routers):
+        """Count a request to the new version if the quota allows it.
+
+        :param route: name of the route
+        :param routers: number of routers that may send
+        :returns: whether it may be sent
+        """
+        progress = 2.0 * self.age_s() / self.plan.canary_s
+        if not self.quota.try_acquire(routers, progress):
+            return False
         if route in self.credits_by_route:
             self.credits_by_route[route] -= 1.0
+        return True
 
     def record(self, route, **increments):
         """Count a response of this router.
--- a/boragetrail/direct/rollouts/versionfilter.py
+++ b/boragetrail/direct/rollouts/versionfilter.py
@@ -77,11 +77,11 @@
         if not rollout.may_send(self.controller.others(rollout)):
             return old
         if progress.version is not None:
-            return old or (new if self._may_take(rollout) else [])
+            return old or (new if self._may_take(rollout, request) else [])
         if rollout.share() == 1.0:
             return new or old
         if not old:
-            return new if new and self._may_take(rollout) else []
+            return new if new and self._may_take(rollout, request) else []
         if progress.attempt_count:
             return old
         return self._sample(rollout, request, progress, new, views_by_id) or (
@@ -100,11 +100,12 @@
             self.controller.gate.rejected
         )
 
-    def _may_take(self, rollout):
+    def _may_take(self, rollout, request):
         """Count a request that no old server can take against the quota."""
         if rollout.stage is not Stage.CANARY:
             return True
-        return rollout.quota.try_acquire(self.fleet.peers.size())
+        routers = self.fleet.peers.size()
+        return rollout.try_acquire(request.route.name, routers)
 
     def _sample(self, rollout, request, progress, new, views_by_id):
         """Return the new servers for a request that is due there, if any."""
@@ -123,10 +124,9 @@
         ]
         if not free:
             return []
-        if is_canary:
-            if not rollout.quota.try_acquire(self.fleet.peers.size()):
-                return []
-            rollout.sample_taken(route)
+        routers = self.fleet.peers.size()
+        if is_canary and not rollout.try_acquire(route, routers):
+            return []
         return self._concentrate(rollout, free, len(new))
 
     def _is_free(self, state, view, mean):
--- a/boragetrail/policy/rollout.py
+++ b/boragetrail/policy/rollout.py
@@ -86,7 +86,7 @@
     :param is_alarmed: see :func:`is_alarming`
     """
     if is_alarmed:
-        stage = min(stage, Stage.SECOND_STEP)
+        stage = min(stage, Stage.FIRST_STEP)
     return SHARES_BY_STAGE.get(stage, canary_share)
 
 
@@ -148,14 +148,22 @@
     """
 
     # One response in ten is the new version's, so four bad ones among a few
-    # are its alone by chance in 1 of 10**4 cases.
-    BAD_SCORE = 4.0
+    # are its alone by chance in 1 of 10**4 cases. A score of 4.0 reverted 2 of
+    # 60 good versions after a crash, since each of 23 routers looks at other
+    # parts of the evidence of the last second.
+    BAD_SCORE = 4.5
     MIN_BAD_EXCESS = 3.2
-    # The canary stage ends without a doubt. 1 of 160 good versions has a
-    # higher score at a time; it may fall again.
-    DOUBT_SCORE = 2.5
+    # The canary stage ends without a doubt. With a score of 2.5, 2 of 20 good
+    # versions were reverted at 30 requests/s; one with doubts may lose them.
+    DOUBT_SCORE = 3.0
     MIN_DOUBT_EXCESS = 1.8
-    MIN_RESPONSES = 20
+    # With few responses no score is high. At 30 requests/s, 14 of 30 versions
+    # that failed three responses in ten were completed without this rule.
+    DOUBT_PART = 0.15
+    MIN_DOUBT_SCORE = 1.5
+    # Orders of 12 s at 30 requests/s yield more. The later steps judge a
+    # larger part of the requests.
+    MIN_RESPONSES = 12
 
     responses: int = 0
     excess: float = 0.0
@@ -180,10 +188,16 @@
     @property
     def is_doubtful(self):
         """Return whether the new version may be worse."""
-        is_large = self.excess >= self.MIN_DOUBT_EXCESS
-        if is_large and self.score >= self.DOUBT_SCORE:
+        if self._exceeds(self.DOUBT_SCORE):
+            return True
+        is_large_part = self.excess >= self.DOUBT_PART * self.responses
+        if is_large_part and self._exceeds(self.MIN_DOUBT_SCORE):
             return True
-        return any(each.is_doubtful for each in self.routes)
+        return any(each._exceeds(self.DOUBT_SCORE) for each in self.routes)
+
+    def _exceeds(self, doubt_score):
+        is_large = self.excess >= self.MIN_DOUBT_EXCESS
+        return is_large and self.score >= doubt_score
 
     @property
     def is_good(self):
@@ -300,13 +314,13 @@
     >>> for _ in range(100):
     ...     quota.record_request()
     >>> sum(quota.try_acquire(24) for _ in range(20))
-    6
+    5
     """
 
     # Sum of the quotas as a part of the limits. The steps after the canary
     # stage, and requests in flight at a verdict, need the rest.
-    USED_RATIO = 0.6
-    USED_MARGIN = 0.3
+    USED_RATIO = 0.45
+    USED_MARGIN = 0.6
 
     __slots__ = ("ratio", "margin", "requests", "sent")
 
@@ -325,21 +339,25 @@
         """Count a caller's request."""
         self.requests += 1
 
-    def has_room(self, routers):
+    def has_room(self, routers, progress=1.0):
         """Return whether one more request may be sent.
 
         :param routers: number of routers that may send
+        :param progress: part of the margin that may be used by now, so that
+            the evidence is spread over time
         """
         part = self.USED_MARGIN * self.margin / max(1, routers)
+        part *= min(1.0, progress)
         return self.sent + 1 <= self.share * self.requests + part
 
-    def try_acquire(self, routers):
+    def try_acquire(self, routers, progress=1.0):
         """Count one more request to the new version if the quota allows it.
 
         :param routers: see :meth:`has_room`
+        :param progress: see :meth:`has_room`
         :returns: whether the request may be sent
         """
-        if not self.has_room(routers):
+        if not self.has_room(routers, progress):
             return False
         self.sent += 1
         return True
@@ -352,13 +370,14 @@
     :param duration_s: time in which a good version is in place
 
     >>> plan = RolloutPlan(12.0)
-    >>> round(plan.canary_s, 2), plan.step_s, plan.slot_s
-    (6.6, 0.72, 1.5)
+    >>> round(plan.canary_s, 2), round(plan.step_s, 2), plan.slot_s
+    (6.84, 0.6, 1.5)
     """
 
     MIN_SLOT_S = 1.5
     MAX_SLOTS = 24
-    MAX_STEP_S = 1.5
+    # Evidence is 0.4 s old in the steps. Longer ones use up the exposure.
+    MAX_STEP_S = 1.0
     # Requests on their way reach the old servers for this time after the last
     # router has learned of the stage.
     MIN_DRAIN_S = 1.0
@@ -382,7 +401,7 @@
     @property
     def step_s(self):
         """Return the length of each step after the canary stage."""
-        return min(self.MAX_STEP_S, 0.06 * self.duration_s)
+        return min(self.MAX_STEP_S, 0.05 * self.duration_s)
 
     @property
     def verdict_s(self):
@@ -448,7 +467,9 @@
     if situation.comparison.is_bad:
         return Stage.REVERTING
     if stage is Stage.DRAINING:
-        return stage
+        is_due = situation.age_s >= plan.completion_s
+        is_doubtful = situation.comparison.is_doubtful
+        return Stage.REVERTING if is_due and is_doubtful else stage
     due_s = plan.verdict_s
     if not situation.is_current:
         due_s = plan.isolated_verdict_s
@@ -471,6 +492,8 @@
     """
     if situation.stage is not Stage.DRAINING:
         return False
+    if situation.comparison.is_doubtful:
+        return False
     if situation.age_s >= plan.completion_s:
         return True
     if situation.is_alarmed or not situation.is_current:
