--- a/boragetrail/direct/rollouts/writer.py
+++ b/boragetrail/direct/rollouts/writer.py
@@ -28,6 +28,7 @@
     :param registry: :class:`~boragetrail.direct.registries.RolloutRegistry`
     :param role: function that returns the router's
         :class:`~boragetrail.direct.readers.ReaderRole`
+    :ivar failing: keys of the orders of which a failed call was logged
     """
 
     INTERVAL_S = 0.1
@@ -49,6 +50,7 @@
         self.saved_by_order = {}
         self.wanted_by_order = {}
         self.next_call_s_by_order = {}
+        self.failing = set()
 
     async def run(self):
         """Read and write what is due until cancelled."""
@@ -68,6 +70,7 @@
         ):
             for key in by_order.keys() - keys:
                 del by_order[key]
+        self.failing &= keys
 
     def _is_in_force(self, rollout):
         """Return whether the store is known to hold the order.
@@ -120,6 +123,7 @@
         if isinstance(result, SourceFailure):
             self._retry(rollout, result.detail)
             return
+        self.failing.discard(rollout.order.key)
         self._space_calls(rollout, self.ISOLATED_INTERVAL_S)
         saved = result.get(order.service)
         if saved is None:
@@ -158,6 +162,9 @@
 
     def _retry(self, rollout, detail):
         self._space_calls(rollout, self.RETRY_INTERVAL_S)
+        if rollout.order.key in self.failing:
+            return
+        self.failing.add(rollout.order.key)
         log_event(
             Event.ROLLOUT_STATUS_UNSAVED,
             service=rollout.order.service,
