--- a/boragetrail/direct/tests/test_rolloutdecisions.py
+++ b/boragetrail/direct/tests/test_rolloutdecisions.py
@@ -21,6 +21,7 @@
 )
 from boragetrail.platform import PlatformRowDecoder
 from boragetrail.policy.rollout import (
+    Comparison,
     Counts,
     RolloutEvidence,
     Stage,
@@ -86,6 +87,11 @@
         del counts[0, 2]
         assert not compare(counts).is_bad
 
+    def test_large_part_of_few_responses(self):
+        # Guards against a score that few responses cannot reach.
+        assert Comparison(14, 3.5, 1.4).is_doubtful
+        assert not Comparison(140, 3.5, 1.4).is_doubtful
+
     def test_version_that_never_appears(self):
         played = RolloutSimulation(9, routers=4, duration_s=12.0)
         played.SERVERS = (12, 0)
