--- /dev/null
+++ b/boragetrail/direct/admission/demand.py
@@ -0,0 +1,99 @@
+"""What a router has seen lately of the requests for one service."""
+
+from boragetrail.policy.customershare import CustomerShares, DecayingCount
+from boragetrail.policy.prioritygate import RequestClass
+
+__all__ = ["RecentDemand"]
+
+
+class RecentDemand:
+    """Count recent requests by class, and the work of the calm seconds.
+
+    :param clock: function that returns monotonic seconds
+    :param random: random generator
+    :ivar customers: :class:`~boragetrail.policy.customershare.CustomerShares`
+    :ivar work_s_by_route: mean work of a request in seconds by route
+    :ivar work_s: mean work of all requests in seconds; 0 if unknown
+    """
+
+    # A router that gets one request of 24 sees some 50 in this time.
+    RECENT_S = 10.0
+    # Classes with a smaller recent count reserve no share.
+    MIN_COUNT = 0.2
+    WORK_GAIN = 0.1
+
+    __slots__ = (
+        "clock",
+        "random",
+        "customers",
+        "offered_by_key",
+        "work_s_by_route",
+        "work_s",
+        "goal_s_by_route",
+    )
+
+    def __init__(self, clock, random):
+        self.clock = clock
+        self.random = random
+        self.customers = CustomerShares(clock)
+        self.offered_by_key = {}
+        self.work_s_by_route = {}
+        self.work_s = 0.0
+        self.goal_s_by_route = {}
+
+    def record(self, request, calm):
+        """Count a caller's request.
+
+        :param request: :class:`~boragetrail.direct.request.DirectRequest`
+        :param calm: whether the service refuses nothing at present
+        :returns: its :class:`~boragetrail.policy.prioritygate.RequestClass`
+        """
+        self.goal_s_by_route[request.route.name] = request.route.goal_s
+        key = RequestClass(self._is_above(request, calm), request.priority)
+        if key not in self.offered_by_key:
+            self.offered_by_key[key] = DecayingCount(self.RECENT_S)
+        self.offered_by_key[key].add(self.clock())
+        return key
+
+    def _is_above(self, request, calm):
+        """Count the customer and draw whether it is above its fair part.
+
+        Requests without a key have no customer, and no fair part.
+        """
+        if request.customer is None:
+            return False
+        self.customers.record(request.customer.name, calm)
+        if calm:
+            return False
+        above = self.customers.part_above(request.customer.name)
+        return above > 0.0 and self.random.random() < above
+
+    def offered(self):
+        """Return the recent number of requests by class."""
+        now_s = self.clock()
+        counts = {
+            key: count.value(now_s)
+            for key, count in self.offered_by_key.items()
+        }
+        return {
+            key: count
+            for key, count in counts.items()
+            if count >= self.MIN_COUNT
+        }
+
+    def record_work(self, route, work_s):
+        """Record how long a request took that did not wait for a slot.
+
+        :param route: :class:`~boragetrail.direct.model.Route`
+        :param work_s: seconds from its start to the end of the response
+        """
+        known_s = self.work_s_by_route.get(route.name, work_s)
+        known_s += self.WORK_GAIN * (work_s - known_s)
+        self.work_s_by_route[route.name] = known_s
+        if not self.work_s:
+            self.work_s = work_s
+        self.work_s += self.WORK_GAIN * (work_s - self.work_s)
+
+    def goal_s(self):
+        """Return the shortest goal of the routes that were used."""
+        return min(self.goal_s_by_route.values(), default=0.0)
--- a/boragetrail/direct/daemon.py
+++ b/boragetrail/direct/daemon.py
@@ -7,6 +7,7 @@
 
 import aiohttp.web
 
+from boragetrail.direct.admission import AdmissionGate, AdmissionMetrics
 from boragetrail.direct.begunresponses import BegunResponses
 from boragetrail.direct.crashes import CrashMonitor, log_quarantine
 from boragetrail.direct.datagrams import Update
@@ -14,6 +15,7 @@
 from boragetrail.direct.discovery import CacheDiscovery
 from boragetrail.direct.dispatch import Dispatcher
 from boragetrail.direct.dump import dump_state
+from boragetrail.direct.features import Feature
 from boragetrail.direct.feed import Feed
 from boragetrail.direct.filters import FilterChain
 from boragetrail.direct.fleet import Fleet
@@ -121,6 +123,13 @@
             self.crash_monitor,
             StreamVersions(self.fleet, names, self.list_confirmation),
         )
+        if Feature.PRIORITY_ADMISSION in self.features:
+            self.dispatcher.gate = AdmissionGate(
+                self.fleet,
+                AdmissionMetrics(self.metrics.registry),
+                self.clock,
+                self.random,
+            )
         filter_chain = FilterChain(
             self.directory, platform.HEADER_NAMES, self.random
         )
@@ -260,6 +269,9 @@
             (Reconnector.INTERVAL_S, reconnector.reconnect),
         ):
             self.tasks.start_calls(interval_s, function)
+        gate = self.dispatcher.gate
+        if gate is not None:
+            self.tasks.start_calls(gate.CHECK_INTERVAL_S, gate.check)
         self.discovery_task = self.tasks.start(
             self._discover_caches(), "learn"
         )
--- a/boragetrail/direct/dispatch.py
+++ b/boragetrail/direct/dispatch.py
@@ -44,6 +44,8 @@
     :param crash_monitor: :class:`~boragetrail.direct.crashes.CrashMonitor`
     :param stream_versions:
         :class:`~boragetrail.direct.resumption.StreamVersions`
+    :ivar gate: :class:`~boragetrail.direct.admission.AdmissionGate`, or
+        ``None`` if requests are not admitted by priority
     """
 
     def __init__(
@@ -66,6 +68,7 @@
         self.clock = clock
         self.random = random
         self.rewriter = HeaderRewriter(names)
+        self.gate = None
         self.retry_quotas_by_service = {}
         self.request_log = RequestLog(fleet.peers, names, clock)
         self.forwarder = ResponseForwarder(
@@ -106,6 +109,10 @@
             failure = self._admit(request, progress)
             if failure is not None:
                 return failure
+            if self.gate is not None:
+                failure = await self.gate.enter(request, progress)
+                if failure is not None:
+                    return failure
             state = self.selector.choose(request, progress)
             if state is None:
                 return no_server_failure(
@@ -170,6 +177,8 @@
             progress.pending_work.end()
             state.attempts.discard(attempt)
             attempt.abort()
+            if self.gate is not None:
+                self.gate.attempt_ended(request, progress)
 
     async def _exchange(self, request, caller, progress, plan):
         attempt = progress.attempt
--- a/boragetrail/direct/dump.py
+++ b/boragetrail/direct/dump.py
@@ -9,7 +9,7 @@
     :param daemon: :class:`~boragetrail.direct.daemon.DirectDaemon`
     """
     configuration = daemon.directory.configuration
-    return {
+    state = {
         "name": daemon.settings.name,
         "incarnation": daemon.incarnation,
         "ready": daemon.is_ready(),
@@ -39,3 +39,6 @@
         "store_calls": daemon.store.calls,
         "quarantined_parts": sorted(daemon.quarantine.held_until_s_by_part),
     }
+    if daemon.dispatcher.gate is not None:
+        state["admission"] = daemon.dispatcher.gate.dump()
+    return state
--- a/boragetrail/direct/frontend.py
+++ b/boragetrail/direct/frontend.py
@@ -185,11 +185,16 @@
         return request.route.kind is RequestKind.AT_MOST_ONCE
 
     async def _serve_detached(self, request, caller):
-        """Serve a request that continues if its caller disconnects."""
+        """Serve a request that continues if its caller disconnects.
+
+        One that waits for a place has not begun, and ends with its caller.
+        """
         task = asyncio.ensure_future(self.dispatcher.run(request, caller))
         try:
             return await asyncio.shield(task)
         except asyncio.CancelledError:
+            if request.is_waiting:
+                task.cancel()
             self.detached_tasks.add(task)
             task.add_done_callback(self.detached_tasks.discard)
             raise
--- a/boragetrail/direct/headers.py
+++ b/boragetrail/direct/headers.py
@@ -18,7 +18,6 @@
 )
 FRAMING_FIELDS = frozenset((b"content-length", b"expect"))
 MIN_DEADLINE_MS = 1
-LOWEST_PRIORITY = 9
 
 
 class HeaderRewriter:
@@ -64,7 +63,7 @@
         if request.customer is not None:
             customer = request.customer.name
             lines.append(f"{names.customer}: {customer}".encode())
-        lines.append(f"{names.priority}: {_priority(request)}".encode())
+        lines.append(f"{names.priority}: {request.priority}".encode())
         if resume_after:
             lines.append(f"{names.last_event_id}: {resume_after}".encode())
         if copy_from:
@@ -85,15 +84,6 @@
         ]
 
 
-def _priority(request):
-    """Return the customer's priority, or else that of the route."""
-    priority = request.route.priority
-    customer = request.customer
-    if customer is not None and customer.priority is not None:
-        priority = customer.priority
-    return max(0, min(LOWEST_PRIORITY, priority))
-
-
 def forwarded_fields(raw_headers, dropped, end_to_end=frozenset()):
     """Yield the fields that are not limited to one connection.
 
--- a/boragetrail/direct/progress.py
+++ b/boragetrail/direct/progress.py
@@ -52,6 +52,9 @@
         when one was last selected, else 0
     :ivar refusal: :class:`~boragetrail.errors.Refusal` of the filter that left
         no server in the last selection, or ``None``
+    :ivar admission:
+        :class:`~boragetrail.direct.admission.AdmissionTicket`, or ``None``
+        before the gate has seen the request
     :ivar mean_load: mean known number of requests of the engines among which
         the last one was selected
     :ivar survey: :class:`ServiceSurvey` of that selection
@@ -83,6 +86,7 @@
         "wait_s",
         "room_wait_s",
         "refusal",
+        "admission",
         "mean_load",
         "survey",
         "media_type",
@@ -106,6 +110,7 @@
         self.wait_s = 0.0
         self.room_wait_s = 0.0
         self.refusal = None
+        self.admission = None
         self.mean_load = 0.0
         self.survey = ServiceSurvey()
         self.media_type = ""
--- a/boragetrail/direct/request.py
+++ b/boragetrail/direct/request.py
@@ -7,6 +7,7 @@
 
 # Source of a deadline that is the end of the grace period of a stop.
 STOP = "stop"
+LOWEST_PRIORITY = 9
 
 
 class DirectRequest:
@@ -23,6 +24,7 @@
     :ivar deadline_s: monotonic time at which the response must be complete
     :ivar deadline_source: whose limit the deadline is: ``"route"``,
         ``"caller"`` or ``STOP``
+    :ivar is_waiting: whether it waits for a place, so that no server has it
     :ivar timeout: ``asyncio.Timeout`` of the work in progress, or ``None``
     """
 
@@ -37,6 +39,7 @@
         "body",
         "deadline_s",
         "deadline_source",
+        "is_waiting",
         "timeout",
         "selection",
     )
@@ -52,9 +55,19 @@
         self.body = b""
         self.deadline_s = 0.0
         self.deadline_source = ""
+        self.is_waiting = False
         self.timeout = None
         self.selection = {}
 
+    @property
+    def priority(self):
+        """Return the customer's priority, or else that of the route."""
+        priority = self.route.priority
+        customer = self.customer
+        if customer is not None and customer.priority is not None:
+            priority = customer.priority
+        return max(0, min(LOWEST_PRIORITY, priority))
+
     @contextlib.asynccontextmanager
     async def until_deadline(self):
         """Limit the work of a block by the deadline, as it is at any time.
--- a/boragetrail/direct/tests/fleetsimulation.py
+++ b/boragetrail/direct/tests/fleetsimulation.py
@@ -55,16 +55,19 @@
 
 
 class Router:
-    """Hold the parts of one router that select servers."""
+    """Hold the parts of one router that select servers.
 
-    def __init__(self, number, clock, rng, server_count):
+    :param slots: slots of each server
+    """
+
+    def __init__(self, number, clock, rng, server_count, slots=64):
         self.clock = clock
         peers = PeerTable(clock, random.Random(rng.random()))
         peers.own_address = (f"10.0.0.{number + 1}", PORT)
         peers.list_was_read = True
         peers.started_s = clock() - 100.0
         directory = Directory(PlatformRowDecoder(), clock)
-        directory.apply(Table.SERVERS, _list(server_count))
+        directory.apply(Table.SERVERS, _list(server_count, slots))
         directory.configuration = Configuration(
             1, [ROUTE], [SERVICE], {}, None, False
         )
@@ -115,17 +118,18 @@
     :param routers: number of routers
     :param servers: number of servers
     :param loss: part of the datagrams that is lost
+    :param slots: slots of each server
     :ivar sent: (time, requests that the server held, mean of all servers) of
         each request
     """
 
-    def __init__(self, seed, routers=4, servers=5, loss=0.0):
+    def __init__(self, seed, routers=4, servers=5, loss=0.0, slots=64):
         self.rng = random.Random(seed)
         self.clock = ManualClock(100.0)
         self.loss = loss
         self.servers = servers
         self.routers = [
-            Router(number, self.clock, self.rng, servers)
+            Router(number, self.clock, self.rng, servers, slots)
             for number in range(routers)
         ]
         self.held = dict.fromkeys(map(_server_id, range(servers)), 0)
@@ -176,10 +180,16 @@
             )
             self._at(Reconnector.TIMEOUT_S, self._reconnect, router)
             self._at(LimitWatch.INTERVAL_S, self._watch, router)
+        self._start_requests(load)
+        self._play_until(end_s)
+
+    def _start_requests(self, load):
         for kind in KINDS:
             self._at(
                 self.rng.expovariate(load * kind[0]), self._arrive, kind, load
             )
+
+    def _play_until(self, end_s):
         while self.queue and self.queue[0][0] <= end_s:
             self.clock.now_s, _, action, arguments = heapq.heappop(self.queue)
             action(*arguments)
@@ -301,8 +311,10 @@
     return f"i-{number}"
 
 
-def _list(count):
-    rows = [server_row(number, number + 1) for number in range(count)]
+def _list(count, slots):
+    rows = [
+        server_row(number, number + 1, slots=slots) for number in range(count)
+    ]
     return ChangeSet(rows, count, True)
 
 
--- a/boragetrail/events.py
+++ b/boragetrail/events.py
@@ -97,6 +97,16 @@
         "A call to the store got no response.",
     )
     SERVER_REACHABLE = (519, "INFO", "A server can be reached again.")
+    SERVICE_OVERLOADED = (
+        530,
+        "WARNING",
+        "A service has too few places; requests are refused by priority.",
+    )
+    SERVICE_RELIEVED = (
+        531,
+        "INFO",
+        "A service has places for all requests again.",
+    )
     ORDER_UNKNOWN = (600, "ERROR", "An order's outcome is unknown.")
     ORDER_FENCED = (601, "WARNING", "An order has a stale fencing token.")
     LEASE_ACQUIRED = (602, "INFO", "A lease on model loading was acquired.")
