--- a/boragetrail/direct/admission/demand.py
+++ b/boragetrail/direct/admission/demand.py
@@ -1,7 +1,7 @@
 """What a router has seen lately of the requests for one service."""
 
 from boragetrail.policy.customershare import CustomerShares, DecayingCount
-from boragetrail.policy.prioritygate import RequestClass
+from boragetrail.policy.prioritygate import RequestClass, is_below_floor
 
 __all__ = ["RecentDemand"]
 
@@ -16,8 +16,9 @@
     :ivar work_s: mean work of all requests in seconds; 0 if unknown
     """
 
-    # A router that gets one request of 24 sees some 50 in this time.
-    RECENT_S = 10.0
+    # Shares and floors follow a surge within this time. A router that gets one
+    # request of 24 sees some 20 in it.
+    RECENT_S = 4.0
     # Classes with a smaller recent count reserve no share.
     MIN_COUNT = 0.2
     WORK_GAIN = 0.1
@@ -27,6 +28,7 @@
         "random",
         "customers",
         "offered_by_key",
+        "admitted_by_key",
         "work_s_by_route",
         "work_s",
         "goal_s_by_route",
@@ -37,6 +39,7 @@
         self.random = random
         self.customers = CustomerShares(clock)
         self.offered_by_key = {}
+        self.admitted_by_key = {}
         self.work_s_by_route = {}
         self.work_s = 0.0
         self.goal_s_by_route = {}
@@ -81,6 +84,39 @@
             if count >= self.MIN_COUNT
         }
 
+    def record_admitted(self, key):
+        """Count an admitted request, also one that has waited.
+
+        :param key: its :class:`~boragetrail.policy.prioritygate.RequestClass`
+        """
+        if key not in self.admitted_by_key:
+            self.admitted_by_key[key] = DecayingCount(self.RECENT_S)
+        self.admitted_by_key[key].add(self.clock())
+
+    def is_starved(self, key):
+        """Return whether a class is served less often than its floor.
+
+        :param key: :class:`~boragetrail.policy.prioritygate.RequestClass`
+        """
+        now_s = self.clock()
+        offered = self.offered()
+        admitted = {
+            each: count.value(now_s)
+            for each, count in self.admitted_by_key.items()
+        }
+        return is_below_floor(
+            admitted.get(key, 0.0),
+            offered.get(key, 0.0),
+            sum(admitted.values()),
+            sum(offered.values()),
+        )
+
+    def rate_ahead_per_s(self, key):
+        """Return the recent requests per second of more urgent classes."""
+        offered = self.offered()
+        ahead = sum(count for each, count in offered.items() if each < key)
+        return ahead / self.RECENT_S
+
     def record_work(self, route, work_s):
         """Record how long a request took that did not wait for a slot.
 
--- a/boragetrail/direct/admission/gate.py
+++ b/boragetrail/direct/admission/gate.py
@@ -108,6 +108,7 @@
         if self._can_end_in_time(service, request):
             if service.admits(ticket):
                 ticket.load = service.load
+                service.demand.record_admitted(ticket.key)
                 return None
             waiting = self._try_wait(service, request, ticket, wake)
             if waiting is not None:
@@ -256,6 +257,7 @@
         waiting = service.queue.pop()
         if waiting is not None:
             waiting.has_place = True
+            service.demand.record_admitted(waiting.key)
             service.reserved += 1
             waiting.wake(True)
 
--- a/boragetrail/direct/admission/serviceadmission.py
+++ b/boragetrail/direct/admission/serviceadmission.py
@@ -5,11 +5,11 @@
 from boragetrail.direct.admission.waiting import WaitingQueue
 from boragetrail.policy.prioritygate import (
     AdmittedShare,
+    ReturnSchedule,
     admission_probability,
     allocate,
     floor_probability,
     load_band,
-    retry_after_s,
 )
 
 __all__ = ["ServiceAdmission"]
@@ -26,6 +26,8 @@
     :ivar demand: :class:`RecentDemand`
     :ivar queue: :class:`WaitingQueue`
     :ivar share: :class:`~boragetrail.policy.prioritygate.AdmittedShare`
+    :ivar schedule:
+        :class:`~boragetrail.policy.prioritygate.ReturnSchedule`
     :ivar load: known requests per slot when the load was last read, or
         ``None`` if there is no server with slots
     :ivar band: :class:`~boragetrail.policy.prioritygate.LoadBand`
@@ -39,6 +41,10 @@
 
     # Time without a refusal after which a service is no longer overloaded.
     RELIEF_S = 2.0
+    # Part of the capacity that is left for callers that return, at least.
+    MIN_SPARE = 0.25
+    # Delay of the first callers of each less urgent class.
+    RETURN_STEP_S = 0.15
 
     def __init__(self, fleet, name, clock, random):
         self.name = name
@@ -48,6 +54,7 @@
         self.demand = RecentDemand(clock, random)
         self.queue = WaitingQueue()
         self.share = AdmittedShare(clock())
+        self.schedule = ReturnSchedule()
         self.load = None
         self.band = load_band(0.0, 0.0)
         self.reserved = 0
@@ -84,20 +91,20 @@
         first = self.queue.first()
         if first is None and self.is_calm():
             return True
-        rank, ranks = place = self._place(ticket.key)
+        place = self._place(ticket.key)
+        if self.demand.is_starved(ticket.key):
+            floor = floor_probability(self.load, self.band, place[1])
+            if ticket.draw < floor:
+                return True
         if first is not None and first.key < ticket.key:
-            probability = floor_probability(
-                self.load, self.band, ranks, self.share
-            )
-        else:
-            probability = admission_probability(
-                self.load,
-                self.band,
-                place,
-                self.allocated(ticket.key),
-                self.share,
-            )
-        return ticket.draw < probability
+            return False
+        return ticket.draw < admission_probability(
+            self.load,
+            self.band,
+            place,
+            self.allocated(ticket.key),
+            self.share,
+        )
 
     def allocated(self, key):
         """Return the part of a class's requests that the share allows."""
@@ -105,14 +112,22 @@
         return shares.get(key, self.share.value)
 
     def retry_after_s(self, key):
-        """Return the time after which a refused caller should return."""
-        load = self.band.start if self.load is None else self.load
-        return retry_after_s(
-            load,
-            self.band,
-            self.demand.work_s,
-            self.share.value,
-            self._place(key)[0],
+        """Return the time after which a refused caller should return.
+
+        :param key: :class:`~boragetrail.policy.prioritygate.RequestClass`
+        """
+        work_s = self.demand.work_s
+        rank, _ = self._place(key)
+        over = (self.load or 0.0) - self.band.start
+        # Other routers refuse about as many callers.
+        place_s = work_s * self.capacity.fleet.peers.size()
+        place_s /= max(1, self.capacity.slots)
+        busy = place_s * self.demand.rate_ahead_per_s(key)
+        return self.schedule.next_s(
+            self.clock(),
+            key,
+            max(0.0, over) * work_s + rank * self.RETURN_STEP_S,
+            place_s / max(self.MIN_SPARE, 1.0 - busy),
             self.random.random(),
         )
 
--- a/boragetrail/direct/tests/overloadsimulation.py
+++ b/boragetrail/direct/tests/overloadsimulation.py
@@ -50,6 +50,7 @@
     tries: int = 0
     waited_s: float = 0.0
     retry_after_s: float = 0.0
+    returned_s: float = 0.0
     server_refusals: int = 0
     free_slots: int = 0
     end_s: float = 0.0
@@ -186,6 +187,7 @@
     def _refuse(self, call, failure):
         if call.tries < 2:
             call.retry_after_s = failure.retry_after_s
+            call.returned_s = self.clock() + failure.retry_after_s
             self._at(failure.retry_after_s, self._call, call)
         else:
             call.end_s = self.clock()
--- a/boragetrail/policy/prioritygate.py
+++ b/boragetrail/policy/prioritygate.py
@@ -23,13 +23,14 @@
     "AdmittedShare",
     "LoadBand",
     "RequestClass",
+    "ReturnSchedule",
     "admission_probability",
     "allocate",
     "band_probability",
     "floor_probability",
+    "is_below_floor",
     "load_band",
     "longest_wait_s",
-    "retry_after_s",
     "start_delay_s",
 ]
 
@@ -51,8 +52,8 @@
 # Part of the rate of all classes at which each class is served at least. The
 # requirement is a quarter; each router measures with some error.
 FLOOR_PART = 0.35
-# Callers of one priority return spread over this time.
-RETURN_SPREAD_S = 0.3
+# Spread of the return of callers that get the same place at several routers.
+RETURN_SPREAD_S = 0.15
 MIN_RETRY_AFTER_S = 0.05
 MAX_RETRY_AFTER_S = 5.0
 
@@ -258,25 +259,39 @@
     >>> band, share = LoadBand(1.0, 2.0), AdmittedShare(0.0)
     >>> admission_probability(1.25, band, (1, 2), 1.0, share)
     0.5
-    >>> admission_probability(1.5, band, (1, 2), 1.0, share) == FLOOR_PART
-    True
+    >>> admission_probability(1.25, band, (1, 2), 0.3, share)
+    0.3
     """
     by_load = band_probability(load, band, *place)
-    by_share = share.probability(load, allocated)
-    floor = floor_probability(load, band, place[1], share)
-    return max(floor, min(by_load, by_share))
+    return min(by_load, share.probability(load, allocated))
+
 
+def floor_probability(load, band, ranks):
+    """Return the probability of a request whose class is below its floor.
 
-def floor_probability(load, band, ranks, share):
-    """Return the probability with which each request is admitted at least.
+    Only the load of a full service limits it, as that of the most urgent
+    class.
 
     :param load: known requests per slot of the service
     :param band: :class:`LoadBand`
     :param ranks: number of classes that were seen lately
-    :param share: :class:`AdmittedShare`
     """
-    by_load = band_probability(load, band, 0, ranks)
-    return FLOOR_PART * share.value * by_load
+    return band_probability(load, band, 0, ranks)
+
+
+def is_below_floor(admitted, offered, all_admitted, all_offered):
+    """Return whether a class is served less often than its floor.
+
+    :param admitted: recent number of admitted requests of the class
+    :param offered: recent number of requests of the class
+    :param all_admitted: recent number of admitted requests of all classes
+    :param all_offered: recent number of requests of all classes
+
+    >>> is_below_floor(1, 10, 50, 100), is_below_floor(2, 10, 50, 100)
+    (True, False)
+    """
+    floor = FLOOR_PART * all_admitted / max(1.0, all_offered)
+    return admitted < floor * offered
 
 
 def start_delay_s(load, work_s):
@@ -305,28 +320,45 @@
     return max(0.0, min(ROUTER_WAIT_PART * goal_s, left_s - work_s))
 
 
-def retry_after_s(load, band, work_s, share, rank, draw):
-    """Return the time after which a refused caller should return.
+class ReturnSchedule:
+    """Tell refused callers when to return, at the rate of the free places.
 
-    It is the time until the load falls below the band, and a spread: callers
-    of urgent classes return first, and all of them later the smaller the
-    share is that the service can take.
+    Each caller gets the next place of the schedule. Those of less urgent
+    classes come after all places that more urgent ones have got.
 
-    :param load: known requests per slot of the service
-    :param band: :class:`LoadBand`
-    :param work_s: mean time in seconds that a request holds a slot
-    :param share: share of all requests that can be served
-    :param rank: number of more urgent classes that were seen lately
-    :param draw: random number from 0 to 1
-
-    >>> band = LoadBand(1.05, 1.25)
-    >>> round(retry_after_s(1.25, band, 1.0, 1.0, 0, 0.5), 3)
-    0.35
+    >>> schedule = ReturnSchedule()
+    >>> first, second = RequestClass(False, 0), RequestClass(False, 1)
+    >>> [schedule.next_s(9.0, first, 0.5, 0.1, 0.0) for _ in range(3)]
+    [0.5, 0.6, 0.7]
+    >>> round(schedule.next_s(9.0, second, 0.5, 0.1, 0.0), 3)
+    0.8
     """
-    drain_s = max(0.0, load - band.start) * work_s
-    spread_s = RETURN_SPREAD_S * min(4.0, 1.0 / share)
-    wait_s = drain_s + (rank + draw) * spread_s
-    return min(MAX_RETRY_AFTER_S, max(MIN_RETRY_AFTER_S, wait_s))
+
+    __slots__ = ("next_s_by_key",)
+
+    def __init__(self):
+        self.next_s_by_key = {}
+
+    def next_s(self, now_s, key, delay_s, place_s, draw):
+        """Return the seconds after which a refused caller should return.
+
+        :param now_s: current monotonic time
+        :param key: :class:`RequestClass` of the request
+        :param delay_s: expected seconds until the service admits the class
+        :param place_s: mean time in seconds between the places that it has
+            for returning callers
+        :param draw: random number from 0 to 1
+        """
+        taken_s = [
+            next_s
+            for each, next_s in self.next_s_by_key.items()
+            if each <= key
+        ]
+        start_s = max(0.0, delay_s, max(taken_s, default=now_s) - now_s)
+        start_s = min(start_s, MAX_RETRY_AFTER_S)
+        self.next_s_by_key[key] = now_s + start_s + place_s
+        wait_s = start_s + draw * RETURN_SPREAD_S
+        return max(MIN_RETRY_AFTER_S, round(wait_s, 6))
 
 
 def _clamp(value):
