--- a/boragetrail/direct/admission/serviceadmission.py
+++ b/boragetrail/direct/admission/serviceadmission.py
@@ -43,6 +43,9 @@
     RELIEF_S = 2.0
     # Part of the capacity that is left for callers that return, at least.
     MIN_SPARE = 0.25
+    # Callers return more slowly than places become free by this factor, since
+    # they compete with new requests of their class.
+    RETURN_PACE = 1.3
     # Delay of the first callers of each less urgent class.
     RETURN_STEP_S = 0.15
 
@@ -127,7 +130,7 @@
             self.clock(),
             key,
             max(0.0, over) * work_s + rank * self.RETURN_STEP_S,
-            place_s / max(self.MIN_SPARE, 1.0 - busy),
+            self.RETURN_PACE * place_s / max(self.MIN_SPARE, 1.0 - busy),
             self.random.random(),
         )
 
