--- a/boragetrail/direct/admission/gate.py
+++ b/boragetrail/direct/admission/gate.py
@@ -31,7 +31,7 @@
     :ivar services_by_name: :class:`ServiceAdmission` by name of the service
     """
 
-    CHECK_INTERVAL_S = 1.0
+    CHECK_INTERVAL_S = 0.25
     # Interval at which waiting requests look for places that other routers'
     # requests have left.
     POLL_INTERVAL_S = 0.025
@@ -192,8 +192,14 @@
             self._give_place(state)
 
     def check(self):
-        """Log the services that are no longer overloaded."""
+        """Follow the loads, and log services that are no longer overloaded.
+
+        A router that gets few requests would else learn late that a service
+        has places again.
+        """
         for service in self.services_by_name.values():
+            if service.overloaded:
+                service.update(service.last_service)
             quiet_s = self.clock() - service.refused_s
             if service.overloaded and quiet_s >= service.RELIEF_S:
                 service.overloaded = False
--- a/boragetrail/direct/admission/serviceadmission.py
+++ b/boragetrail/direct/admission/serviceadmission.py
@@ -28,6 +28,8 @@
     :ivar share: :class:`~boragetrail.policy.prioritygate.AdmittedShare`
     :ivar schedule:
         :class:`~boragetrail.policy.prioritygate.ReturnSchedule`
+    :ivar last_service: :class:`~boragetrail.direct.model.Service` as it was
+        last configured
     :ivar load: known requests per slot when the load was last read, or
         ``None`` if there is no server with slots
     :ivar band: :class:`~boragetrail.policy.prioritygate.LoadBand`
@@ -58,6 +60,7 @@
         self.queue = WaitingQueue()
         self.share = AdmittedShare(clock())
         self.schedule = ReturnSchedule()
+        self.last_service = None
         self.load = None
         self.band = load_band(0.0, 0.0)
         self.reserved = 0
@@ -72,6 +75,7 @@
         :param service: :class:`~boragetrail.direct.model.Service`
         :returns: known requests per slot, or ``None``
         """
+        self.last_service = service
         self.load = self.capacity.load(service, self.reserved)
         if self.load is not None:
             demand = self.demand
--- a/boragetrail/direct/tests/overloadsimulation.py
+++ b/boragetrail/direct/tests/overloadsimulation.py
@@ -112,7 +112,13 @@
         ]
         return sum(c.served for c in found) / max(1, len(found)), len(found)
 
+    def _check(self, gate):
+        gate.check()
+        self._at(gate.CHECK_INTERVAL_S, self._check, gate)
+
     def _start_requests(self, load):
+        for gate in self.gates:
+            self._at(self.rng.random(), self._check, gate)
         for kind in self.kinds:
             self._at(0.0, self._next, kind)
 
