--- a/boragetrail/direct/admission/gate.py
+++ b/boragetrail/direct/admission/gate.py
@@ -158,7 +158,8 @@
         ticket, attempt = progress.admission, progress.attempt
         started_idle = ticket is not None and (ticket.load or 9.9) <= 1.0
         if started_idle and attempt.state is AttemptState.COMPLETE:
-            work_s = self.clock() - attempt.began_s
+            # The caller may have read the response long after its end.
+            work_s = progress.pending_work.ended_s - attempt.began_s
             service.demand.record_work(request.route, work_s)
         if service.queue and service.update(request.service) is not None:
             if service.load <= service.band.start:
--- a/boragetrail/direct/daemon.py
+++ b/boragetrail/direct/daemon.py
@@ -124,6 +124,7 @@
             StreamVersions(self.fleet, names, self.list_confirmation),
         )
         if Feature.PRIORITY_ADMISSION in self.features:
+            self.dispatcher.forwarder.reads_ahead = True
             self.dispatcher.gate = AdmissionGate(
                 self.fleet,
                 AdmissionMetrics(self.metrics.registry),
--- a/boragetrail/direct/forwarding.py
+++ b/boragetrail/direct/forwarding.py
@@ -1,10 +1,14 @@
 """Forwarding of the responses of servers to callers."""
 
+import asyncio
+import contextlib
+
 from boragetrail.direct.buffers import BufferBudget, BufferShare
 from boragetrail.direct.eventstream import MAX_EVENT_BYTES
 from boragetrail.direct.headers import HeaderRewriter
 from boragetrail.direct.model import RequestKind
 from boragetrail.direct.phases import AttemptState
+from boragetrail.direct.readahead import ReadAhead
 from boragetrail.errors import Failure
 from boragetrail.reasons import Executed, Reason
 
@@ -15,6 +19,8 @@
 GATEWAY_TIMEOUT = 504
 OTHER_CONTENT = "the stream does not go on with the same type of content"
 ENDED_WITHIN_EVENT = "the connection ended within an event"
+# A write that takes longer waits for a caller that reads slowly.
+READ_AHEAD_DELAY_S = 0.02
 EVENT_TOO_LONG = (
     f"event larger than {MAX_EVENT_BYTES} bytes, or no memory left"
 )
@@ -37,6 +43,8 @@
     :param stream_versions:
         :class:`~boragetrail.direct.resumption.StreamVersions`
     :param request_log: :class:`~boragetrail.direct.requestlog.RequestLog`
+    :ivar reads_ahead: whether streams are read ahead of callers that read
+        slowly
     """
 
     def __init__(self, names, crash_monitor, stream_versions, request_log):
@@ -45,6 +53,7 @@
         self.stream_versions = stream_versions
         self.request_log = request_log
         self.buffer_budget = BufferBudget()
+        self.reads_ahead = False
 
     async def forward(self, request, caller, progress, attempt):
         """Forward the response of an attempt.
@@ -100,18 +109,45 @@
 
     async def _forward_stream(self, request, caller, progress, attempt):
         share = BufferShare(self.buffer_budget)
+        ahead = ReadAhead(
+            attempt.chunks(),
+            self.buffer_budget,
+            attempt.clock,
+            progress.pending_work.end,
+        )
         try:
             return await self._forward_events(
-                request, caller, progress, attempt, share
+                request, caller, progress, attempt, share, ahead
             )
         finally:
+            await ahead.close()
             share.try_resize(0)
 
-    async def _forward_events(self, request, caller, progress, attempt, share):
+    @contextlib.contextmanager
+    def _reading_ahead(self, ahead, stream_started):
+        """Read ahead if a block of code takes long.
+
+        The caller has to have the first event before, since what follows it
+        tells how far the response had come if its connection is lost.
+        """
+        if not self.reads_ahead or not stream_started:
+            yield
+            return
+        loop = asyncio.get_running_loop()
+        timer = loop.call_later(READ_AHEAD_DELAY_S, ahead.start)
+        try:
+            yield
+        finally:
+            timer.cancel()
+
+    async def _forward_events(
+        self, request, caller, progress, attempt, share, ahead
+    ):
         """Forward the events of a stream.
 
         :param share: :class:`~boragetrail.direct.buffers.BufferShare` of the
             incomplete event
+        :param ahead: :class:`~boragetrail.direct.readahead.ReadAhead`
         """
         response = attempt.response
         if not caller.started:
@@ -121,7 +157,7 @@
         splitter = progress.splitter
         splitter.remainder = b""
         stream_started = False
-        async for data in attempt.chunks():
+        while data := await ahead.next():
             complete = splitter.feed(data)
             size = len(splitter.remainder)
             if splitter.exceeds_limit() or not share.try_resize(size):
@@ -131,7 +167,8 @@
                 progress.stream_begun = True
                 await self.stream_versions.begun(request, progress, attempt)
             if complete:
-                await caller.write(complete)
+                with self._reading_ahead(ahead, stream_started):
+                    await caller.write(complete)
             if complete and not stream_started:
                 stream_started = True
                 attempt.progressed_s = attempt.clock()
@@ -142,7 +179,8 @@
         ):
             attempt.fail_truncated(ENDED_WITHIN_EVENT)
         if attempt.state is not AttemptState.COMPLETE:
-            record_failure(attempt)
+            if not ahead.blames_caller():
+                record_failure(attempt)
             return Failure(Reason.TRUNCATED, attempt.error)
         if splitter.remainder:
             await caller.write(splitter.remainder)
--- a/boragetrail/direct/progress.py
+++ b/boragetrail/direct/progress.py
@@ -131,13 +131,15 @@
 
     :param state: :class:`~boragetrail.direct.serverstate.ServerState`
     :param tokens: prompt tokens that the server must process
+    :ivar ended_s: monotonic time at which it ended, or ``None`` before
     """
 
-    __slots__ = ("state", "tokens", "is_trial")
+    __slots__ = ("state", "tokens", "is_trial", "ended_s")
 
     def __init__(self, state, tokens):
         self.state = state
         self.tokens = tokens
+        self.ended_s = None
         self.is_trial = state.suspicion.try_begin_trial()
         state.in_flight += 1
         state.pending_tokens += tokens
@@ -148,7 +150,10 @@
         self.tokens = 0
 
     def end(self):
-        """Remove the attempt from the load of the server."""
+        """Remove the attempt from the load of the server, at most once."""
+        if self.ended_s is not None:
+            return
+        self.ended_s = self.state.clock()
         self.prefill_finished()
         self.state.in_flight -= 1
         if self.is_trial:
--- a/boragetrail/direct/tests/overloadsimulation.py
+++ b/boragetrail/direct/tests/overloadsimulation.py
@@ -206,7 +206,7 @@
             return
         key = state.record.id
         progress.tried_ids.add(key)
-        work = PendingWork(state, 0)
+        work = progress.pending_work = PendingWork(state, 0)
         progress.attempt = Attempt(state, HEADER_NAMES, "", self.clock, [])
         item = (number, request, progress, call, work)
         if self.held[key] >= self.places:
