--- a/boragetrail/direct/admission/gate.py
+++ b/boragetrail/direct/admission/gate.py
@@ -156,8 +156,12 @@
         """
         service = self._service(request.service.name)
         ticket, attempt = progress.admission, progress.attempt
-        started_idle = ticket is not None and (ticket.load or 9.9) <= 1.0
-        if started_idle and attempt.state is AttemptState.COMPLETE:
+        found_slot = (
+            ticket is not None
+            and ticket.load is not None
+            and ticket.load <= 1.0
+        )
+        if found_slot and attempt.state is AttemptState.COMPLETE:
             # The caller may have read the response long after its end.
             work_s = progress.pending_work.ended_s - attempt.began_s
             service.demand.record_work(request.route, work_s)
--- a/boragetrail/direct/admission/serviceadmission.py
+++ b/boragetrail/direct/admission/serviceadmission.py
@@ -123,7 +123,7 @@
 
         :param key: :class:`~boragetrail.policy.prioritygate.RequestClass`
         """
-        work_s = self.demand.work_s
+        work_s = self.demand.work_s or self.demand.goal_s()
         rank, _ = self._place(key)
         over = (self.load or 0.0) - self.band.start
         # Other routers refuse about as many callers.
--- a/boragetrail/direct/tests/test_waiting.py
+++ b/boragetrail/direct/tests/test_waiting.py
@@ -222,3 +222,6 @@
         assert Feature.PRIORITY_ADMISSION in daemon.features
         assert (await cluster.call(daemon, "/status/1"))[0] == 200
         assert daemon.dump()["admission"]["apps"]["share"] == 1.0
+        # The work of a request that found the service idle was not counted.
+        demand = daemon.dispatcher.gate.services_by_name["apps"].demand
+        assert demand.work_s > 0.0
