--- a/boragetrail/direct/tests/test_waiting.py
+++ b/boragetrail/direct/tests/test_waiting.py
@@ -8,6 +8,7 @@
 from boragetrail.direct.admission import WaitingQueue, WaitingRequest
 from boragetrail.direct.features import Feature
 from boragetrail.direct.tests.conftest import configuration, route
+from boragetrail.platform.names import HEADER_NAMES
 from standins.httpserver import whole_answer
 
 GOAL_MS = 1500
@@ -61,11 +62,15 @@
             self.call("/look/1")
         await cluster.until(lambda: len(self.held) == FULL)
         self.arrived.clear()
+        # Requests of a service with long work do not queue at its servers.
+        self.gate.services_by_name["apps"].demand.work_s = 10.0
 
     async def _respond(self, request):
         self.arrived.append(request.line.split()[1])
         self.held.append(asyncio.get_running_loop().create_future())
-        await self.held[-1]
+        if await self.held[-1]:
+            fields = [f"{HEADER_NAMES.not_executed}: 1"]
+            return whole_answer(request, b"", "503 Full", fields)
         return whole_answer(request)
 
     @property
@@ -93,7 +98,11 @@
 
     def end_one(self):
         """Let a server respond to the request that it has had longest."""
-        self.held.popleft().set_result(None)
+        self.held.popleft().set_result(False)
+
+    def refuse_newest(self):
+        """Let a server refuse the request that it got last."""
+        self.held.pop().set_result(True)
 
     async def close(self):
         """Let the servers respond to all requests."""
@@ -134,6 +143,7 @@
         while pressure.held:
             pressure.end_one()
         assert (await urgent)[0] == 200
+        assert pressure.gate.services_by_name["apps"].reserved == 0
 
     # A request without a place was held until its deadline.
     async def test_wait_is_bounded(self, pressure):
@@ -144,6 +154,20 @@
         assert loop.time() - began_s < MAX_WAIT_S + 0.2
         assert not pressure.arrived
 
+    # A request would wait as often as servers refuse it.
+    async def test_no_request_waits_twice(self, pressure):
+        await pressure.call_and_wait("/urgent/1")
+        newest = await pressure.call_and_wait("/urgent/2")
+        pressure.end_one()
+        await pressure.cluster.until(lambda: pressure.arrived)
+        assert pressure.arrived == ["/urgent/2"]
+        # The other one gets the place that the refusal leaves.
+        pressure.refuse_newest()
+        async with asyncio.timeout(MAX_WAIT_S / 2):
+            assert is_refusal(await newest)
+        await pressure.cluster.until(lambda: len(pressure.arrived) == 2)
+        assert pressure.arrived == ["/urgent/2", "/urgent/1"]
+
     async def test_metrics(self, pressure):
         await (await pressure.call_and_wait("/urgent/1"))
         body, _ = pressure.daemon.metrics.render([])
