--- a/boragetrail/direct/tests/test_admission.py
+++ b/boragetrail/direct/tests/test_admission.py
@@ -180,7 +180,7 @@
         assert not any(call.free_slots > 2 for call in held)
 
     # A share that has fallen in a surge must not refuse anything after it.
-    @pytest.mark.parametrize("routers", EXTREMES)
+    @pytest.mark.parametrize("routers", ROUTERS)
     def test_after_a_surge(self, routers):
         simulation = make_simulation(routers)
         simulation.kinds[2].factor = 6.0
