--- a/boragetrail/direct/daemon.py
+++ b/boragetrail/direct/daemon.py
@@ -7,6 +7,7 @@
 
 import aiohttp.web
 
+from boragetrail.direct.admission import AdmissionGate, AdmissionMetrics
 from boragetrail.direct.begunresponses import BegunResponses
 from boragetrail.direct.capacity import (
     CapacityMetrics,
@@ -153,6 +154,8 @@
         self.rollout_observer = None
         if Feature.ROLLOUTS in self.features and settings.rollout:
             self._add_rollouts()
+        if Feature.PRIORITY_ADMISSION in self.features:
+            self._add_admission()
         filter_chain = FilterChain(
             self.directory, platform.HEADER_NAMES, self.random
         )
@@ -309,6 +312,9 @@
         zones = self.selector.zones
         if zones is not None:
             self.tasks.start_calls(ZoneAffinity.INTERVAL_S, zones.update)
+        gate = self.dispatcher.gate
+        if gate is not None:
+            self.tasks.start_calls(gate.CHECK_INTERVAL_S, gate.check)
         self.discovery_task = self.tasks.start(
             self._discover_caches(), "learn"
         )
@@ -361,6 +367,16 @@
             EjectionFilter(self.ejection, self.fleet, self.metrics)
         )
 
+    def _add_admission(self):
+        """Admit requests by priority, and read ahead of slow callers."""
+        self.dispatcher.forwarder.reads_ahead = True
+        self.dispatcher.gate = AdmissionGate(
+            self.fleet,
+            AdmissionMetrics(self.metrics.registry),
+            self.clock,
+            self.random,
+        )
+
     def _add_capacity(self):
         """Take the memory and the speed of servers into account."""
         self.capacity = CapacityMonitor(
--- a/boragetrail/direct/dispatch.py
+++ b/boragetrail/direct/dispatch.py
@@ -48,6 +48,8 @@
         ``None`` if memory and speed of servers are not taken into account
     :ivar attempt_observers: list of
         :class:`~boragetrail.direct.attemptobserver.AttemptObserver`
+    :ivar gate: :class:`~boragetrail.direct.admission.AdmissionGate`, or
+        ``None`` if requests are not admitted by priority
     """
 
     def __init__(
@@ -70,6 +72,7 @@
         self.clock = clock
         self.random = random
         self.rewriter = HeaderRewriter(names)
+        self.gate = None
         self.retry_quotas_by_service = {}
         self.capacity = None
         self.attempt_observers = []
@@ -112,6 +115,10 @@
             failure = self._admit(request, progress)
             if failure is not None:
                 return failure
+            if self.gate is not None:
+                failure = await self.gate.enter(request, progress)
+                if failure is not None:
+                    return failure
             state = self.selector.choose(request, progress)
             if state is None:
                 return no_server_failure(
@@ -189,6 +196,8 @@
             attempt.abort()
             for each in self.attempt_observers:
                 each.attempt_ended(request, attempt)
+            if self.gate is not None:
+                self.gate.attempt_ended(request, progress)
 
     def _hold_tokens(self, request, progress, state):
         if self.capacity is None:
--- a/boragetrail/direct/dump.py
+++ b/boragetrail/direct/dump.py
@@ -53,6 +53,8 @@
         states["capacity"] = daemon.capacity.state()
     if daemon.rollouts is not None:
         states["rollouts"] = daemon.rollouts.dump()
+    if daemon.dispatcher.gate is not None:
+        states["admission"] = daemon.dispatcher.gate.dump()
     zones = daemon.selector.zones
     if zones is not None:
         states["zone_shares"] = {
--- a/boragetrail/direct/progress.py
+++ b/boragetrail/direct/progress.py
@@ -52,6 +52,9 @@
         when one was last selected, else 0
     :ivar refusal: :class:`~boragetrail.errors.Refusal` of the filter that left
         no server in the last selection, or ``None``
+    :ivar admission:
+        :class:`~boragetrail.direct.admission.AdmissionTicket`, or ``None``
+        before the gate has seen the request
     :ivar mean_load: mean known number of requests of the engines among which
         the last one was selected
     :ivar survey: :class:`ServiceSurvey` of that selection
@@ -86,6 +89,7 @@
         "wait_s",
         "room_wait_s",
         "refusal",
+        "admission",
         "mean_load",
         "survey",
         "detours",
@@ -111,6 +115,7 @@
         self.wait_s = 0.0
         self.room_wait_s = 0.0
         self.refusal = None
+        self.admission = None
         self.mean_load = 0.0
         self.survey = ServiceSurvey()
         self.detours = None
@@ -133,13 +138,15 @@
 
     :param state: :class:`~boragetrail.direct.serverstate.ServerState`
     :param tokens: prompt tokens that the server must process
+    :ivar ended_s: monotonic time at which it ended, or ``None`` before
     """
 
-    __slots__ = ("state", "tokens", "is_trial")
+    __slots__ = ("state", "tokens", "is_trial", "ended_s")
 
     def __init__(self, state, tokens):
         self.state = state
         self.tokens = tokens
+        self.ended_s = None
         self.is_trial = state.suspicion.try_begin_trial()
         state.in_flight += 1
         state.pending_tokens += tokens
@@ -150,7 +157,10 @@
         self.tokens = 0
 
     def end(self):
-        """Remove the attempt from the load of the server."""
+        """Remove the attempt from the load of the server, at most once."""
+        if self.ended_s is not None:
+            return
+        self.ended_s = self.state.clock()
         self.prefill_finished()
         self.state.in_flight -= 1
         if self.is_trial:
--- a/boragetrail/direct/tests/ejectionfleet.py
+++ b/boragetrail/direct/tests/ejectionfleet.py
@@ -70,7 +70,7 @@
         if not self.results:
             for route, rate_per_s in self.rates:
                 self._at(0.0, self._come, route, rate_per_s)
-        self._play(self.clock() + seconds)
+        self._play_until(self.clock() + seconds)
 
     def fail(self, server, rate=1.0):
         """Let a server fail a part of all requests from now on."""
--- a/boragetrail/direct/tests/fleetsimulation.py
+++ b/boragetrail/direct/tests/fleetsimulation.py
@@ -55,7 +55,10 @@
 
 
 class Router:
-    """Hold the parts of one router that select servers."""
+    """Hold the parts of one router that select servers.
+
+    :param slots: slots of each server
+    """
 
     def __init__(self, number, clock, rng, server_count, slots=64):
         self.clock = clock
@@ -178,11 +181,19 @@
             )
             self._at(Reconnector.TIMEOUT_S, self._reconnect, router)
             self._at(LimitWatch.INTERVAL_S, self._watch, router)
+        self._start_requests(load)
+        self._play_until(end_s)
+
+    def _start_requests(self, load):
         for kind in self.kinds:
             self._at(
                 self.rng.expovariate(load * kind[0]), self._arrive, kind, load
             )
-        self._play(end_s)
+
+    def _play_until(self, end_s):
+        while self.queue and self.queue[0][0] <= end_s:
+            self.clock.now_s, _, action, arguments = heapq.heappop(self.queue)
+            action(*arguments)
 
     def over(self, since_s, until_s, factor=2.0, margin=3.0):
         """Return (requests to servers over the page's bound, requests)."""
@@ -192,11 +203,6 @@
         over = [each for each in sent if each[1] > factor * each[2] + margin]
         return len(over), len(sent)
 
-    def _play(self, end_s):
-        while self.queue and self.queue[0][0] <= end_s:
-            self.clock.now_s, _, action, arguments = heapq.heappop(self.queue)
-            action(*arguments)
-
     def _at(self, delay_s, action, *arguments):
         at_s = self.clock() + delay_s
         item = (at_s, next(self.numbers), action, arguments)
--- a/boragetrail/events.py
+++ b/boragetrail/events.py
@@ -112,6 +112,16 @@
         "A server that fails more requests than others was ejected.",
     )
     SERVER_READMITTED = (526, "INFO", "An ejected server was readmitted.")
+    SERVICE_OVERLOADED = (
+        530,
+        "WARNING",
+        "A service has too few places; requests are refused by priority.",
+    )
+    SERVICE_RELIEVED = (
+        531,
+        "INFO",
+        "A service has places for all requests again.",
+    )
     LOAD_FIGURE_INVALID = (
         535,
         "WARNING",
