List two rollouts of bad versions that are completed as known failures

With all requests at the new version, or with few responses of one route, there is too little to compare. Both tests fail as they are written.

--- a/boragetrail/direct/tests/test_rolloutdecisions.py
+++ b/boragetrail/direct/tests/test_rolloutdecisions.py
@@ -62,6 +62,24 @@
         played = RolloutSimulation(3, loss=0.2, new=[late]).run()
         self._check(played)
 
+    def test_bad_in_the_last_stage(self):
+        # Guards against a version that is completed although it has failed
+        # since all requests go to it.
+        late = Behavior(fails=0.5, since_s=15.0)
+        played = RolloutSimulation(3, loss=0.2, new=[late]).run()
+        self._check(played)
+
+    def test_one_route_with_few_requests(self):
+        # Guards against a verdict on all routes that hides a failing one.
+        played = RolloutSimulation(
+            1,
+            loss=0.2,
+            duration_s=12.0,
+            rate_per_s=30.0,
+            new=[BAD_BEHAVIORS["on one route"]],
+        ).run(20.0)
+        assert played.stage is Stage.REVERTED
+
     def test_few_requests(self):
         # Guards against a verdict by a handful of responses.
         played = RolloutSimulation(
