Move the parts that features switch on into a module, and enable some later

A deployment whose servers share their VMs says so by no rule: only the load header of its servers has a fourth figure. Routers enable the features for uneven servers once they see one. Deployments without it are served as before. The daemon had grown by a method for each part; they are in direct/parts.py now.

--- a/boragetrail/direct/daemon.py
+++ b/boragetrail/direct/daemon.py
@@ -7,21 +7,13 @@
 
 import aiohttp.web
 
-from boragetrail.direct.admission import AdmissionGate, AdmissionMetrics
 from boragetrail.direct.begunresponses import BegunResponses
-from boragetrail.direct.capacity import (
-    CapacityMetrics,
-    CapacityMonitor,
-    MemoryFilter,
-)
 from boragetrail.direct.crashes import CrashMonitor, log_quarantine
 from boragetrail.direct.datagrams import Update
 from boragetrail.direct.directory import Directory
 from boragetrail.direct.discovery import CacheDiscovery
 from boragetrail.direct.dispatch import Dispatcher
 from boragetrail.direct.dump import dump_state
-from boragetrail.direct.ejection import EjectionFilter, EjectionMonitor
-from boragetrail.direct.features import Feature
 from boragetrail.direct.feed import Feed
 from boragetrail.direct.filters import FilterChain
 from boragetrail.direct.fleet import Fleet
@@ -32,7 +24,8 @@
 from boragetrail.direct.listconfirmation import ListConfirmation
 from boragetrail.direct.liveness import StoreLiveness
 from boragetrail.direct.messagebuilder import MessageBuilder
-from boragetrail.direct.metrics import CrossingMetrics, DirectMetrics
+from boragetrail.direct.metrics import DirectMetrics
+from boragetrail.direct.parts import FeatureParts
 from boragetrail.direct.peers import PeerTable
 from boragetrail.direct.peersocket import PeerSocket
 from boragetrail.direct.readers import reader_role
@@ -42,17 +35,10 @@
 from boragetrail.direct.registration import Registration
 from boragetrail.direct.relay import PeerSource, PeerFetcher, RelayServer
 from boragetrail.direct.resumption import StreamVersions
-from boragetrail.direct.rollouts import (
-    RolloutController,
-    RolloutObserver,
-    StatusWriter,
-    VersionFilter,
-)
 from boragetrail.direct.selector import ServerSelector
 from boragetrail.direct.shutdown import Shutdown
 from boragetrail.direct.streamarchive import StreamArchive
 from boragetrail.direct.versionledger import VersionLedger
-from boragetrail.direct.zones import ZoneAffinity
 from boragetrail.events import Event, log_event
 from boragetrail.policy.quarantine import PromptQuarantine
 from boragetrail.utils import BackgroundTasks, new_incarnation, split_address
@@ -79,7 +65,6 @@
     def __init__(self, settings, platform, reload):
         self.settings = settings
         self.platform = platform
-        self.features = platform.features(settings.rules)
         self.reload = reload
         self.clock = time.monotonic
         self.random = random.Random()
@@ -108,9 +93,6 @@
             self.clock,
             self.knowledge,
         )
-        self.fleet.avoids_unreachable_zones = (
-            Feature.ZONE_AFFINITY in self.features
-        )
         names = platform.HEADER_NAMES
         bounds = settings.bounds
         self.quarantine = PromptQuarantine(
@@ -122,14 +104,6 @@
         self.selector = ServerSelector(
             self.fleet, names, bounds, self.clock, self.random
         )
-        if Feature.ZONE_AFFINITY in self.features and settings.zones:
-            self.selector.zones = ZoneAffinity(
-                self.fleet,
-                settings.zones,
-                self.clock,
-                self.random,
-                CrossingMetrics(self.metrics.registry).record,
-            )
         self.crash_monitor = CrashMonitor(
             self.directory,
             self.quarantine,
@@ -147,15 +121,6 @@
             self.crash_monitor,
             StreamVersions(self.fleet, names, self.list_confirmation),
         )
-        self.capacity = None
-        if Feature.ENGINE_CAPACITY in self.features:
-            self._add_capacity()
-        self.rollouts = None
-        self.rollout_observer = None
-        if Feature.ROLLOUTS in self.features and settings.rollout:
-            self._add_rollouts()
-        if Feature.PRIORITY_ADMISSION in self.features:
-            self._add_admission()
         filter_chain = FilterChain(
             self.directory, platform.HEADER_NAMES, self.random
         )
@@ -188,9 +153,11 @@
             self._apply_message,
             self.record_gossip,
         )
-        self.ejection = None
-        if Feature.OUTLIER_EJECTION in self.features:
-            self._add_ejection()
+        self.parts = FeatureParts(self)
+        self.parts.enable(platform.features(settings.rules))
+        self.dispatcher.on_speed_reported = (
+            self.parts.enable_for_uneven_servers
+        )
         self.session = None
         self.engines = None
         self.store = None
@@ -212,7 +179,7 @@
             name=self.settings.name,
             zone=self.settings.zone,
             incarnation=self.incarnation,
-            features=sorted(each.value for each in self.features),
+            features=sorted(each.value for each in self.parts.features),
         )
         await self.stop_requested.wait()
         log_event(
@@ -240,7 +207,7 @@
                 self.directory,
                 self.liveness_by_table[table],
                 self.random,
-                self._reader_role,
+                self.reader_role,
             )
             for table in Table
         }
@@ -274,7 +241,7 @@
         self.tasks.start(join, "join")
         self.tasks.start(self.registration.renew(), "registration")
         self._archive_crashes()
-        ledger = VersionLedger(self.directory, self.store, self._reader_role)
+        ledger = VersionLedger(self.directory, self.store, self.reader_role)
         self.tasks.start(
             ledger.run(self.settings.first_start), "versions in service"
         )
@@ -283,7 +250,6 @@
             streams, self.store, ledger.are_mixed, self.peers
         )
         self.tasks.start(archive.run(ledger.loaded), "streams")
-        self._start_rollouts()
         self.engines = self.platform.PlatformEngineClient(self.session)
         watch = LimitWatch(self.fleet, self.engines)
         self.tasks.start(watch.run(), "limits")
@@ -299,22 +265,7 @@
             (Reconnector.INTERVAL_S, reconnector.reconnect),
         ):
             self.tasks.start_calls(interval_s, function)
-        if self.ejection is not None:
-            self.tasks.start_calls(
-                EjectionMonitor.INTERVAL_S, self.ejection.advance
-            )
-        if self.capacity is not None:
-            metrics = CapacityMetrics(self.capacity, self.metrics.registry)
-            self.tasks.start_calls(CapacityMetrics.INTERVAL_S, metrics.update)
-            self.tasks.start_calls(
-                UNLISTED_REMOVAL_INTERVAL_S, self.capacity.remove_unlisted
-            )
-        zones = self.selector.zones
-        if zones is not None:
-            self.tasks.start_calls(ZoneAffinity.INTERVAL_S, zones.update)
-        gate = self.dispatcher.gate
-        if gate is not None:
-            self.tasks.start_calls(gate.CHECK_INTERVAL_S, gate.check)
+        self.parts.start()
         self.discovery_task = self.tasks.start(
             self._discover_caches(), "learn"
         )
@@ -350,43 +301,10 @@
         """Return whether the load balancer may open new connections."""
         return not self.shutdown.begun and self.directory.is_complete()
 
-    def ejected_servers(self):
-        """Return the ids of the servers that this router has ejected."""
-        return [] if self.ejection is None else self.ejection.ejected_ids()
-
     def dump(self):
         """Return the state of the process."""
         return dump_state(self)
 
-    def _add_ejection(self):
-        """Eject failing servers, with the evidence of all routers."""
-        self.ejection = EjectionMonitor(
-            self.fleet, self.record_gossip, self.metrics, self.incarnation
-        )
-        self.selector.filters.append(
-            EjectionFilter(self.ejection, self.fleet, self.metrics)
-        )
-
-    def _add_admission(self):
-        """Admit requests by priority, and read ahead of slow callers."""
-        self.dispatcher.forwarder.reads_ahead = True
-        self.dispatcher.gate = AdmissionGate(
-            self.fleet,
-            AdmissionMetrics(self.metrics.registry),
-            self.clock,
-            self.random,
-        )
-
-    def _add_capacity(self):
-        """Take the memory and the speed of servers into account."""
-        self.capacity = CapacityMonitor(
-            self.fleet, self.platform.HEADER_NAMES, self.clock
-        )
-        self.fleet.speeds = self.capacity.speeds
-        self.record_gossip.speeds = self.capacity.exchange
-        self.dispatcher.capacity = self.capacity
-        self.selector.filters.append(MemoryFilter(self.capacity, self.fleet))
-
     def _quarantine_changed(self, held, released):
         log_quarantine(held, released)
         self.fleet.abort_attempts(held)
@@ -415,7 +333,8 @@
     def _peer_source(self, peer):
         return PeerSource(self.session, peer.address[0], peer.relay_port)
 
-    def _reader_role(self):
+    def reader_role(self):
+        """Return :class:`~boragetrail.direct.readers.ReaderRole` of the router."""
         return reader_role(self.peers)
 
     def _reload(self):
@@ -426,41 +345,11 @@
             return
         self.selector.bounds = settings.bounds
         self.dispatcher.bounds = settings.bounds
-        if self.selector.zones is not None and settings.zones:
-            self.selector.zones.set_costs(settings.zones)
+        self.parts.reload(settings)
         self.settings.seed_hosts = settings.seed_hosts
         self.settings.grace_s = settings.grace_s
         log_event(Event.SETTINGS_RELOADED, name=settings.name)
 
-    def _add_rollouts(self):
-        self.rollouts = RolloutController(
-            self.fleet,
-            self.settings.rollout,
-            self.record_gossip,
-            self.random,
-            self.incarnation,
-        )
-        self.rollout_observer = RolloutObserver(self.rollouts, self.metrics)
-        self.metrics.count_rollouts()
-        self.selector.filters.append(VersionFilter(self.rollouts, self.fleet))
-        self.dispatcher.attempt_observers.append(self.rollout_observer)
-
-    def _start_rollouts(self):
-        if self.rollouts is None:
-            return
-        writer = StatusWriter(
-            self.rollouts, self.directory, self.store, self._reader_role
-        )
-        self.tasks.start(writer.run(), "rollout status")
-        for interval_s, function in (
-            (self.rollouts.INTERVAL_S, self.rollouts.advance),
-            (
-                self.rollout_observer.INTERVAL_S,
-                self.rollout_observer.find_slow,
-            ),
-        ):
-            self.tasks.start_calls(interval_s, function)
-
     def _archive_crashes(self):
         """Start to read the saved reports of crashes, and to save new ones."""
         archive = CrashArchive(
--- a/boragetrail/direct/dispatch.py
+++ b/boragetrail/direct/dispatch.py
@@ -13,7 +13,7 @@
 from boragetrail.direct.knowledge.requests import request_key
 from boragetrail.direct.phases import ExchangeOutcome
 from boragetrail.direct.progress import PendingWork, RequestProgress
-from boragetrail.direct.reports import parse_load
+from boragetrail.direct.reports import parse_load, reports_speed
 from boragetrail.direct.requestlog import RequestLog
 from boragetrail.errors import Failure, Refusal
 from boragetrail.policy.quota import RetryQuota
@@ -46,6 +46,8 @@
         :class:`~boragetrail.direct.resumption.StreamVersions`
     :ivar capacity: :class:`~boragetrail.direct.capacity.CapacityMonitor`, or
         ``None`` if memory and speed of servers are not taken into account
+    :ivar on_speed_reported: function that is called when a server reports how
+        long work takes there
     :ivar attempt_observers: list of
         :class:`~boragetrail.direct.attemptobserver.AttemptObserver`
     :ivar gate: :class:`~boragetrail.direct.admission.AdmissionGate`, or
@@ -75,6 +77,7 @@
         self.gate = None
         self.retry_quotas_by_service = {}
         self.capacity = None
+        self.on_speed_reported = lambda: None
         self.attempt_observers = []
         self.request_log = RequestLog(fleet.peers, names, clock)
         self.forwarder = ResponseForwarder(
@@ -289,6 +292,8 @@
         state.suspicion.record_life()
         state.record_life()
         text = response.headers.get(self.names.load, "")
+        if reports_speed(text):
+            self.on_speed_reported()
         if self.capacity is None:
             load = parse_load(text)
         else:
--- a/boragetrail/direct/dump.py
+++ b/boragetrail/direct/dump.py
@@ -8,10 +8,6 @@
 
     :param daemon: :class:`~boragetrail.direct.daemon.DirectDaemon`
     """
-    return {**_basic_state(daemon), **_feature_states(daemon)}
-
-
-def _basic_state(daemon):
     configuration = daemon.directory.configuration
     return {
         "name": daemon.settings.name,
@@ -41,27 +37,7 @@
         "routers": daemon.peers.size(),
         "datagrams_refused": daemon.socket.datagrams_refused,
         "store_calls": daemon.store.calls,
-        "ejected_servers": daemon.ejected_servers(),
+        "ejected_servers": daemon.parts.ejected_servers(),
         "quarantined_parts": sorted(daemon.quarantine.held_until_s_by_part),
+        **daemon.parts.state(),
     }
-
-
-def _feature_states(daemon):
-    """Return the states of the features that are on."""
-    states = {}
-    if daemon.capacity is not None:
-        states["capacity"] = daemon.capacity.state()
-    if daemon.rollouts is not None:
-        states["rollouts"] = daemon.rollouts.dump()
-    if daemon.dispatcher.gate is not None:
-        states["admission"] = daemon.dispatcher.gate.dump()
-    zones = daemon.selector.zones
-    if zones is not None:
-        states["zone_shares"] = {
-            service: {
-                "share": share.flow.share,
-                "weights": share.flow.weights_by_zone,
-            }
-            for service, share in zones.shares_by_service.items()
-        }
-    return states
--- a/boragetrail/direct/reports.py
+++ b/boragetrail/direct/reports.py
@@ -5,7 +5,12 @@
 
 from boragetrail.direct.counts import server_key
 
-__all__ = ["LoadReport", "ReportTable", "parse_load"]
+__all__ = ["LoadReport", "ReportTable", "parse_load", "reports_speed"]
+
+
+# Fields of a load header with running and waiting requests, slots, and the
+# time that work takes.
+SPEED_FIELDS = 4
 
 
 @dataclasses.dataclass(slots=True)
@@ -44,6 +49,18 @@
         return None
 
 
+def reports_speed(text):
+    """Return whether a load header has a figure about the server's speed.
+
+    :param text: header value
+
+    >>> reports_speed("3,1,8,100"), reports_speed("3,1,8")
+    (True, False)
+    """
+    fields = text.split(",")
+    return len(fields) == SPEED_FIELDS and fields[-1].isdecimal()
+
+
 class ReportTable:
     """Holds the newest load report of each server.
 
--- a/boragetrail/direct/tests/test_capacity.py
+++ b/boragetrail/direct/tests/test_capacity.py
@@ -294,7 +294,7 @@
         while len(server.requests) == count:
             status, _, _ = await cluster.call(daemon, "/status/1")
             assert status == 200
-        assert daemon.capacity.malformed_ids == {server.id}
+        assert daemon.parts.capacity.malformed_ids == {server.id}
 
     async def test_figure_reaches_another_router(self, cluster):
         """Fails if figures are not sent, or not accepted from a peer."""
@@ -305,7 +305,7 @@
         server.default = report_load("2,0,8,250")
         while not server.requests:
             await cluster.call(first, "/status/1")
-        figures = second.capacity.speeds.estimates_by_key
+        figures = second.parts.capacity.speeds.estimates_by_key
         await cluster.until(lambda: server_key(server.id) in figures)
         assert figures[server_key(server.id)].figure == 2.5
 
@@ -321,7 +321,7 @@
         status, headers, _ = await cluster.call(
             daemon, "/status/1", headers={tokens: "4000,80"}
         )
-        assert status == 200 and not daemon.capacity.held.tokens_by_id
+        assert status == 200 and not daemon.parts.capacity.held.tokens_by_id
         status, headers, _ = await cluster.call(
             daemon, "/status/1", headers={tokens: "4000,2000"}
         )
@@ -330,7 +330,7 @@
 
     async def test_router_without_the_feature(self, cluster):
         daemon = await cluster.add_router()
-        assert daemon.capacity is None and daemon.fleet.speeds is None
+        assert daemon.parts.capacity is None and daemon.fleet.speeds is None
         assert daemon.dispatcher.capacity is None
         assert daemon.record_gossip.speeds is None
         assert "capacity" not in daemon.dump()
--- a/boragetrail/direct/tests/test_ejectioncluster.py
+++ b/boragetrail/direct/tests/test_ejectioncluster.py
@@ -101,7 +101,7 @@
 
     async def test_router_without_rules(self, cluster):
         daemon = await cluster.add_router()
-        assert daemon.ejection is None
+        assert daemon.parts.ejection is None
         assert daemon.record_gossip.outcomes is None
         assert daemon.dump()["ejected_servers"] == []
 
--- a/boragetrail/direct/tests/test_features.py
+++ b/boragetrail/direct/tests/test_features.py
@@ -2,12 +2,16 @@
 
 import random
 
+from boragetrail.direct.capacity import MemoryFilter
+from boragetrail.direct.ejection import EjectionFilter
 from boragetrail.direct.failures import no_server_failure
 from boragetrail.direct.features import Feature
+from boragetrail.direct.parts import UNEVEN_SERVER_FEATURES
 from boragetrail.direct.progress import RequestProgress
 from boragetrail.direct.request import DirectRequest
 from boragetrail.direct.serverfilter import ServerFilter
 from boragetrail.direct.tests.fleetsimulation import ROUTE, SERVICE, Router
+from boragetrail.direct.tests.test_capacity import report_load
 from boragetrail.errors import Refusal
 from boragetrail.platform import features
 from boragetrail.reasons import Executed, Reason
@@ -47,9 +51,31 @@
 
     async def test_router_without_rules(self, cluster):
         daemon = await cluster.add_router()
-        assert daemon.features == frozenset()
+        assert daemon.parts.features == set()
         assert daemon.selector.filters == []
 
+    async def test_servers_that_report_their_speed(self, cluster):
+        # Uneven servers would have been served without the parts for them,
+        # since no rule tells that servers share their VMs.
+        daemon = await cluster.add_router()
+        server = cluster.servers[0]
+        server.default = report_load("2,0,8,250")
+        while not server.requests:
+            await cluster.call(daemon, "/status/1")
+        assert daemon.parts.features == UNEVEN_SERVER_FEATURES
+        assert [type(each) for each in daemon.selector.filters] == [
+            EjectionFilter,
+            MemoryFilter,
+        ]
+
+    async def test_servers_that_report_their_load_only(self, cluster):
+        daemon = await cluster.add_router()
+        for server in cluster.servers:
+            server.default = report_load("2,0,8")
+        for number in range(4):
+            await cluster.call(daemon, f"/status/{number}")
+        assert not daemon.parts.features
+
 
 class TestServerFilters:
     """Guard against requests that reach servers that a filter leaves out."""
--- a/boragetrail/direct/tests/test_rollouts.py
+++ b/boragetrail/direct/tests/test_rollouts.py
@@ -145,7 +145,7 @@
         # Guards against two verdicts, and one for an earlier order.
         daemon = await cluster.add_router(rules=["rollout"], rollout=ROLLOUT)
         self.order(cluster, "v2")
-        rollouts = daemon.rollouts.rollouts_by_service
+        rollouts = daemon.parts.rollouts.rollouts_by_service
         await cluster.until(lambda: "apps" in rollouts)
         await self.until_status(cluster, "in_progress")
         first = rollouts["apps"].order
--- a/boragetrail/direct/tests/test_waiting.py
+++ b/boragetrail/direct/tests/test_waiting.py
@@ -243,7 +243,7 @@
 
     async def test_pressure_rule(self, cluster):
         daemon = await cluster.add_router(rules=["pressure"])
-        assert Feature.PRIORITY_ADMISSION in daemon.features
+        assert Feature.PRIORITY_ADMISSION in daemon.parts.features
         assert (await cluster.call(daemon, "/status/1"))[0] == 200
         assert daemon.dump()["admission"]["apps"]["share"] == 1.0
         # The work of a request that found the service idle was not counted.
--- a/boragetrail/events.py
+++ b/boragetrail/events.py
@@ -53,6 +53,7 @@
     SETTINGS_RELOADED = (413, "INFO", "Settings were reloaded.")
     SETTINGS_REFUSED = (414, "ERROR", "Changed settings are not valid.")
     DATAGRAM_INVALID = (415, "WARNING", "A datagram could not be decoded.")
+    FEATURES_ENABLED = (416, "INFO", "Features were enabled in operation.")
     SERVER_COLD = (500, "WARNING", "A backend server was found cold.")
     SERVER_WARM = (501, "INFO", "A backend server is warm.")
     SERVER_LEAVING = (502, "INFO", "A backend server is shutting down.")
