--- a/boragetrail/direct/daemon.py
+++ b/boragetrail/direct/daemon.py
@@ -334,7 +334,7 @@
         return PeerSource(self.session, peer.address[0], peer.relay_port)
 
     def reader_role(self):
-        """Return :class:`~boragetrail.direct.readers.ReaderRole` of the router."""
+        """Return whether this router reads the store for the fleet."""
         return reader_role(self.peers)
 
     def _reload(self):
