--- a/boragetrail/direct/selector.py
+++ b/boragetrail/direct/selector.py
@@ -100,6 +100,8 @@
     def _set_detours(self, request, progress, usable, views_by_id):
         """Draw the zone for a request, and set which zones are detours."""
         progress.detours = self.zones.detours(request.service)
+        if not self.zones.applies_to(progress.prompt):
+            return
         for each in usable:
             if progress.detours.rank(each.record.zone):
                 view = views_by_id[each.record.id]
@@ -234,7 +236,7 @@
             request.service.name, record.version
         )
         far_ids, far_cost = (), 0.0
-        if self.zones is not None:
+        if self.zones is not None and self.zones.applies_to(prompt):
             far_ids = self.zones.far_ids(request.service.name, record.zone)
             far_cost = self.zones.far_copy_cost
         source_id = self.prefix_placement.copy_source(
--- a/boragetrail/direct/zones.py
+++ b/boragetrail/direct/zones.py
@@ -121,6 +121,17 @@
         tokens = self.crossing_s * EngineZoneTime.TOKENS_PER_S
         return Detours(home, zone, tokens)
 
+    def applies_to(self, prompt):
+        """Return whether the zone matters for the choice of an engine.
+
+        Each zone would read the shared parts of a prompt for itself. That
+        must not take longer than a crossing.
+
+        :param prompt: parts of the prompt as (id, tokens); empty if none
+        """
+        shared = sum(tokens for _, tokens in prompt[:-1])
+        return shared <= self.crossing_s * EngineZoneTime.TOKENS_PER_S
+
     def far_ids(self, service, zone):
         """Return the ids of a service's servers in other zones than one.
 
