Count failed trials once, and bound the counts in reports of failures

After a readmission, one new failure made the failed trials of the last 5 s count again, and the server was ejected again. A report that was longer on its way looked like a new failure and ended the row of successful trials. Counts that no router can have made the binomial sum long. A request looked at the results at each server to find out whether any had failed.

--- a/boragetrail/direct/ejection/monitor.py
+++ b/boragetrail/direct/ejection/monitor.py
@@ -51,6 +51,9 @@
     """
 
     INTERVAL_S = 0.1
+    # The same failure has another age in each report, by how long the datagram
+    # was on its way.
+    MAX_AGE_VARIATION_S = 0.05
     # A router ejects what so many others have ejected. The evidence ends with
     # an ejection, so routers that lacked a report would never get enough.
     MIN_ADOPTED = 2
@@ -71,6 +74,7 @@
         self.ejections_by_server = {}
         self.ended_by_server = {}
         self.changed_servers = set()
+        self.own_failed_s = float("-inf")
         self.sent_s = float("-inf")
         self.budget = ReportBudget(self.clock)
         record_gossip.outcomes = self
@@ -90,7 +94,8 @@
             own = self.own_by_server[key] = OwnOutcomes(self.clock)
         own.add(result, retryable)
         if result is not AttemptResult.SUCCESS:
-            self._failed(key, self.clock())
+            self.own_failed_s = self.clock()
+            self._failed(key, self.own_failed_s)
         if self._is_reported(key):
             self.changed_servers.add(key)
             self._decide(record.service)
@@ -106,7 +111,7 @@
             return
         own = self.own_by_server.get(report.server)
         ejection = self.ejections_by_server.get(report.server)
-        if ejection is not None and report.failed_s > ejection.failed_s:
+        if ejection is not None and self._is_later(report, ejection):
             if own is not None:
                 own.successes = 0
             self._failed(report.server, report.failed_s)
@@ -138,7 +143,7 @@
         return bool(
             self.ejections_by_server
             or self.reports.reports_by_server
-            or any(own.has_failures() for own in self.own_by_server.values())
+            or self.clock() - self.own_failed_s < WINDOW_S
         )
 
     def ejected_ids(self):
@@ -182,6 +187,11 @@
         ]
         return own + (self.reports.all_recent() if includes_peers else [])
 
+    def _is_later(self, report, ejection):
+        """Return whether a report tells a failure that is not known yet."""
+        later_s = report.failed_s - ejection.failed_s
+        return later_s > self.MAX_AGE_VARIATION_S
+
     def _failed(self, key, failed_s):
         ejection = self.ejections_by_server.get(key)
         if ejection is not None:
@@ -380,6 +390,9 @@
         key = run_key(state.record)
         ejection = self.ejections_by_server.pop(key)
         self.ended_by_server[key] = (self.clock(), ejection.repetitions)
+        own = self.own_by_server.get(key)
+        if own is not None:
+            own.clear_results()
         log_event(
             Event.SERVER_READMITTED,
             service=state.record.service,
--- a/boragetrail/direct/ejection/outcomes.py
+++ b/boragetrail/direct/ejection/outcomes.py
@@ -89,10 +89,18 @@
             self.failed_s = now_s
 
     def clear(self):
-        """Forget the results, since the server was ejected or readmitted."""
+        """Remove the results and successes, since the server was ejected."""
+        self.clear_results()
+        self.successes = 0
+
+    def clear_results(self):
+        """Remove the results, since the server was readmitted.
+
+        Failed trials are no evidence for another ejection. The successes are
+        still reported, so that other routers readmit the server too.
+        """
         self.results.clear()
         self.counts.clear()
-        self.successes = 0
 
     def has_failures(self):
         """Return whether a failure is recent enough to count."""
--- a/boragetrail/direct/recordmessages.py
+++ b/boragetrail/direct/recordmessages.py
@@ -9,7 +9,7 @@
 import math
 
 from boragetrail.direct import checks
-from boragetrail.direct.ejection.outcomes import OutcomeReport
+from boragetrail.direct.ejection.outcomes import OutcomeReport, OwnOutcomes
 from boragetrail.direct.knowledge.leaving import Leaving
 from boragetrail.direct.knowledge.streams import (
     StreamOrigin,
@@ -209,7 +209,9 @@
         checks.integer(each, MAX_COUNT)
         for each in checks.bounded_list(value, OUTCOME_COUNTS)
     ]
-    if len(counts) != OUTCOME_COUNTS or sum(counts[:4]) > counts[4]:
+    if len(counts) != OUTCOME_COUNTS or not (
+        sum(counts[:4]) <= counts[4] <= OwnOutcomes.MAX_RESULTS
+    ):
         raise ValueError("not the counts of outcomes")
     return counts
 
