--- a/boragetrail/direct/rollouts/rollout.py
+++ b/boragetrail/direct/rollouts/rollout.py
@@ -36,7 +36,7 @@
     :ivar cells: :class:`~boragetrail.policy.rollout.Counts` of this router's
         responses by (slot, key of the route)
     :ivar heard_s_by_router: monotonic time of the last record of each other
-        router
+        router, the one not heard longest first
     """
 
     # Age from which the evidence of another router is not recent. Routers send
@@ -175,7 +175,7 @@
         """
         if record.router == self.router:
             return False
-        self.heard_s_by_router[record.router] = self.clock()
+        self._record_heard(record.router)
         self.is_status_known = True
         self.read_s = min(self.read_s, record.read_s)
         self.evidence.add(record.router, record.cells)
@@ -230,6 +230,17 @@
             return Stage.COMPLETED
         return Stage.CANARY
 
+    def _record_heard(self, router):
+        """Record that a router was heard, and bound the number of keys.
+
+        A router that restarts has another key; the oldest are removed.
+        """
+        heard_s = self.heard_s_by_router
+        heard_s.pop(router, None)
+        heard_s[router] = self.clock()
+        if len(heard_s) > EvidenceTable.MAX_ROUTERS:
+            del heard_s[next(iter(heard_s))]
+
     def _situation(self, others, is_idle):
         return Situation(
             self.stage,
--- a/boragetrail/direct/tests/test_rolloutdecisions.py
+++ b/boragetrail/direct/tests/test_rolloutdecisions.py
@@ -222,6 +222,16 @@
         assert rollout.stage is Stage.CANARY
         assert not rollout.evidence.sums
 
+    def test_records_of_many_routers(self):
+        # Guards against an entry for each key that a datagram names.
+        controller = _controller()
+        controller.order_changed("apps", _order(1))
+        rollout = controller.rollouts_by_service["apps"]
+        for router in range(2 * EvidenceTable.MAX_ROUTERS):
+            controller.apply(RolloutEvidence(1, router, Stage.CANARY, 100.0))
+        assert len(rollout.heard_s_by_router) == EvidenceTable.MAX_ROUTERS
+        assert 2 * EvidenceTable.MAX_ROUTERS - 1 in rollout.heard_s_by_router
+
     def test_record_on_the_way(self):
         record = RolloutEvidence(
             2**64 - 1, 7, Stage.CANARY, 95.0, ((3, 65535, Counts(1, 0, 1)),)
