--- a/boragetrail/direct/rollouts/controller.py
+++ b/boragetrail/direct/rollouts/controller.py
@@ -29,15 +29,14 @@
     """
 
     INTERVAL_S = 0.1
-    # The records of 23 routers, each with two slots of five routes, are about
-    # 2 KB/s at this interval.
-    TELL_INTERVAL_S = 1.0
+    # Interval at which evidence is sent, within the budget of control traffic.
+    SEND_INTERVAL_S = 1.0
     # Interval in the short steps after the canary stage.
-    STEP_TELL_INTERVAL_S = 0.4
+    STEP_SEND_INTERVAL_S = 0.4
     # Interval after a bad response, which others need soon.
-    MIN_TELL_INTERVAL_S = 0.2
+    MIN_SEND_INTERVAL_S = 0.2
     MAX_PARTICIPANTS = 24
-    # Other routers that each participant of a large fleet tells.
+    # Other routers to which each participant of a large fleet sends evidence.
     OUTSIDE_FANOUT = 24
     # Age of an order whose service has no servers of another version, from
     # which these are not just still unknown.
@@ -53,7 +52,7 @@
         self.router = xxhash.xxh32_intdigest(incarnation.encode())
         self.gate = VersionGate(fleet.clock)
         self.rollouts_by_service = {}
-        self.told_s_by_service = {}
+        self.sent_s_by_service = {}
         self.participants_by_service = {}
         self.urgent_services = set()
         self.had_peers = False
@@ -79,7 +78,7 @@
         rollout.enter(self._first_stage(previous, order))
         self.gate.admit(service, order.to)
         self.rollouts_by_service[service] = rollout
-        self.told_s_by_service.pop(service, None)
+        self.sent_s_by_service.pop(service, None)
         self.participants_by_service.pop(service, None)
         log_event(
             Event.ROLLOUT_ORDERED,
@@ -118,14 +117,14 @@
         """Decide on stages and send what is due."""
         self.had_peers = self.had_peers or bool(self.peers.members())
         for service, versions in self._versions_by_service().items():
-            self.gate.note(service, versions)
+            self.gate.record_listed(service, versions)
         for service, rollout in self.rollouts_by_service.items():
-            self._note_listed(service, rollout)
+            self._record_listed(service, rollout)
             others = self.others(rollout)
             rollout.check_alarm()
             if self._may_decide(rollout) and rollout.advance(others):
                 self._stage_changed(rollout)
-            self._tell_if_due(service, rollout)
+            self._send_if_due(service, rollout)
 
     def others(self, rollout):
         """Return of how many other routers half must be heard.
@@ -166,8 +165,8 @@
         is_idle = rollout.stage is Stage.DRAINING and self.is_idle(rollout)
         return rollout.status(self.others(rollout), is_idle)
 
-    def records_bad(self, service):
-        """Tell others soon, since the new version failed a request."""
+    def send_soon(self, service):
+        """Send the evidence soon, since the new version failed a request."""
         self.urgent_services.add(service)
 
     def dump(self):
@@ -189,7 +188,7 @@
     def snapshot(self):
         """Return the records that a router that starts needs, as a list."""
         return [
-            rollout.told()
+            rollout.own_evidence()
             for rollout in self.rollouts_by_service.values()
             if rollout.is_status_known
         ]
@@ -221,7 +220,7 @@
             order = rollout.order
             self.gate.reject(order.service, order.to)
 
-    def _note_listed(self, service, rollout):
+    def _record_listed(self, service, rollout):
         """Record whether servers of old versions are listed."""
         versions = self._versions(service)
         order = rollout.order
@@ -258,7 +257,7 @@
         ranked_s, addresses = self.participants_by_service.get(
             service, (float("-inf"), ())
         )
-        if now_s - ranked_s >= self.TELL_INTERVAL_S:
+        if now_s - ranked_s >= self.SEND_INTERVAL_S:
             key = f"rollout/{rollout.order.key}"
             addresses = [peer.address for peer in self.peers.members()]
             addresses.append(self.peers.own_address)
@@ -268,9 +267,9 @@
         return addresses
 
     def _stage_changed(self, rollout):
-        """Log and tell a stage that this router decided on or read."""
+        """Log and send a stage that this router decided on or read."""
         self._log_stage(rollout)
-        self.record_gossip.send_now(rollout.told())
+        self.record_gossip.send_now(rollout.own_evidence())
 
     def _log_stage(self, rollout):
         order = rollout.order
@@ -286,24 +285,24 @@
             score=round(comparison.score, 1),
         )
 
-    def _tell_if_due(self, service, rollout):
+    def _send_if_due(self, service, rollout):
         if not rollout.is_status_known:
             return
         if not self.participates(rollout):
             return
-        interval_s = self.TELL_INTERVAL_S
+        interval_s = self.SEND_INTERVAL_S
         if rollout.stage in (Stage.FIRST_STEP, Stage.SECOND_STEP):
-            interval_s = self.STEP_TELL_INTERVAL_S
+            interval_s = self.STEP_SEND_INTERVAL_S
         if service in self.urgent_services:
-            interval_s = self.MIN_TELL_INTERVAL_S
+            interval_s = self.MIN_SEND_INTERVAL_S
         now_s = self.clock()
-        if now_s - self.told_s_by_service.get(service, 0.0) < interval_s:
+        if now_s - self.sent_s_by_service.get(service, 0.0) < interval_s:
             return
-        self.told_s_by_service[service] = now_s
+        self.sent_s_by_service[service] = now_s
         self.urgent_services.discard(service)
-        self._tell(rollout)
+        self._send(rollout)
 
-    def _tell(self, rollout):
+    def _send(self, rollout):
         members = self.peers.members()
         if len(members) < self.MAX_PARTICIPANTS:
             addresses = [peer.address for peer in members]
@@ -312,4 +311,4 @@
             addresses = {peer.address for peer in outside}
             addresses.update(self._participants(rollout))
             addresses.discard(self.peers.own_address)
-        self.record_gossip.tell(rollout.told(), addresses)
+        self.record_gossip.tell(rollout.own_evidence(), addresses)
--- a/boragetrail/direct/rollouts/evidence.py
+++ b/boragetrail/direct/rollouts/evidence.py
@@ -6,7 +6,7 @@
 
 
 class EvidenceTable:
-    """Hold the counts that each router told, and their sums.
+    """Hold the counts of each router, and their sums.
 
     Counts only grow, and the larger of two is the newer one, so records may
     be lost, repeated or arrive in any order.
--- a/boragetrail/direct/rollouts/observer.py
+++ b/boragetrail/direct/rollouts/observer.py
@@ -126,7 +126,7 @@
         observed.rollout.record(observed.route, **increments)
         if side == "new" and outcome is not Outcome.USUAL:
             service = observed.rollout.order.service
-            self.controller.records_bad(service)
+            self.controller.send_soon(service)
 
     def _count_metric(self, observed, attempt, outcome):
         if observed.was_counted:
--- a/boragetrail/direct/rollouts/rollout.py
+++ b/boragetrail/direct/rollouts/rollout.py
@@ -52,8 +52,8 @@
     OPEN_CREDIT = 2.0
     # Slots that a record contains. The last may have changed since the
     # previous record, and that may have been lost.
-    TOLD_SLOTS = 2
-    MAX_TOLD_CELLS = 48
+    SENT_SLOTS = 2
+    MAX_SENT_CELLS = 48
 
     def __init__(self, order, router, bounds, clock, random):
         self.order = order
@@ -93,7 +93,7 @@
         return True
 
     def is_current(self, others):
-        """Return whether enough other routers told their evidence lately.
+        """Return whether enough other routers sent their evidence lately.
 
         :param others: number of other routers of which half are needed
         """
@@ -181,12 +181,12 @@
         self.evidence.add(record.router, record.cells)
         return self.enter(record.stage)
 
-    def told(self):
-        """Return what other routers need to know.
+    def own_evidence(self):
+        """Return this router's evidence for the other routers.
 
         :returns: :class:`~boragetrail.policy.rollout.RolloutEvidence`
         """
-        oldest = self._slot() - self.TOLD_SLOTS + 1
+        oldest = self._slot() - self.SENT_SLOTS + 1
         cells = [
             (slot, route, counts)
             for (slot, route), counts in self.cells.items()
@@ -197,7 +197,7 @@
             self.router,
             self.stage,
             self.read_s,
-            tuple(cells[-self.MAX_TOLD_CELLS :]),
+            tuple(cells[-self.MAX_SENT_CELLS :]),
         )
 
     def check_alarm(self):
--- a/boragetrail/direct/rollouts/versionfilter.py
+++ b/boragetrail/direct/rollouts/versionfilter.py
@@ -38,7 +38,7 @@
         """Return the servers of a version; see the base class."""
         service = request.service.name
         listed = self.fleet.listed_servers(service)
-        self.controller.gate.note(
+        self.controller.gate.record_listed(
             service, {state.record.version for state in listed}
         )
         rollout = self.controller.rollouts_by_service.get(service)
--- a/boragetrail/direct/rollouts/versiongate.py
+++ b/boragetrail/direct/rollouts/versiongate.py
@@ -25,7 +25,7 @@
         self.appeared_s_by_version = {}
         self.known_services = set()
 
-    def note(self, service, versions):
+    def record_listed(self, service, versions):
         """Record the versions of the listed servers of a service.
 
         :param service: name of the service
--- a/boragetrail/direct/rollouts/writer.py
+++ b/boragetrail/direct/rollouts/writer.py
@@ -78,7 +78,7 @@
         After the store returned from a copy, it may hold another one.
         """
         mirror = self.directory.mirrors[Table.OPERATORS]
-        if mirror.epoch != max(mirror.epoch, self.registry.epoch):
+        if mirror.epoch < self.registry.epoch:
             return False
         row = mirror.rows_by_key.get(rollout.order.row_key)
         is_same = row is not None and row.version == rollout.order.row_version
--- a/boragetrail/direct/tests/test_rolloutdecisions.py
+++ b/boragetrail/direct/tests/test_rolloutdecisions.py
@@ -193,8 +193,8 @@
     def test_version_that_appears_before_its_order(self):
         clock = ManualClock(100.0)
         gate = VersionGate(clock)
-        gate.note("apps", {"v1"})
-        gate.note("apps", {"v1", "v2"})
+        gate.record_listed("apps", {"v1"})
+        gate.record_listed("apps", {"v1", "v2"})
         assert gate.is_open("apps", "v1")
         assert not gate.is_open("apps", "v2")
         clock.now_s += VersionGate.ORDER_WAIT_S
@@ -268,7 +268,7 @@
 
     def test_return_to_the_version_in_service(self):
         controller = _controller()
-        controller.gate.note("apps", {"v1"})
+        controller.gate.record_listed("apps", {"v1"})
         controller.order_changed("apps", _order(1, "v2"))
         controller.order_changed("apps", _order(2, "v1"))
         rollout = controller.rollouts_by_service["apps"]
--- a/boragetrail/policy/ejection.py
+++ b/boragetrail/policy/ejection.py
@@ -1,8 +1,9 @@
 """Decisions about servers that fail more of their requests than others do.
 
-The load in mind: 24 routers send 53 requests per second to 3 application
-servers, one of which answers every request with an error. Each router sees a
-result of that server every 1.3 s, so only the sum over all routers tells soon.
+Load that this module handles: 24 routers send 53 requests per second to 3
+servers, one of which answers every request with an error. A single router sees
+about one result of that server per second, so the results of all routers are
+needed to notice the failures within tenths of a second.
 
 Failures are compared with those of the service's other servers. If all servers
 fail alike, each failure of the service is at a server with the probability
--- a/boragetrail/policy/rollout.py
+++ b/boragetrail/policy/rollout.py
@@ -1,8 +1,8 @@
 """Decisions in the rollout of a version of a service.
 
-Load that this module handles: 24 routers that get 5 requests/s each, orders
-that last 12 s to some minutes, evidence that is up to 1 s old, and one of five
-datagrams lost.
+Load that this module handles: some dozen routers, each with a few requests/s,
+orders that last 12 s to some minutes, evidence that is up to 1 s old, and one
+of five datagrams lost.
 
 A small part of the requests goes to the new version first. Its responses are
 compared with those of the old version to the same routes in the same seconds,
@@ -147,21 +147,21 @@
         that often fails would hide another that the new version fails
     """
 
-    # One response in ten is the new version's, so four bad ones among a few
-    # are its alone by chance in 1 of 10**4 cases. A score of 4.0 reverted 2 of
-    # 60 good versions after a crash, since each of 23 routers looks at other
-    # parts of the evidence of the last second.
+    # Each router tests the evidence again and again, and each knows another
+    # part of that of the last second, so one test may rarely err. One response
+    # in ten is the new version's: four bad ones among a few are all its own by
+    # chance in 1 of 10**4 cases.
     BAD_SCORE = 4.5
     MIN_BAD_EXCESS = 3.2
-    # The canary stage ends without a doubt. With a score of 2.5, 2 of 20 good
-    # versions were reverted at 30 requests/s; one with doubts may lose them.
+    # A doubtful version stays in its stage. Doubts may pass as evidence grows,
+    # but at the latest time of a verdict they lead to a revert.
     DOUBT_SCORE = 3.0
     MIN_DOUBT_EXCESS = 1.8
-    # With few responses no score is high. At 30 requests/s, 14 of 30 versions
-    # that failed three responses in ten were completed without this rule.
+    # With few responses no score is high, so a large part of bad responses is
+    # doubtful at a lower score.
     DOUBT_PART = 0.15
     MIN_DOUBT_SCORE = 1.5
-    # Orders of 12 s at 30 requests/s yield more. The later steps judge a
+    # Short orders with few requests yield little more. The later steps judge a
     # larger part of the requests.
     MIN_RESPONSES = 12
 
@@ -230,13 +230,13 @@
         if counts.new and counts.old
     }
     lossy = {slot for (slot, _), each in comparable.items() if each.new_lost}
-    old_losses = _LossCount(len(lossy) >= MIN_LOSSY_SLOTS)
-    new_losses = _LossCount(len(lossy) >= MIN_LOSSY_SLOTS)
+    old_losses = _LossCounter(len(lossy) >= MIN_LOSSY_SLOTS)
+    new_losses = _LossCounter(len(lossy) >= MIN_LOSSY_SLOTS)
     sums_by_route = {}
     for (slot, route), counts in comparable.items():
-        new_bad = counts.new_bad + new_losses.take(counts.new_lost, slot)
+        new_bad = counts.new_bad + new_losses.counted(counts.new_lost, slot)
         bad = new_bad + counts.old_bad
-        bad += old_losses.take(counts.old_lost, slot)
+        bad += old_losses.counted(counts.old_lost, slot)
         sums = sums_by_route.setdefault(route, [0, 0.0, 0.0])
         for i, each in enumerate(_stratum_sums(counts, new_bad, bad)):
             sums[i] += each
@@ -278,7 +278,7 @@
     return bad > MIN_ALARMING_BAD + ALARMING_FACTOR * usual * recent.new
 
 
-class _LossCount:
+class _LossCounter:
     """Count lost responses, once for each slot unless all count.
 
     :param counts_all: whether each lost response counts
@@ -290,7 +290,7 @@
         self.counts_all = counts_all
         self.slots = set()
 
-    def take(self, lost, slot):
+    def counted(self, lost, slot):
         """Return how many of the lost responses of a stratum count."""
         if self.counts_all or not lost:
             return lost
@@ -317,8 +317,8 @@
     5
     """
 
-    # Sum of the quotas as a part of the limits. The steps after the canary
-    # stage, and requests in flight at a verdict, need the rest.
+    # Parts of the limits that the sum of the quotas uses. The steps after the
+    # canary stage, and requests in flight at a verdict, need the rest.
     USED_RATIO = 0.45
     USED_MARGIN = 0.6
 
@@ -376,7 +376,7 @@
 
     MIN_SLOT_S = 1.5
     MAX_SLOTS = 24
-    # Evidence is 0.4 s old in the steps. Longer ones use up the exposure.
+    # Longer steps use up the allowed exposure.
     MAX_STEP_S = 1.0
     # Requests on their way reach the old servers for this time after the last
     # router has learned of the stage.
