--- a/boragetrail/direct/rollouts/observer.py
+++ b/boragetrail/direct/rollouts/observer.py
@@ -36,11 +36,15 @@
     """Count the responses of both versions of a service in a rollout.
 
     The usual times of each route are known from the old version, also from
-    before the order. Servers that are cold are not observed.
+    before the order. Attempts that begin at a cold server are not observed.
 
     :param controller:
         :class:`~boragetrail.direct.rollouts.controller.RolloutController`
     :param metrics: :class:`~boragetrail.direct.metrics.DirectMetrics`
+    :ivar times_by_route: :class:`ResponseTimes` by (service, route)
+    :ivar observed_by_attempt: what is observed of each attempt in progress
+    :ivar cold_attempts: set of attempts in progress that began at a cold
+        server
     """
 
     # Interval at which attempts in progress are compared with usual times.
@@ -53,15 +57,17 @@
         self.clock = controller.clock
         self.times_by_route = {}
         self.observed_by_attempt = {}
+        self.cold_attempts = set()
 
     def attempt_began(self, request, attempt):
         """Observe an attempt; see the base class."""
+        if self.controller.fleet.is_cold(attempt.server):
+            self.cold_attempts.add(attempt)
+            return
         service = request.service.name
         rollout = self.controller.rollouts_by_service.get(service)
         if rollout is None or rollout.stage >= Stage.REVERTING:
             return
-        if self.controller.fleet.is_cold(attempt.server):
-            return
         version = attempt.server.record.version
         if (service, version) in self.controller.gate.rejected:
             return
@@ -74,6 +80,9 @@
 
     def attempt_ended(self, request, attempt):
         """Count an attempt; see the base class."""
+        if attempt in self.cold_attempts:
+            self.cold_attempts.remove(attempt)
+            return
         outcome = classify(attempt, request.deadline_s)
         observed = self.observed_by_attempt.pop(attempt, None)
         if outcome is Outcome.USUAL and attempt.progressed_s is not None:
--- a/boragetrail/direct/tests/rolloutsimulation.py
+++ b/boragetrail/direct/tests/rolloutsimulation.py
@@ -22,7 +22,7 @@
 from boragetrail.settings.direct import RolloutBounds
 from standins.clock import ManualClock
 
-__all__ = ["Behavior", "RolloutSimulation"]
+__all__ = ["Attempt", "Behavior", "RolloutSimulation"]
 
 START_S = 100.0
 DELAY_S = 0.005
@@ -133,7 +133,7 @@
         self.filter = VersionFilter(self.controller, fleet)
 
 
-class _Attempt:
+class Attempt:
     """Simulate an attempt at a server."""
 
     def __init__(self, server, clock):
@@ -339,7 +339,7 @@
 
     def _send(self, router, request, state):
         record = state.record
-        attempt = _Attempt(state, self.clock)
+        attempt = Attempt(state, self.clock)
         router.observer.attempt_began(request, attempt)
         self.held[record.id] += 1
         state.load = self.held[record.id]
--- a/boragetrail/direct/tests/test_rolloutdecisions.py
+++ b/boragetrail/direct/tests/test_rolloutdecisions.py
@@ -3,11 +3,13 @@
 import itertools
 import json
 import random
+import types
 
 import pytest
 
 from boragetrail.direct.interfaces import Row
 from boragetrail.direct.model import RolloutOrder
+from boragetrail.direct.phases import AttemptState
 from boragetrail.direct.recordmessages import (
     check_lists,
     decode_records,
@@ -16,6 +18,7 @@
 from boragetrail.direct.rollouts.evidence import EvidenceTable
 from boragetrail.direct.rollouts.versiongate import VersionGate
 from boragetrail.direct.tests.rolloutsimulation import (
+    Attempt,
     Behavior,
     RolloutSimulation,
 )
@@ -255,6 +258,29 @@
             check_lists({"rollout": [value]})
 
 
+class TestObserver:
+    """Guard against usual times that are not those of the old version."""
+
+    @pytest.mark.parametrize("is_cold, count", [(False, 1), (True, 0)])
+    def test_cold_server(self, is_cold, count):
+        # Guards against a slow version that is taken for usual, because the
+        # routers have measured servers that were cold.
+        router = RolloutSimulation(1, routers=2).routers[0]
+        router.controller.fleet.is_cold = lambda state: is_cold
+        attempt = _ended_attempt(router.controller.clock)
+        request = types.SimpleNamespace(
+            service=types.SimpleNamespace(name="apps"),
+            route=types.SimpleNamespace(name="chat"),
+            deadline_s=1000.0,
+        )
+        router.observer.attempt_began(request, attempt)
+        router.controller.fleet.is_cold = lambda state: False
+        router.observer.attempt_ended(request, attempt)
+        times = router.observer.times_by_route.values()
+        assert sum(len(each.first_s) for each in times) == count
+        assert not router.observer.cold_attempts
+
+
 class TestOrders:
     """Guard against orders that are confused with each other."""
 
@@ -323,5 +349,13 @@
     return simulation.routers[0].controller
 
 
+def _ended_attempt(clock):
+    record = types.SimpleNamespace(version="v1")
+    attempt = Attempt(types.SimpleNamespace(record=record), clock)
+    attempt.state = AttemptState.COMPLETE
+    attempt.progressed_s = clock() + 0.2
+    return attempt
+
+
 def _order(key, to="v2", epoch=1, service="apps"):
     return RolloutOrder(service, to, 20.0, key, epoch, key, "rollout/apps")
