--- a/boragetrail/direct/ejection/meanloads.py
+++ b/boragetrail/direct/ejection/meanloads.py
@@ -6,8 +6,8 @@
 class MeanLoads:
     """Average the known requests at the servers of each service.
 
-    With short requests, what routers know of each other's load is noise: at a
-    true load of 3 requests, routers see 1 to 9 from one moment to the next.
+    With short requests, what routers know of each other's load varies from one
+    moment to the next by more than the load itself.
 
     :param fleet: :class:`~boragetrail.direct.fleet.Fleet`
     """
--- a/boragetrail/policy/ejection.py
+++ b/boragetrail/policy/ejection.py
@@ -191,7 +191,8 @@
 def _share(evidence, evidences):
     """Return a server's share of the requests, an equal share at the least.
 
-    A server that has just been readmitted has had few requests.
+    A server that has just been readmitted has had few requests, and the first
+    failures would seem to be too many for them.
     """
     known = sum(each.known_responses for each in evidences)
     total = known + PRIOR_RESPONSES * len(evidences)
