--- a/boragetrail/direct/ejection/monitor.py
+++ b/boragetrail/direct/ejection/monitor.py
@@ -48,6 +48,10 @@
         in force, by the same key
     :ivar ended_by_server: (time of the end, its repetitions) of the last
         ejection, by the same key
+    :ivar changed_servers: keys of the runs whose results changed since this
+        router's last report
+    :ivar own_failed_s: monotonic time of the last failure at any server
+    :ivar sent_s: monotonic time of the last reports
     """
 
     INTERVAL_S = 0.1
--- a/boragetrail/direct/parts.py
+++ b/boragetrail/direct/parts.py
@@ -51,6 +51,10 @@
         :class:`~boragetrail.direct.rollouts.RolloutController`, or ``None``
     :ivar rollout_observer:
         :class:`~boragetrail.direct.rollouts.RolloutObserver`, or ``None``
+    :ivar is_started: whether the router has begun its tasks; parts that are
+        added later begin theirs at once
+    :ivar calls: (interval in seconds, function) of the parts that were added
+        before
     """
 
     def __init__(self, daemon):
--- a/boragetrail/direct/rollouts/controller.py
+++ b/boragetrail/direct/rollouts/controller.py
@@ -26,6 +26,11 @@
     :ivar rollouts_by_service:
         :class:`~boragetrail.direct.rollouts.rollout.Rollout` by service
     :ivar gate: :class:`~boragetrail.direct.rollouts.versiongate.VersionGate`
+    :ivar sent_s_by_service: monotonic time at which evidence was last sent
+    :ivar participants_by_service: (monotonic time of the ranking, addresses)
+        of the routers that send to the new version in the canary stage
+    :ivar urgent_services: services whose evidence is to be sent soon
+    :ivar had_peers: whether this router has known others
     """
 
     INTERVAL_S = 0.1
--- a/boragetrail/direct/rollouts/writer.py
+++ b/boragetrail/direct/rollouts/writer.py
@@ -28,6 +28,13 @@
     :param registry: :class:`~boragetrail.direct.registries.RolloutRegistry`
     :param role: function that returns the router's
         :class:`~boragetrail.direct.readers.ReaderRole`
+    :ivar saved_by_order:
+        :class:`~boragetrail.direct.registries.SavedRollout` that was last read
+        or written, by key of the order
+    :ivar wanted_by_order: (:class:`~boragetrail.policy.rollout.Stage` to
+        write, monotonic time since which it is due) by key of the order
+    :ivar next_call_s_by_order: monotonic time of the next call of the store,
+        by key of the order
     :ivar failing: keys of the orders of which a failed call was logged
     """
 
