--- a/boragetrail/direct/rollouts/rollout.py
+++ b/boragetrail/direct/rollouts/rollout.py
@@ -36,7 +36,7 @@
     :ivar cells: :class:`~boragetrail.policy.rollout.Counts` of this router's
         responses by (slot, key of the route)
     :ivar heard_s_by_router: monotonic time of the last record of each other
-        router
+        router, the one not heard longest first
     """
 
     # Age from which the evidence of another router is not recent. Routers send
@@ -52,8 +52,8 @@
     OPEN_CREDIT = 2.0
     # Slots that a record contains. The last may have changed since the
     # previous record, and that may have been lost.
-    TOLD_SLOTS = 2
-    MAX_TOLD_CELLS = 48
+    SENT_SLOTS = 2
+    MAX_SENT_CELLS = 48
 
     def __init__(self, order, router, bounds, clock, random):
         self.order = order
@@ -93,7 +93,7 @@
         return True
 
     def is_current(self, others):
-        """Return whether enough other routers told their evidence lately.
+        """Return whether enough other routers sent their evidence lately.
 
         :param others: number of other routers of which half are needed
         """
@@ -175,18 +175,18 @@
         """
         if record.router == self.router:
             return False
-        self.heard_s_by_router[record.router] = self.clock()
+        self._record_heard(record.router)
         self.is_status_known = True
         self.read_s = min(self.read_s, record.read_s)
         self.evidence.add(record.router, record.cells)
         return self.enter(record.stage)
 
-    def told(self):
-        """Return what other routers need to know.
+    def own_evidence(self):
+        """Return this router's evidence for the other routers.
 
         :returns: :class:`~boragetrail.policy.rollout.RolloutEvidence`
         """
-        oldest = self._slot() - self.TOLD_SLOTS + 1
+        oldest = self._slot() - self.SENT_SLOTS + 1
         cells = [
             (slot, route, counts)
             for (slot, route), counts in self.cells.items()
@@ -197,7 +197,7 @@
             self.router,
             self.stage,
             self.read_s,
-            tuple(cells[-self.MAX_TOLD_CELLS :]),
+            tuple(cells[-self.MAX_SENT_CELLS :]),
         )
 
     def check_alarm(self):
@@ -230,6 +230,17 @@
             return Stage.COMPLETED
         return Stage.CANARY
 
+    def _record_heard(self, router):
+        """Record that a router was heard, and bound the number of keys.
+
+        A router that restarts has another key; the oldest are removed.
+        """
+        heard_s = self.heard_s_by_router
+        heard_s.pop(router, None)
+        heard_s[router] = self.clock()
+        if len(heard_s) > EvidenceTable.MAX_ROUTERS:
+            del heard_s[next(iter(heard_s))]
+
     def _situation(self, others, is_idle):
         return Situation(
             self.stage,
