Keep the wait that a server filter tells, and count other errors as no life

A selection with no server left by a filter went on to the cold servers, which reset the wait: callers got no-server with a fixed time. A connection that fails for another reason than the server's refusal shows no life of its zone. A load header counts as one with a speed only if all its fields are numbers.

--- a/boragetrail/direct/reports.py
+++ b/boragetrail/direct/reports.py
@@ -56,9 +56,13 @@
 
     >>> reports_speed("3,1,8,100"), reports_speed("3,1,8")
     (True, False)
+    >>> reports_speed("x,1,8,100")
+    False
     """
     fields = text.split(",")
-    return len(fields) == SPEED_FIELDS and fields[-1].isdecimal()
+    return len(fields) == SPEED_FIELDS and all(
+        field.isdecimal() for field in fields
+    )
 
 
 class ReportTable:
--- a/boragetrail/direct/selector.py
+++ b/boragetrail/direct/selector.py
@@ -89,6 +89,8 @@
         for each in self.filters:
             if usable:
                 usable = each.select(request, progress, usable, views_by_id)
+                if not usable:
+                    return None
         if self.zones is not None:
             self._set_detours(request, progress, usable, views_by_id)
         chosen = self._choose(request, progress, usable, views_by_id)
--- a/boragetrail/direct/serverstate.py
+++ b/boragetrail/direct/serverstate.py
@@ -71,10 +71,10 @@
         """
         reachability = self.knowledge.reachability
         zone = self.record.zone
-        if isinstance(error, TimeoutError):
-            reachability.record_timeout(zone, self.record.id, started_s)
-        else:
+        if isinstance(error, ConnectionError):
             reachability.record_life(zone)
+        else:
+            reachability.record_timeout(zone, self.record.id, started_s)
 
     def record_life(self):
         """Record for the server's zone that the server has answered."""
--- a/boragetrail/direct/tests/test_features.py
+++ b/boragetrail/direct/tests/test_features.py
@@ -37,6 +37,17 @@
         return left
 
 
+class NoServer(ServerFilter):
+    """Leave no server, and tell when one can be expected."""
+
+    WAIT_S = 1.5
+
+    def select(self, request, progress, states, views_by_id):
+        """Return no server."""
+        progress.room_wait_s = self.WAIT_S
+        return []
+
+
 class TestFeatures:
     """Guard against features that are on where nothing calls for them."""
 
@@ -93,6 +104,16 @@
         chosen = [self._choose(OnlyServer("i-1")) for _ in range(20)]
         assert {state.record.id for state in chosen} == {"i-1"}
 
+    def test_wait_of_a_filter_is_told(self):
+        # Callers were told that the service has no server, and to come back
+        # after the same time, whatever the filter knew.
+        assert self._choose(NoServer()) is None
+        failure = no_server_failure(
+            self.request, self.progress, self.router.fleet, random.Random(1)
+        )
+        assert failure.reason is Reason.OVERLOADED
+        assert failure.retry_after_s >= NoServer.WAIT_S
+
     def test_request_is_refused_if_no_server_is_left(self):
         assert self._choose(OnlyServer("i-1"), OnlyServer("i-2")) is None
         failure = no_server_failure(
