Tell callers when an engine has memory again

The selection of a cold server replaced the time that the memory filter had set, so the request was refused as if the service had no server.

--- a/boragetrail/direct/selector.py
+++ b/boragetrail/direct/selector.py
@@ -187,7 +187,9 @@
             if state.cold_quota.try_acquire(*place):
                 return state
             waits_s.append(state.cold_quota.wait_s(*place))
-        progress.room_wait_s = min(waits_s, default=0.0)
+        # Without a cold server, a filter may have set the time.
+        if waits_s:
+            progress.room_wait_s = min(waits_s)
         return None
 
     def _order(self, progress, states, views_by_id):
--- a/boragetrail/direct/tests/test_capacity.py
+++ b/boragetrail/direct/tests/test_capacity.py
@@ -6,6 +6,7 @@
 import pytest
 
 from boragetrail.direct.capacity import SpeedExchange, SpeedTable
+from boragetrail.direct.capacity.heldtokens import TokenHold
 from boragetrail.direct.capacity.loadheader import LoadFigures, parse_figures
 from boragetrail.direct.capacity.requestsize import request_size
 from boragetrail.direct.counts import server_key
@@ -334,3 +335,22 @@
         assert daemon.dispatcher.capacity is None
         assert daemon.record_gossip.speeds is None
         assert "capacity" not in daemon.dump()
+
+    async def test_retry_after_without_memory(self, cluster):
+        """Fails if callers are not told when tokens become free."""
+        data = configuration(
+            version=2,
+            routes=[route("status", "idempotent")],
+            services=[service("apps", backend={"kvCapacity": 5000})],
+        )
+        cluster.store.put("op", "config", data)
+        daemon = await cluster.add_router(rules=["pressure"])
+        size = RequestSize(4200, 0, 0)
+        for each in cluster.servers:
+            hold = TokenHold(each.id, [], size, daemon.clock())
+            daemon.parts.capacity.held.add(hold)
+        status, headers, body = await cluster.call(
+            daemon, "/status/1", headers={HEADER_NAMES.tokens: "4200,0"}
+        )
+        assert status == 503 and b"overloaded" in body
+        assert float(headers["Retry-After"]) > 0.9
