--- a/boragetrail/policy/tests/test_zones.py
+++ b/boragetrail/policy/tests/test_zones.py
@@ -55,6 +55,14 @@
         loads = dict.fromkeys("abc", 7)
         assert flow("a", loads, crossing_s=0.0, time=time).share == 0.0
 
+    # The inverse of the wait divided by 0 at the largest number of slots that
+    # a row of the store may name.
+    @pytest.mark.parametrize("capacity", [1e8, 1e16, 2.0**63])
+    def test_zone_of_very_many_slots(self, capacity):
+        made = {"a": ZoneLoad(9, 6), "b": ZoneLoad(1, capacity)}
+        assert outflow("a", made, TIMES[0], 0.01).weights_by_zone == {"b": 1.0}
+        assert outflow("b", made, TIMES[0], 0.01).share == 0.0
+
     def test_no_request_leaves_free_slots(self):
         loads = {"a": 3, "b": 0, "c": 0}
         assert flow("a", loads, crossing_s=NETWORK_S).share == 0.0
@@ -203,6 +211,10 @@
         assert share.flow.share > 0.3
         share.update({"a": loads["a"]}, 10.0)
         assert share.flow.share == 0.0
+        # The mean shares of zones that had left were kept forever.
+        for second in range(11, 60):
+            share.update({"a": loads["a"]}, float(second))
+        assert set(share.sent_by_zone) == {"a"}
 
 
 class TestServerOrder:
--- a/boragetrail/policy/zones.py
+++ b/boragetrail/policy/zones.py
@@ -41,6 +41,8 @@
 ZONE_SLACK_REQUESTS = 0.5
 # A larger share would not allow to tell what load the zone has by itself.
 MAX_SHARE = 0.9
+# A smaller mean share of a zone without servers is forgotten.
+MIN_SENT = 1e-4
 
 
 @dataclasses.dataclass(slots=True)
@@ -169,7 +171,11 @@
 
     def _queued(self, load, capacity):
         excess = load + 1 - capacity
-        root = math.sqrt(excess**2 + 4 * self.WIDTH * capacity)
+        product = self.WIDTH * capacity
+        root = math.sqrt(excess**2 + 4 * product)
+        if excess < 0:
+            # The sum of both would be 0 at a very large capacity.
+            return 2 * product / (root - excess)
         return (excess + root) / 2
 
     def _free_queued(self, capacity):
@@ -362,10 +368,14 @@
             zone: means.get(zone, each).between(each, part)
             for zone, each in loads_by_zone.items()
         }
+        sent_by_zone = {}
         for zone in loads_by_zone | self.sent_by_zone:
             sent = self.flow.share * self.flow.weights_by_zone.get(zone, 0.0)
             mean = self.sent_by_zone.get(zone, 0.0)
-            self.sent_by_zone[zone] = _between(mean, sent, part)
+            mean = _between(mean, sent, part)
+            if zone in loads_by_zone or mean >= MIN_SENT:
+                sent_by_zone[zone] = mean
+        self.sent_by_zone = sent_by_zone
 
     def _own_loads(self):
         """Return the loads that the zones would have without the share."""
