--- a/boragetrail/direct/admission/demand.py
+++ b/boragetrail/direct/admission/demand.py
@@ -16,8 +16,8 @@
     :ivar work_s: mean work of all requests in seconds; 0 if unknown
     """
 
-    # Shares and floors follow a surge within this time. A router that gets one
-    # request of 24 sees some 20 in it.
+    # Shares and floors follow a surge within this time. It is long enough for
+    # a router of a large fleet to see some requests of each class.
     RECENT_S = 4.0
     # Classes with a smaller recent count reserve no share.
     MIN_COUNT = 0.2
@@ -130,6 +130,15 @@
             self.work_s = work_s
         self.work_s += self.WORK_GAIN * (work_s - self.work_s)
 
+    def remove_other_routes(self, routes):
+        """Remove what is known of routes that do not exist any more.
+
+        :param routes: set of the names of all routes
+        """
+        for values_by_route in (self.goal_s_by_route, self.work_s_by_route):
+            for name in values_by_route.keys() - routes:
+                del values_by_route[name]
+
     def goal_s(self):
         """Return the shortest goal of the routes that were used."""
         return min(self.goal_s_by_route.values(), default=0.0)
--- a/boragetrail/direct/admission/gate.py
+++ b/boragetrail/direct/admission/gate.py
@@ -202,6 +202,7 @@
         A router that gets few requests would else learn late that a service
         has places again.
         """
+        self._remove_unconfigured()
         for service in self.services_by_name.values():
             if service.overloaded:
                 service.update(service.last_service)
@@ -223,6 +224,25 @@
             for name, service in self.services_by_name.items()
         }
 
+    def _remove_unconfigured(self):
+        """Remove the state of services and routes that are configured no more.
+
+        A service in whose queue requests wait is removed later.
+        """
+        configuration = self.fleet.directory.configuration
+        if configuration is None:
+            return
+        routes = {
+            route.name
+            for same_host in configuration.routes_by_host.values()
+            for route in same_host
+        }
+        for name, service in list(self.services_by_name.items()):
+            service.demand.remove_other_routes(routes)
+            is_used = service.queue or service.reserved
+            if name not in configuration.services_by_name and not is_used:
+                del self.services_by_name[name]
+
     def _service(self, name):
         service = self.services_by_name.get(name)
         if service is None:
--- a/boragetrail/direct/tests/overloadsimulation.py
+++ b/boragetrail/direct/tests/overloadsimulation.py
@@ -11,7 +11,13 @@
     WaitingRequest,
 )
 from boragetrail.direct.attempt import Attempt
-from boragetrail.direct.model import Customer, RequestKind, Route, Service
+from boragetrail.direct.model import (
+    Configuration,
+    Customer,
+    RequestKind,
+    Route,
+    Service,
+)
 from boragetrail.direct.phases import AttemptState
 from boragetrail.direct.progress import PendingWork, RequestProgress
 from boragetrail.direct.request import DirectRequest
@@ -71,6 +77,12 @@
         self.customers = dict(customers)
         self.places = places
         self.slots = options["slots"]
+        # A gate forgets the work and the goals of routes that are not listed.
+        routes = [_route(kind) for kind in kinds]
+        for router in self.routers:
+            router.fleet.directory.configuration = Configuration(
+                1, routes, [SERVICE], {}, None, False
+            )
         self.calls = []
         self.running = dict.fromkeys(self.held, 0)
         self.queued = {key: collections.deque() for key in self.held}
@@ -138,20 +150,7 @@
         number = self.rng.randrange(len(self.routers))
         request = DirectRequest(None, self.clock())
         kind = call.kind
-        request.route = Route(
-            kind.name,
-            "h",
-            "/",
-            RequestKind.AT_MOST_ONCE,
-            [],
-            kind.timeout_s,
-            kind.goal_s,
-            1,
-            kind.priority,
-            True,
-            False,
-            False,
-        )
+        request.route = _route(kind)
         request.service = SERVICE
         request.customer = Customer(call.customer, None)
         request.deadline_s = self.clock() + kind.timeout_s
@@ -238,3 +237,20 @@
         progress.attempt.state = AttemptState.COMPLETE
         self.gates[number].attempt_ended(request, progress)
         self._start_work(key)
+
+
+def _route(kind):
+    return Route(
+        kind.name,
+        "h",
+        "/",
+        RequestKind.AT_MOST_ONCE,
+        [],
+        kind.timeout_s,
+        kind.goal_s,
+        1,
+        kind.priority,
+        True,
+        False,
+        False,
+    )
--- a/boragetrail/direct/tests/test_waiting.py
+++ b/boragetrail/direct/tests/test_waiting.py
@@ -7,6 +7,9 @@
 
 from boragetrail.direct.admission import WaitingQueue, WaitingRequest
 from boragetrail.direct.features import Feature
+from boragetrail.direct.model import Service
+from boragetrail.direct.progress import RequestProgress
+from boragetrail.direct.request import DirectRequest
 from boragetrail.direct.tests.conftest import configuration, route
 from boragetrail.platform.names import HEADER_NAMES
 from standins.httpserver import whole_answer
@@ -131,6 +134,13 @@
     )
 
 
+def removed_request():
+    """Return a request for a service that is not configured."""
+    request = DirectRequest(None, 100.0)
+    request.service = Service("removed", 360, 0.0, False)
+    return request
+
+
 class TestFullService:
     """Guard against places that go to the wrong request, or to none."""
 
@@ -233,6 +243,27 @@
         assert queue.first().key == 0
 
 
+class TestChangedConfiguration:
+    """Guard against state of routes and services that are gone."""
+
+    async def test_removed_routes_and_services(self, pressure):
+        await pressure.call_and_wait("/urgent/1")
+        gate = pressure.gate
+        gate.offer(removed_request(), RequestProgress([], []), print)
+        demand = gate.services_by_name["apps"].demand
+        demand.goal_s_by_route["removed"] = 0.01
+        demand.work_s_by_route["removed"] = 0.01
+        gate.check()
+        # The shortest goal was still that of a route without requests.
+        assert demand.goal_s() == GOAL_MS / 1000.0
+        assert "removed" not in demand.work_s_by_route
+        assert set(gate.services_by_name) == {"apps"}
+        # Its request that waits needs the state of the service.
+        pressure.daemon.directory.configuration.services_by_name.clear()
+        gate.check()
+        assert len(gate.services_by_name["apps"].queue) == 1
+
+
 class TestFeature:
     """Guard against a gate where nothing calls for it."""
 
