--- a/boragetrail/direct/capacity/heldtokens.py
+++ b/boragetrail/direct/capacity/heldtokens.py
@@ -31,16 +31,19 @@
     A part of the prompt that several requests share counts once.
 
     :ivar tokens_by_id: tokens by id of the engine
+    :ivar requests_by_id: number of the requests that hold them
     """
 
-    __slots__ = ("tokens_by_id", "requests_by_part")
+    __slots__ = ("tokens_by_id", "requests_by_id", "requests_by_part")
 
     def __init__(self):
         self.tokens_by_id = collections.Counter()
+        self.requests_by_id = collections.Counter()
         self.requests_by_part = collections.Counter()
 
     def add(self, hold):
         """Add a :class:`TokenHold`."""
+        self.requests_by_id[hold.server_id] += 1
         self.tokens_by_id[hold.server_id] += hold.own_tokens
         for part, tokens in hold.parts:
             # Two prompts may give one part different numbers of tokens.
@@ -60,11 +63,18 @@
                 self.tokens_by_id[hold.server_id] -= tokens
         if not self.tokens_by_id[hold.server_id]:
             del self.tokens_by_id[hold.server_id]
+        self.requests_by_id[hold.server_id] -= 1
+        if not self.requests_by_id[hold.server_id]:
+            del self.requests_by_id[hold.server_id]
 
     def tokens(self, server_id):
         """Return the tokens that requests hold at an engine."""
         return self.tokens_by_id[server_id]
 
+    def requests(self, server_id):
+        """Return the number of requests that hold tokens at an engine."""
+        return self.requests_by_id[server_id]
+
     def added_tokens(self, server_id, prompt, size):
         """Return the tokens that a request would add at an engine.
 
--- a/boragetrail/direct/capacity/memoryfilter.py
+++ b/boragetrail/direct/capacity/memoryfilter.py
@@ -65,15 +65,16 @@
     def _demand(self, service, size, state, view, unknown):
         """Return the :class:`MemoryDemand` of an engine.
 
-        Before the router's first request, requests of the others count like
-        the one to be placed.
+        Requests of other routers count with the mean of this router's, and
+        before its first one like the request to be placed. So do requests of
+        this router that began before tokens were counted.
         """
+        held = self.monitor.held
         others = max(0.0, view.running - state.in_flight)
+        others += max(0, state.in_flight - held.requests(state.record.id))
         mean = self.monitor.mean_tokens(service) or size.expected()
         return MemoryDemand(
-            self.monitor.held.tokens(state.record.id),
-            others * mean,
-            unknown,
+            held.tokens(state.record.id), others * mean, unknown
         )
 
 
--- a/boragetrail/direct/tests/test_capacity.py
+++ b/boragetrail/direct/tests/test_capacity.py
@@ -1,5 +1,6 @@
 """Tests of the memory and the speed of servers at routers."""
 
+import asyncio
 import json
 import random
 
@@ -336,6 +337,40 @@
         assert daemon.record_gossip.speeds is None
         assert "capacity" not in daemon.dump()
 
+    async def test_requests_before_the_feature(self, cluster):
+        """Fails if requests without a hold count as no tokens."""
+        data = configuration(
+            version=2,
+            routes=[route("status", "idempotent")],
+            services=[service("apps", backend={"kvCapacity": 5000})],
+        )
+        cluster.store.put("op", "config", data)
+        daemon = await cluster.add_router()
+        ended = asyncio.Event()
+
+        async def respond(request):
+            if sum(each.in_flight for each in states) <= len(states):
+                await ended.wait()
+            return whole_answer(request, b"done")
+
+        for each in cluster.servers:
+            each.default = respond
+        states = daemon.fleet.ready_servers("apps")
+
+        def call():
+            headers = {HEADER_NAMES.tokens: "4000,100"}
+            return cluster.call(daemon, "/status/1", headers=headers)
+
+        tasks = [asyncio.ensure_future(call()) for _ in states]
+        await cluster.until(lambda: all(each.in_flight for each in states))
+        daemon.parts.enable_for_uneven_servers()
+        status, _, _ = await call()
+        ended.set()
+        for task in tasks:
+            assert (await task)[0] == 200
+        assert status == 503
+        assert not daemon.parts.capacity.held.requests_by_id
+
     async def test_retry_after_without_memory(self, cluster):
         """Fails if callers are not told when tokens become free."""
         data = configuration(
