--- a/boragetrail/policy/prefix.py
+++ b/boragetrail/policy/prefix.py
@@ -91,6 +91,27 @@
             times.pop(engine_id, None)
 
 
+@dataclasses.dataclass(slots=True)
+class _PromptCaches:
+    """Hold how many tokens of a prompt the engines cache.
+
+    :param cached: cached tokens by id of the engine
+    :param max_cached: largest number of cached tokens that counts
+    :param missing: part of these that only engines at a detour cache
+    :param uncached: tokens of shared parts that count as cached nowhere
+    :param total: tokens of the prompt
+    :param preferred: id of the engine at which the uncached ones count as
+        cached, or ``None`` if there are none
+    """
+
+    cached: dict
+    max_cached: int
+    missing: int
+    uncached: int
+    total: int
+    preferred: str | None
+
+
 class PrefixPlacement:
     """Placement by estimated prefill work.
 
@@ -175,44 +196,20 @@
         if service_mean is None:
             service_mean = mean
         bounds = (max_load(service_mean), load_bound(mean))
-        cached = self.cached_tokens_by_engine(prompt)
-        max_cached = max(cached.values(), default=0)
         near = [each for each in engines if not each.detour_tokens] or engines
-        near_cached = max_cached
-        if len(near) < len(engines):
-            near_cached = max(cached.get(each.id, 0) for each in near)
-        missing = max_cached - near_cached
-        if missing and self._stays(engines, missing):
-            max_cached, missing = near_cached, 0
-        uncached = max(0, _shared_tokens(prompt) - max_cached)
-        total = sum(tokens for _, tokens in prompt)
-        preferred = self._rendezvous_engine(prompt, near) if uncached else None
-        sampled = self._sampled_engines(near, cached, near_cached, preferred)
-        if missing:
-            sampled.update(self._far_holders(engines, cached, max_cached))
+        caches = self._prompt_caches(prompt, engines, near)
+        sampled = self._sampled_engines(near, caches)
+        if caches.missing:
+            sampled.update(self._far_holders(engines, caches))
 
         def rank(engine):
             excess = sum(engine.running + 1 > bound for bound in bounds)
-            copied = max(0, max_cached - cached.get(engine.id, 0))
-            cost = engine.pending_tokens + engine.detour_tokens
-            if engine.detour_tokens or not missing:
-                cost += self.COPY_COST_FACTOR * copied
-            else:
-                # The tokens that no engine in reach caches are computed.
-                cost += self.COPY_COST_FACTOR * (copied - missing) + missing
-            cost += self.COST_TOKENS_PER_RUNNING_REQUEST * engine.running
-            # The request adds what no engine has cached, and itself.
-            added = total - max_cached + self.COST_TOKENS_PER_RUNNING_REQUEST
-            cost += (engine.slowness - 1.0) * (cost + added)
-            cost += self.FAILURE_COST_TOKENS * engine.failure_rate
-            if engine.id != preferred:
-                cost += uncached
             return (
                 engine.standing is Standing.AVOIDED,
                 excess,
                 engine.standing,
                 engine.id not in sampled,
-                cost,
+                self._cost(engine, caches),
             )
 
         return sorted(engines, key=rank)
@@ -290,6 +287,48 @@
         for part, _ in prompt:
             self.prefix_index.add_holder(part, engine_id)
 
+    def _prompt_caches(self, prompt, engines, near):
+        """Return the :class:`_PromptCaches` of a prompt.
+
+        :param near: list of the engines that cost no detour, or of all
+        """
+        cached = self.cached_tokens_by_engine(prompt)
+        max_cached = near_cached = max(cached.values(), default=0)
+        if len(near) < len(engines):
+            near_cached = max(cached.get(each.id, 0) for each in near)
+        missing = max_cached - near_cached
+        if missing and self._stays(engines, missing):
+            max_cached, missing = near_cached, 0
+        uncached = max(0, _shared_tokens(prompt) - max_cached)
+        return _PromptCaches(
+            cached,
+            max_cached,
+            missing,
+            uncached,
+            sum(tokens for _, tokens in prompt),
+            self._rendezvous_engine(prompt, near) if uncached else None,
+        )
+
+    def _cost(self, engine, caches):
+        """Return the work before the first token, in prefill tokens."""
+        copied = max(0, caches.max_cached - caches.cached.get(engine.id, 0))
+        cost = engine.pending_tokens + engine.detour_tokens
+        if engine.detour_tokens or not caches.missing:
+            cost += self.COPY_COST_FACTOR * copied
+        else:
+            # The tokens that no engine without a detour caches are computed.
+            cost += self.COPY_COST_FACTOR * (copied - caches.missing)
+            cost += caches.missing
+        cost += self.COST_TOKENS_PER_RUNNING_REQUEST * engine.running
+        # The request adds what no engine has cached, and itself.
+        added = caches.total - caches.max_cached
+        added += self.COST_TOKENS_PER_RUNNING_REQUEST
+        cost += (engine.slowness - 1.0) * (cost + added)
+        cost += self.FAILURE_COST_TOKENS * engine.failure_rate
+        if engine.id != caches.preferred:
+            cost += caches.uncached
+        return cost
+
     def _stays(self, engines, missing):
         """Return whether tokens are computed again to avoid a detour.
 
@@ -299,8 +338,9 @@
         costs = (each.detour_tokens for each in engines if each.detour_tokens)
         return self.random.random() * missing < min(costs)
 
-    def _far_holders(self, engines, cached, max_cached):
+    def _far_holders(self, engines, caches):
         """Return ids of some engines that alone cache most of a prompt."""
+        cached, max_cached = caches.cached, caches.max_cached
         return self._sample(
             [
                 each.id
@@ -309,8 +349,10 @@
             ]
         )
 
-    def _sampled_engines(self, engines, cached, max_cached, preferred):
+    def _sampled_engines(self, engines, caches):
         """Return the ids of the engines that rank before all others."""
+        cached, preferred = caches.cached, caches.preferred
+        max_cached = caches.max_cached - caches.missing
         holders, others = [], []
         for engine in engines:
             if engine.id != preferred:
