--- a/boragetrail/direct/capacity/speedexchange.py
+++ b/boragetrail/direct/capacity/speedexchange.py
@@ -102,7 +102,7 @@
             addresses of the peers that get them)
         """
         now_s = self.clock()
-        self.speeds.judge_measured()
+        self.speeds.compare_measured()
         self._refill(now_s)
         reports = self._due_figures(now_s) + self._due_sums(now_s)
         reports.sort(key=_difference, reverse=True)
--- a/boragetrail/direct/capacity/speeds.py
+++ b/boragetrail/direct/capacity/speeds.py
@@ -42,7 +42,7 @@
     # Peers cannot make the table grow beyond this number of servers.
     MAX_SERVERS = 4096
     # Half of the time over which reported figures are compared with measured
-    # times. A router sends an engine two requests per second.
+    # times. A router sends an engine only a few requests in it.
     RESIDUALS_HALF_S = 4.0
     # Time for which the sums of a service are used again.
     SUMS_REUSE_S = 0.02
@@ -109,7 +109,7 @@
         """
         self.peer_sums.replace((address, key), [(key, *sums)], sent_s)
 
-    def judge_measured(self):
+    def compare_measured(self):
         """Compare the servers of services that report no figures.
 
         The results form an estimate like reported figures do, so a server
--- a/boragetrail/direct/zones.py
+++ b/boragetrail/direct/zones.py
@@ -15,10 +15,9 @@
 
 __all__ = ["Detours", "ZoneAffinity"]
 
-# Bytes of a request and its response: 0.7 to 10 KB and 0.5 to 3 KB.
+# Bytes of a request and its response.
 TYPICAL_BYTES = 8000
-# Size of the KV cache of a token: 5.7 GB were copied for 282,000 tokens
-# (docs/CAPACITY.md).
+# Size of the KV cache of a token (docs/CAPACITY.md).
 COPIED_BYTES_PER_TOKEN = 20000
 # Slots of an application server whose entry names none.
 UNKNOWN_SLOTS = 6
@@ -64,7 +63,7 @@
         name of the service
     """
 
-    # News is 0.1 to 0.4 s old, so more frequent updates see the same loads.
+    # Loads are 0.1 to 0.4 s old, so more frequent updates see the same ones.
     INTERVAL_S = 0.25
 
     def __init__(self, fleet, costs, clock, random, on_crossing=None):
--- a/boragetrail/policy/enginememory.py
+++ b/boragetrail/policy/enginememory.py
@@ -1,9 +1,8 @@
 """Memory of engines: which requests fit, and when others will.
 
-The module handles bursts of long prompts: an engine with room for 271,624
-tokens crashes if the requests that it holds exceed it, and 29 prompts of 9,200
-tokens do. Up to 24 routers send to the same engines, and each knows what the
-others sent 0.1 to 0.4 s ago.
+The module handles bursts of long prompts: an engine crashes if the tokens of
+the requests that it holds exceed its memory. Several routers send to the same
+engines, and each knows what the others sent 0.1 to 0.4 s ago.
 """
 
 import dataclasses
@@ -23,15 +22,15 @@
 # Part of an engine's memory that is used. The rest covers responses that are
 # longer than expected.
 CAPACITY_FACTOR = 0.85
-# An output is expected to be at most so many times its hint. The hint is right
-# at the median only: of a lognormal length with a deviation of 0.8, one in
-# five is longer than this, and the mean is 1.4 times the median.
+# An output is expected to be at most so many times its hint, which is the
+# median. One in five is longer if the lengths are lognormal with a deviation
+# of 0.8.
 HINT_FACTOR = 2.0
 # Time for which requests of other routers may be unknown, with a lost
 # datagram.
 NEWS_DELAY_S = 0.25
-# An engine may get so many times the mean of what all get. With 1.0, engines
-# exceeded their memory in 2 of 8 simulated bursts at 24 routers with loss.
+# An engine may get so many times the mean of what all get, since requests are
+# not spread evenly.
 ENGINE_SHARE_FACTOR = 1.5
 # Bounds of the wait that a refused caller is told.
 MIN_WAIT_S = 0.1
--- a/boragetrail/policy/prioritygate.py
+++ b/boragetrail/policy/prioritygate.py
@@ -1,8 +1,8 @@
 """Admission of requests by priority while a service is overloaded.
 
 Handles the load at which a service has fewer places than callers ask for. Each
-router decides alone, from loads that are 0.1 to 0.4 s old, and may see only
-one request of 24.
+router decides alone, from loads that are 0.1 to 0.4 s old, and may see only a
+small part of the requests.
 
 Two rules apply, and the stricter one decides. The first follows the load per
 slot: each class of requests has a band of loads in which its probability
@@ -43,7 +43,7 @@
 # Part of the goal for which a request may wait at its server.
 SERVER_WAIT_PART = 0.5
 # Part of the way from a full slot to the ceiling below which all are admitted.
-# At 0.2, 24 routers refused some requests of bursts for which slots were free.
+# With a smaller part, short bursts are refused while slots are free.
 BURST_PART = 0.4
 # Load per slot below which all are admitted, whatever the share.
 FREE_LOAD = 0.7
--- a/boragetrail/policy/responsetimes.py
+++ b/boragetrail/policy/responsetimes.py
@@ -1,9 +1,8 @@
 """Comparison of the response times of a service's servers.
 
-The module handles servers that report no speed: 3 servers get 22 requests per
-second from 11 routers, so that each router measures only a few responses of
-each server in a second. Times are normalised by the kind of request, and the
-sums of all routers are compared.
+The module handles servers that report no speed and get few requests, so that
+each router measures less than one response of each server per second. Times
+are normalised by the route, and the sums of all routers are compared.
 """
 
 import dataclasses
@@ -22,9 +21,8 @@
 LOG_UNITS = 1000
 # Fewer responses say nothing about a server.
 MIN_SAMPLES = 3
-# Standard errors from which a difference is clear. In simulated minutes with
-# three equally fast servers and 22 requests per second, no router took one for
-# slow; with 3, far fewer slow phases were noticed.
+# Standard errors from which a difference is clear. More would hide slow phases
+# in which a server sends only a few responses.
 CLEAR_ERRORS = 2.5
 # Times of the last 0.4 to 0.8 s are compared, since servers are slow for half
 # a second.
--- a/boragetrail/policy/speed.py
+++ b/boragetrail/policy/speed.py
@@ -1,9 +1,9 @@
 """Estimates of how long work currently takes at a server.
 
-The module handles servers that share their VMs with other work: some 15 in
-100 need 2.5 times as long for about half a second each, then others do. A
-router hears each server every 0.3 to 1 s, so that its figures are often as
-old as the condition that they describe.
+The module handles servers that share their VMs with other work, so that some
+are slow for about half a second each, then others are. A router hears each
+server every 0.3 to 1 s, so that its figures are often as old as the condition
+that they describe.
 """
 
 import dataclasses
@@ -56,12 +56,8 @@
     """Estimate a server's slowness from the figures that it reported.
 
     The estimate is the newest figure, which decays to the server's own
-    long-term mean. Two conditions that alternate at random, slow for 0.5 s on
-    average and 15 in 100 of the time, have a correlation of
-    ``exp(-2.35 * age)``, which halves every 0.3 s [1]_.
-
-    .. [1] The rates of the two-state Markov chain are 1 / 0.5 s and
-       0.15 / 0.85 / 0.5 s; their sum is 2.35 per second.
+    long-term mean with a fixed half-life, as the correlation of a server that
+    is slow and fast by turns at random does.
 
     >>> estimate = SpeedEstimate()
     >>> estimate.record(250, 10.0)
@@ -74,6 +70,8 @@
 
     __slots__ = ("figure", "heard_s", "mean")
 
+    # Half-life of the correlation if slow phases take 0.5 s on average and a
+    # small part of the time.
     HALF_LIFE_S = 0.3
     # Time constant of the long-term mean, 20 slow phases.
     MEAN_TIME_S = 10.0
--- a/boragetrail/policy/zones.py
+++ b/boragetrail/policy/zones.py
@@ -1,7 +1,7 @@
 """Decision of which share of the requests leaves a router's zone.
 
 The load is requests of callers that are spread unevenly over zones, while
-routers hear of each other's requests with a delay and some losses. Requests
+routers learn of each other's requests with a delay and some losses. Requests
 that leave the zone take longer and cost money, so they leave only if servers
 of another zone are expected to be faster by more than that.
 
@@ -119,8 +119,7 @@
     NOISE_S = 0.002
     # Work of about one request at an engine.
     FREE_TOKENS = 2000.0
-
-    # A prompt part of 2,000 to 6,000 tokens takes 50 to 150 ms.
+    # Prefill tokens that an engine processes per second.
     TOKENS_PER_S = 40000.0
 
     def time_s(self, load, capacity):
@@ -305,9 +304,9 @@
     :ivar flow: :class:`Outflow` that is in force
     """
 
-    # Time constants of the means and of the share. News is up to 0.4 s old,
-    # and a number of 0 to 6 requests says little by itself: with 1.5 s each,
-    # the share of a zone with two routers swung by 0.28.
+    # Time constants of the means and of the share. Loads are up to 0.4 s old,
+    # and the number of requests at a server says little by itself: with
+    # shorter constants the share of a zone with few routers swings.
     MEAN_S = 2.5
     DAMPING_S = 2.0
     # A share that falls below this ends.
