--- a/boragetrail/direct/capacity/heldtokens.py
+++ b/boragetrail/direct/capacity/heldtokens.py
@@ -82,6 +82,8 @@
         :param prompt: parts of the prompt as (id, tokens)
         :param size: :class:`~boragetrail.policy.enginememory.RequestSize`
         """
+        if not self.requests_by_id[server_id]:
+            return max(0, size.expected())
         shared = sum(
             tokens
             for part, tokens in dict(prompt).items()
--- a/boragetrail/direct/capacity/memoryfilter.py
+++ b/boragetrail/direct/capacity/memoryfilter.py
@@ -42,10 +42,11 @@
         if not progress.tried_ids:
             self.monitor.record_demand(request.service, size)
         unknown = self._unknown_tokens(request.service, len(views_by_id))
+        mean = self.monitor.mean_tokens(request.service) or size.expected()
         left, waits_s = [], []
         for state in states:
             view = views_by_id[state.record.id]
-            demand = self._demand(request.service, size, state, view, unknown)
+            demand = self._demand(state, view, mean, unknown)
             added = self.monitor.held.added_tokens(
                 state.record.id, progress.prompt, size
             )
@@ -62,17 +63,18 @@
         rate_per_s = self.monitor.token_rate(service)
         return unknown_tokens(rate_per_s, self.fleet.peers.size(), engines)
 
-    def _demand(self, service, size, state, view, unknown):
+    def _demand(self, state, view, mean, unknown):
         """Return the :class:`MemoryDemand` of an engine.
 
-        Requests of other routers count with the mean of this router's, and
-        before its first one like the request to be placed. So do requests of
-        this router that began before tokens were counted.
+        Requests of this router that began before tokens were counted count
+        like those of other routers.
+
+        :param mean: mean tokens of this router's requests, and before the
+            first those of the request to be placed
         """
         held = self.monitor.held
         others = max(0.0, view.running - state.in_flight)
         others += max(0, state.in_flight - held.requests(state.record.id))
-        mean = self.monitor.mean_tokens(service) or size.expected()
         return MemoryDemand(
             held.tokens(state.record.id), others * mean, unknown
         )
--- a/boragetrail/direct/capacity/speeds.py
+++ b/boragetrail/direct/capacity/speeds.py
@@ -44,8 +44,9 @@
     # Half of the time over which reported figures are compared with measured
     # times. A router sends an engine only a few requests in it.
     RESIDUALS_HALF_S = 4.0
-    # Time for which the sums of a service are used again.
-    SUMS_REUSE_S = 0.02
+    # Time for which the sums of a service, and slownesses without a new
+    # figure, are used again.
+    REUSE_S = 0.02
 
     def __init__(self, directory, clock):
         self.directory = directory
@@ -59,6 +60,7 @@
         self.residual_spread = Spread()
         self.peer_sums = PeerSums(clock, self.MAX_SUMS_AGE_S)
         self.service_sums_by_name = {}
+        self.slowness_by_key = {}
 
     def record_figure(self, key, percent, heard_s):
         """Record a figure that a server reported, here or to a peer.
@@ -73,6 +75,7 @@
             if len(self.estimates_by_key) >= self.MAX_SERVERS:
                 return False
             estimate = self.estimates_by_key[key] = SpeedEstimate()
+        self.slowness_by_key.pop(key, None)
         return estimate.record(percent, heard_s)
 
     def record_time(self, key, route, took_s):
@@ -139,11 +142,18 @@
         """
         now_s = self.clock()
         key = server_key(record.id)
+        known = self.slowness_by_key.get(key)
+        if known is None or now_s - known[0] >= self.REUSE_S:
+            known = (now_s, self._slowness(record.service, key, now_s))
+            self.slowness_by_key[key] = known
+        return known[1]
+
+    def _slowness(self, service, key, now_s):
         estimate = self.estimates_by_key.get(key)
         if estimate is not None:
             comparison = compare(
                 self._residual_sums(key),
-                self._service_sums(record.service, self._residual_sums),
+                self._service_sums(service, self._residual_sums),
                 self.residual_spread.value,
             )
             return effective_slowness(estimate.slowness(now_s), comparison)
@@ -181,6 +191,7 @@
             self.measured_by_key,
             self.windows_by_key,
             self.residuals_by_key,
+            self.slowness_by_key,
         ):
             for key in values_by_key.keys() - keys:
                 del values_by_key[key]
@@ -197,7 +208,7 @@
         """
         now_s = self.clock()
         known = self.service_sums_by_name.get((service, sums_of))
-        if known is not None and now_s - known[0] < self.SUMS_REUSE_S:
+        if known is not None and now_s - known[0] < self.REUSE_S:
             return known[1]
         sums = [
             sums_of(server_key(listed.record.id))
--- a/boragetrail/direct/tests/test_capacity.py
+++ b/boragetrail/direct/tests/test_capacity.py
@@ -3,6 +3,7 @@
 import asyncio
 import json
 import random
+import types
 
 import pytest
 
@@ -204,6 +205,24 @@
         assert not exchange.speeds.estimates_by_key
 
 
+class TestReuse:
+    """Guard against a slowness that is kept for too long."""
+
+    def test_slowness_follows_figures_and_age(self):
+        clock = ManualClock(100.0)
+        directory = Directory(PlatformRowDecoder(), clock)
+        speeds = SpeedTable(directory, clock)
+        record = types.SimpleNamespace(id="i-0", service="apps")
+        assert speeds.slowness(record) == 1.0
+        speeds.record_figure(server_key("i-0"), 250, clock())
+        slowness = speeds.slowness(record)
+        assert slowness > 2.0
+        clock.now_s += 2 * speeds.REUSE_S
+        assert speeds.slowness(record) < slowness
+        speeds.remove_unlisted()
+        assert not speeds.slowness_by_key
+
+
 HOSTILE_NUMBERS = ("x", "-1", "²", "٣", "9" * 400, "9" * 5000, "", "1_0")
 
 
