--- a/boragetrail/direct/capacity/monitor.py
+++ b/boragetrail/direct/capacity/monitor.py
@@ -156,7 +156,12 @@
         return self.tokens_by_service[service.name].hold_s
 
     def remove_unlisted(self):
-        """Remove what is known of servers that are no longer listed."""
+        """Remove what is known of servers and services that are gone."""
+        configuration = self.fleet.directory.configuration
+        if configuration is not None:
+            services = configuration.services_by_name
+            for name in self.tokens_by_service.keys() - services.keys():
+                del self.tokens_by_service[name]
         listed = self.fleet.directory.servers_by_id
         self.malformed_ids &= listed.keys()
         self.speeds.remove_unlisted()
--- a/boragetrail/direct/tests/test_capacity.py
+++ b/boragetrail/direct/tests/test_capacity.py
@@ -347,6 +347,12 @@
             daemon, "/status/1", headers={tokens: "4000,2000"}
         )
         assert status == 503 and float(headers["Retry-After"]) >= 30
+        # The means of services that are gone were kept forever.
+        daemon.parts.capacity.record_demand(
+            Service("removed", 64, 0.0, True), RequestSize(1, 0, 0)
+        )
+        daemon.parts.capacity.remove_unlisted()
+        assert set(daemon.parts.capacity.tokens_by_service) == {"apps"}
         assert sum(len(each.requests) for each in cluster.servers) == 1
 
     async def test_router_without_the_feature(self, cluster):
