--- a/boragetrail/direct/admission/demand.py
+++ b/boragetrail/direct/admission/demand.py
@@ -7,7 +7,7 @@
 
 
 class RecentDemand:
-    """Count recent requests by class, and the work of the calm seconds.
+    """Count recent requests by class, and the work of requests without a wait.
 
     :param clock: function that returns monotonic seconds
     :param random: random generator
@@ -44,29 +44,29 @@
         self.work_s = 0.0
         self.goal_s_by_route = {}
 
-    def record(self, request, calm):
+    def record(self, request, is_usual):
         """Count a caller's request.
 
         :param request: :class:`~boragetrail.direct.request.DirectRequest`
-        :param calm: whether the service refuses nothing at present
+        :param is_usual: whether the service refuses nothing at present
         :returns: its :class:`~boragetrail.policy.prioritygate.RequestClass`
         """
         self.goal_s_by_route[request.route.name] = request.route.goal_s
-        key = RequestClass(self._is_above(request, calm), request.priority)
+        key = RequestClass(self._is_above(request, is_usual), request.priority)
         if key not in self.offered_by_key:
             self.offered_by_key[key] = DecayingCount(self.RECENT_S)
         self.offered_by_key[key].add(self.clock())
         return key
 
-    def _is_above(self, request, calm):
+    def _is_above(self, request, is_usual):
         """Count the customer and draw whether it is above its fair part.
 
         Requests without a key have no customer, and no fair part.
         """
         if request.customer is None:
             return False
-        self.customers.record(request.customer.name, calm)
-        if calm:
+        self.customers.record(request.customer.name, is_usual)
+        if is_usual:
             return False
         above = self.customers.part_above(request.customer.name)
         return above > 0.0 and self.random.random() < above
--- a/boragetrail/direct/admission/gate.py
+++ b/boragetrail/direct/admission/gate.py
@@ -101,8 +101,8 @@
             return None
         ticket = progress.admission
         if ticket is None:
-            is_calm = service.is_calm() and not service.overloaded
-            key = service.demand.record(request, is_calm)
+            is_usual = service.admits_all() and not service.overloaded
+            key = service.demand.record(request, is_usual)
             ticket = AdmissionTicket(key, self.random.random())
             progress.admission = ticket
         if self._can_end_in_time(service, request):
--- a/boragetrail/direct/admission/serviceadmission.py
+++ b/boragetrail/direct/admission/serviceadmission.py
@@ -83,7 +83,7 @@
             self.share.update(self.clock(), self.load, self.band)
         return self.load
 
-    def is_calm(self):
+    def admits_all(self):
         """Return whether each request is admitted."""
         return self.share.value >= 1.0 and self.load <= self.band.start
 
@@ -96,7 +96,7 @@
         :param ticket: :class:`AdmissionTicket`
         """
         first = self.queue.first()
-        if first is None and self.is_calm():
+        if first is None and self.admits_all():
             return True
         place = self._place(ticket.key)
         if self.demand.is_starved(ticket.key):
--- a/boragetrail/direct/tests/test_capacity.py
+++ b/boragetrail/direct/tests/test_capacity.py
@@ -295,6 +295,16 @@
     return respond
 
 
+def configure_memory(cluster):
+    """Limit the memory of the engines to 5000 tokens."""
+    data = configuration(
+        version=2,
+        routes=[route("status", "idempotent")],
+        services=[service("apps", backend={"kvCapacity": 5000})],
+    )
+    cluster.store.put("op", "config", data)
+
+
 class TestRouter:
     """Guard against figures that do not reach the selection of servers."""
 
@@ -331,12 +341,7 @@
         assert figures[server_key(server.id)].figure == 2.5
 
     async def test_memory(self, cluster):
-        data = configuration(
-            version=2,
-            routes=[route("status", "idempotent")],
-            services=[service("apps", backend={"kvCapacity": 5000})],
-        )
-        cluster.store.put("op", "config", data)
+        configure_memory(cluster)
         daemon = await cluster.add_router(rules=["pressure"])
         tokens = HEADER_NAMES.tokens
         status, headers, _ = await cluster.call(
@@ -364,12 +369,7 @@
 
     async def test_requests_before_the_feature(self, cluster):
         """Fails if requests without a hold count as no tokens."""
-        data = configuration(
-            version=2,
-            routes=[route("status", "idempotent")],
-            services=[service("apps", backend={"kvCapacity": 5000})],
-        )
-        cluster.store.put("op", "config", data)
+        configure_memory(cluster)
         daemon = await cluster.add_router()
         ended = asyncio.Event()
 
@@ -398,12 +398,7 @@
 
     async def test_retry_after_without_memory(self, cluster):
         """Fails if callers are not told when tokens become free."""
-        data = configuration(
-            version=2,
-            routes=[route("status", "idempotent")],
-            services=[service("apps", backend={"kvCapacity": 5000})],
-        )
-        cluster.store.put("op", "config", data)
+        configure_memory(cluster)
         daemon = await cluster.add_router(rules=["pressure"])
         size = RequestSize(4200, 0, 0)
         for each in cluster.servers:
--- a/boragetrail/policy/customershare.py
+++ b/boragetrail/policy/customershare.py
@@ -67,12 +67,12 @@
     >>> shares = CustomerShares(lambda: now_s[0])
     >>> for n in range(400):
     ...     now_s[0] = n / 10
-    ...     shares.record("ab"[n % 2], calm=True)
+    ...     shares.record("ab"[n % 2], is_usual=True)
     >>> round(shares.part_above("a"), 2)
     0.0
     >>> for n in range(300):
     ...     now_s[0] += 0.02
-    ...     shares.record("b" if n % 10 == 0 else "a", calm=False)
+    ...     shares.record("b" if n % 10 == 0 else "a", is_usual=False)
     >>> shares.part_above("a") > 0.4, shares.part_above("b")
     (True, 0.0)
     """
@@ -92,11 +92,11 @@
         self.counts_by_customer = collections.OrderedDict()
         self.all = CustomerCounts()
 
-    def record(self, customer, calm):
+    def record(self, customer, is_usual):
         """Count a request.
 
         :param customer: name of the customer
-        :param calm: whether nothing is refused, so that the rate is usual
+        :param is_usual: whether nothing is refused, so that the rate is usual
         """
         now_s = self.clock()
         counts = self.counts_by_customer.pop(customer, None)
@@ -107,7 +107,7 @@
             self.counts_by_customer.popitem(last=False)
         for each in (counts, self.all):
             each.recent.add(now_s)
-            if calm:
+            if is_usual:
                 each.usual.add(now_s)
 
     def part_above(self, customer):
--- a/boragetrail/policy/enginememory.py
+++ b/boragetrail/policy/enginememory.py
@@ -28,7 +28,7 @@
 HINT_FACTOR = 2.0
 # Time for which requests of other routers may be unknown, with a lost
 # datagram.
-NEWS_DELAY_S = 0.25
+REPORT_DELAY_S = 0.25
 # An engine may get so many times the mean of what all get, since requests are
 # not spread evenly.
 ENGINE_SHARE_FACTOR = 1.5
@@ -131,7 +131,7 @@
     7500.0
     """
     others_per_s = rate_per_s * max(0, routers - 1)
-    per_engine = others_per_s * NEWS_DELAY_S / max(1, engines)
+    per_engine = others_per_s * REPORT_DELAY_S / max(1, engines)
     return ENGINE_SHARE_FACTOR * per_engine
 
 
