--- a/boragetrail/direct/tests/test_capacity.py
+++ b/boragetrail/direct/tests/test_capacity.py
@@ -1,11 +1,14 @@
 """Tests of the memory and the speed of servers at routers."""
 
+import asyncio
 import json
 import random
+import types
 
 import pytest
 
 from boragetrail.direct.capacity import SpeedExchange, SpeedTable
+from boragetrail.direct.capacity.heldtokens import TokenHold
 from boragetrail.direct.capacity.loadheader import LoadFigures, parse_figures
 from boragetrail.direct.capacity.requestsize import request_size
 from boragetrail.direct.counts import server_key
@@ -202,6 +205,24 @@
         assert not exchange.speeds.estimates_by_key
 
 
+class TestReuse:
+    """Guard against a slowness that is kept for too long."""
+
+    def test_slowness_follows_figures_and_age(self):
+        clock = ManualClock(100.0)
+        directory = Directory(PlatformRowDecoder(), clock)
+        speeds = SpeedTable(directory, clock)
+        record = types.SimpleNamespace(id="i-0", service="apps")
+        assert speeds.slowness(record) == 1.0
+        speeds.record_figure(server_key("i-0"), 250, clock())
+        slowness = speeds.slowness(record)
+        assert slowness > 2.0
+        clock.now_s += 2 * speeds.REUSE_S
+        assert speeds.slowness(record) < slowness
+        speeds.remove_unlisted()
+        assert not speeds.slowness_by_key
+
+
 HOSTILE_NUMBERS = ("x", "-1", "²", "٣", "9" * 400, "9" * 5000, "", "1_0")
 
 
@@ -274,6 +295,16 @@
     return respond
 
 
+def configure_memory(cluster):
+    """Limit the memory of the engines to 5000 tokens."""
+    data = configuration(
+        version=2,
+        routes=[route("status", "idempotent")],
+        services=[service("apps", backend={"kvCapacity": 5000})],
+    )
+    cluster.store.put("op", "config", data)
+
+
 class TestRouter:
     """Guard against figures that do not reach the selection of servers."""
 
@@ -310,12 +341,7 @@
         assert figures[server_key(server.id)].figure == 2.5
 
     async def test_memory(self, cluster):
-        data = configuration(
-            version=2,
-            routes=[route("status", "idempotent")],
-            services=[service("apps", backend={"kvCapacity": 5000})],
-        )
-        cluster.store.put("op", "config", data)
+        configure_memory(cluster)
         daemon = await cluster.add_router(rules=["pressure"])
         tokens = HEADER_NAMES.tokens
         status, headers, _ = await cluster.call(
@@ -326,6 +352,12 @@
             daemon, "/status/1", headers={tokens: "4000,2000"}
         )
         assert status == 503 and float(headers["Retry-After"]) >= 30
+        # The means of services that are gone were kept forever.
+        daemon.parts.capacity.record_demand(
+            Service("removed", 64, 0.0, True), RequestSize(1, 0, 0)
+        )
+        daemon.parts.capacity.remove_unlisted()
+        assert set(daemon.parts.capacity.tokens_by_service) == {"apps"}
         assert sum(len(each.requests) for each in cluster.servers) == 1
 
     async def test_router_without_the_feature(self, cluster):
@@ -334,3 +366,46 @@
         assert daemon.dispatcher.capacity is None
         assert daemon.record_gossip.speeds is None
         assert "capacity" not in daemon.dump()
+
+    async def test_requests_before_the_feature(self, cluster):
+        """Fails if requests without a hold count as no tokens."""
+        configure_memory(cluster)
+        daemon = await cluster.add_router()
+        ended = asyncio.Event()
+
+        async def respond(request):
+            if sum(each.in_flight for each in states) <= len(states):
+                await ended.wait()
+            return whole_answer(request, b"done")
+
+        for each in cluster.servers:
+            each.default = respond
+        states = daemon.fleet.ready_servers("apps")
+
+        def call():
+            headers = {HEADER_NAMES.tokens: "4000,100"}
+            return cluster.call(daemon, "/status/1", headers=headers)
+
+        tasks = [asyncio.ensure_future(call()) for _ in states]
+        await cluster.until(lambda: all(each.in_flight for each in states))
+        daemon.parts.enable_for_uneven_servers()
+        status, _, _ = await call()
+        ended.set()
+        for task in tasks:
+            assert (await task)[0] == 200
+        assert status == 503
+        assert not daemon.parts.capacity.held.requests_by_id
+
+    async def test_retry_after_without_memory(self, cluster):
+        """Fails if callers are not told when tokens become free."""
+        configure_memory(cluster)
+        daemon = await cluster.add_router(rules=["pressure"])
+        size = RequestSize(4200, 0, 0)
+        for each in cluster.servers:
+            hold = TokenHold(each.id, [], size, daemon.clock())
+            daemon.parts.capacity.held.add(hold)
+        status, headers, body = await cluster.call(
+            daemon, "/status/1", headers={HEADER_NAMES.tokens: "4200,0"}
+        )
+        assert status == 503 and b"overloaded" in body
+        assert float(headers["Retry-After"]) > 0.9
--- a/boragetrail/policy/zones.py
+++ b/boragetrail/policy/zones.py
@@ -1,7 +1,7 @@
 """Decision of which share of the requests leaves a router's zone.
 
 The load is requests of callers that are spread unevenly over zones, while
-routers hear of each other's requests with a delay and some losses. Requests
+routers learn of each other's requests with a delay and some losses. Requests
 that leave the zone take longer and cost money, so they leave only if servers
 of another zone are expected to be faster by more than that.
 
@@ -41,6 +41,8 @@
 ZONE_SLACK_REQUESTS = 0.5
 # A larger share would not allow to tell what load the zone has by itself.
 MAX_SHARE = 0.9
+# A smaller mean share of a zone without servers is forgotten.
+MIN_SENT = 1e-4
 
 
 @dataclasses.dataclass(slots=True)
@@ -117,8 +119,7 @@
     NOISE_S = 0.002
     # Work of about one request at an engine.
     FREE_TOKENS = 2000.0
-
-    # A prompt part of 2,000 to 6,000 tokens takes 50 to 150 ms.
+    # Prefill tokens that an engine processes per second.
     TOKENS_PER_S = 40000.0
 
     def time_s(self, load, capacity):
@@ -169,7 +170,11 @@
 
     def _queued(self, load, capacity):
         excess = load + 1 - capacity
-        root = math.sqrt(excess**2 + 4 * self.WIDTH * capacity)
+        product = self.WIDTH * capacity
+        root = math.sqrt(excess**2 + 4 * product)
+        if excess < 0:
+            # The sum of both would be 0 at a very large capacity.
+            return 2 * product / (root - excess)
         return (excess + root) / 2
 
     def _free_queued(self, capacity):
@@ -299,9 +304,9 @@
     :ivar flow: :class:`Outflow` that is in force
     """
 
-    # Time constants of the means and of the share. News is up to 0.4 s old,
-    # and a number of 0 to 6 requests says little by itself: with 1.5 s each,
-    # the share of a zone with two routers swung by 0.28.
+    # Time constants of the means and of the share. Loads are up to 0.4 s old,
+    # and the number of requests at a server says little by itself: with
+    # shorter constants the share of a zone with few routers swings.
     MEAN_S = 2.5
     DAMPING_S = 2.0
     # A share that falls below this ends.
@@ -362,10 +367,14 @@
             zone: means.get(zone, each).between(each, part)
             for zone, each in loads_by_zone.items()
         }
+        sent_by_zone = {}
         for zone in loads_by_zone | self.sent_by_zone:
             sent = self.flow.share * self.flow.weights_by_zone.get(zone, 0.0)
             mean = self.sent_by_zone.get(zone, 0.0)
-            self.sent_by_zone[zone] = _between(mean, sent, part)
+            mean = _between(mean, sent, part)
+            if zone in loads_by_zone or mean >= MIN_SENT:
+                sent_by_zone[zone] = mean
+        self.sent_by_zone = sent_by_zone
 
     def _own_loads(self):
         """Return the loads that the zones would have without the share."""
