Leave zones to the rule that calls for them

Servers that report their speed no longer switch it on; a zone that accepts no connection is avoided wherever failing servers are ejected.

--- a/boragetrail/direct/parts.py
+++ b/boragetrail/direct/parts.py
@@ -21,13 +21,9 @@
 __all__ = ["UNEVEN_SERVER_FEATURES", "FeatureParts"]
 
 # A server that reports how long work takes on its VM shares the VM with other
-# work. These features handle servers and zones that differ for that reason.
+# work. These features handle servers that differ for that reason.
 UNEVEN_SERVER_FEATURES = frozenset(
-    (
-        Feature.OUTLIER_EJECTION,
-        Feature.ENGINE_CAPACITY,
-        Feature.ZONE_AFFINITY,
-    )
+    (Feature.OUTLIER_EJECTION, Feature.ENGINE_CAPACITY)
 )
 # Filters that come first decide among more servers.
 FILTER_ORDER = (VersionFilter, EjectionFilter, MemoryFilter)
@@ -156,8 +152,9 @@
         self.daemon.selector.filters.append(server_filter)
 
     def _add_ejection(self):
-        """Eject failing servers, with the evidence of all routers."""
+        """Eject failing servers, and avoid zones that cannot be reached."""
         daemon = self.daemon
+        daemon.fleet.avoids_unreachable_zones = True
         self.ejection = EjectionMonitor(
             daemon.fleet,
             daemon.record_gossip,
@@ -184,9 +181,8 @@
         self._call_every(REMOVAL_INTERVAL_S, self.capacity.remove_unlisted)
 
     def _add_zones(self):
-        """Prefer the own zone, and avoid zones that cannot be reached."""
+        """Prefer the own zone, by the price of leaving it."""
         daemon = self.daemon
-        daemon.fleet.avoids_unreachable_zones = True
         if not daemon.settings.zones:
             return
         zones = ZoneAffinity(
