Import the parts of features only with their features

A router started a tenth slower since it imported all parts. The record of outcomes that the codec needs is in policy/outcomes.py now. A test of copies depended on the order of a set; it uses a price at which the zone matters.

--- a/boragetrail/direct/ejection/outcomes.py
+++ b/boragetrail/direct/ejection/outcomes.py
@@ -1,8 +1,12 @@
 """Results of this router's attempts, and what other routers report."""
 
 import collections
-import dataclasses
-import enum
+
+from boragetrail.policy.outcomes import (
+    MAX_RESULTS,
+    AttemptResult,
+    OutcomeReport,
+)
 
 __all__ = ["AttemptResult", "OutcomeReport", "OwnOutcomes", "ReportStore"]
 
@@ -10,47 +14,6 @@
 WINDOW_S = 5.0
 
 
-class AttemptResult(enum.Enum):
-    """Name the results of attempts that count for a server."""
-
-    SUCCESS = "success"
-    ERROR = "error"
-    LOST = "lost"
-
-
-@dataclasses.dataclass(slots=True, frozen=True)
-class OutcomeReport:
-    """Tell the results of one router at one run of a server.
-
-    The counts are those of the last ``WINDOW_S`` seconds, so a report replaces
-    the earlier ones of its router.
-
-    :param router: key of the run of the router
-    :param server: :func:`~boragetrail.direct.counts.run_key`
-    :param errors: pair of error responses to requests that must not be
-        repeated and to those that may be
-    :param losses: the same of responses that were lost or invalid, and of
-        connections that could not be opened
-    :param responses: number of all results
-    :param successes: consecutive successes since the last failure that the
-        router knows of, as long as the server is ejected or was lately
-    :param ejected_s: monotonic time since which the router has ejected the
-        server, or minus infinity if it has not
-    :param failed_s: monotonic time of the router's last failure
-    :param made_s: monotonic time of the report
-    """
-
-    router: int
-    server: int
-    errors: tuple
-    losses: tuple
-    responses: int
-    successes: int
-    ejected_s: float
-    failed_s: float
-    made_s: float
-
-
 class OwnOutcomes:
     """Count this router's results at one run of a server.
 
@@ -60,8 +23,6 @@
     :ivar counts: numbers of results by the last two
     """
 
-    MAX_RESULTS = 1024
-
     __slots__ = ("clock", "results", "counts", "successes", "failed_s")
 
     def __init__(self, clock):
@@ -80,7 +41,7 @@
         now_s = self.clock()
         self.results.append((now_s, result, retryable))
         self.counts[result, retryable] += 1
-        if len(self.results) > self.MAX_RESULTS:
+        if len(self.results) > MAX_RESULTS:
             self._remove_oldest()
         if result is AttemptResult.SUCCESS:
             self.successes += 1
--- a/boragetrail/direct/parts.py
+++ b/boragetrail/direct/parts.py
@@ -1,21 +1,13 @@
-"""Parts of a router that features switch on."""
+"""Parts of a router that features switch on.
+
+The modules of a part are imported with its feature. A router without features
+restarts as fast after a power failure as if there were no parts.
+"""
+
+import importlib
 
-from boragetrail.direct.admission import AdmissionGate, AdmissionMetrics
-from boragetrail.direct.capacity import (
-    CapacityMetrics,
-    CapacityMonitor,
-    MemoryFilter,
-)
-from boragetrail.direct.ejection import EjectionFilter, EjectionMonitor
 from boragetrail.direct.features import Feature
 from boragetrail.direct.metrics import CrossingMetrics
-from boragetrail.direct.rollouts import (
-    RolloutController,
-    RolloutObserver,
-    StatusWriter,
-    VersionFilter,
-)
-from boragetrail.direct.zones import ZoneAffinity
 from boragetrail.events import Event, log_event
 
 __all__ = ["UNEVEN_SERVER_FEATURES", "FeatureParts"]
@@ -25,8 +17,12 @@
 UNEVEN_SERVER_FEATURES = frozenset(
     (Feature.OUTLIER_EJECTION, Feature.ENGINE_CAPACITY)
 )
-# Filters that come first decide among more servers.
-FILTER_ORDER = (VersionFilter, EjectionFilter, MemoryFilter)
+# Filters of the features that come first decide among more servers.
+FILTER_ORDER = (
+    Feature.ROLLOUTS,
+    Feature.OUTLIER_EJECTION,
+    Feature.ENGINE_CAPACITY,
+)
 REMOVAL_INTERVAL_S = 5.0
 
 
@@ -62,6 +58,7 @@
         self.rollout_observer = None
         self.is_started = False
         self.calls = []
+        self.filters_by_feature = {}
 
     def enable(self, features):
         """Switch features on.
@@ -79,9 +76,11 @@
             if feature in features and feature not in self.features:
                 self.features.add(feature)
                 add()
-        self.daemon.selector.filters.sort(
-            key=lambda each: FILTER_ORDER.index(type(each))
-        )
+        self.daemon.selector.filters = [
+            self.filters_by_feature[feature]
+            for feature in FILTER_ORDER
+            if feature in self.filters_by_feature
+        ]
 
     def enable_for_uneven_servers(self):
         """Switch on what handles servers that report their speed."""
@@ -100,7 +99,7 @@
         for interval_s, function in calls:
             self.daemon.tasks.start_calls(interval_s, function)
         if self.rollouts is not None:
-            writer = StatusWriter(
+            writer = _import("rollouts").StatusWriter(
                 self.rollouts,
                 self.daemon.directory,
                 self.daemon.store,
@@ -148,36 +147,41 @@
         else:
             self.calls.append((interval_s, function))
 
-    def _add_filter(self, server_filter):
-        self.daemon.selector.filters.append(server_filter)
-
     def _add_ejection(self):
         """Eject failing servers, and avoid zones that cannot be reached."""
         daemon = self.daemon
         daemon.fleet.avoids_unreachable_zones = True
-        self.ejection = EjectionMonitor(
+        ejection = _import("ejection")
+        self.ejection = ejection.EjectionMonitor(
             daemon.fleet,
             daemon.record_gossip,
             daemon.metrics,
             daemon.incarnation,
         )
-        self._add_filter(
-            EjectionFilter(self.ejection, daemon.fleet, daemon.metrics)
+        self.filters_by_feature[Feature.OUTLIER_EJECTION] = (
+            ejection.EjectionFilter(
+                self.ejection, daemon.fleet, daemon.metrics
+            )
         )
-        self._call_every(EjectionMonitor.INTERVAL_S, self.ejection.advance)
+        self._call_every(self.ejection.INTERVAL_S, self.ejection.advance)
 
     def _add_capacity(self):
         """Take the memory and the speed of servers into account."""
         daemon = self.daemon
-        self.capacity = CapacityMonitor(
+        capacity = _import("capacity")
+        self.capacity = capacity.CapacityMonitor(
             daemon.fleet, daemon.platform.HEADER_NAMES, daemon.clock
         )
         daemon.fleet.speeds = self.capacity.speeds
         daemon.record_gossip.speeds = self.capacity.exchange
         daemon.dispatcher.capacity = self.capacity
-        self._add_filter(MemoryFilter(self.capacity, daemon.fleet))
-        metrics = CapacityMetrics(self.capacity, daemon.metrics.registry)
-        self._call_every(CapacityMetrics.INTERVAL_S, metrics.update)
+        self.filters_by_feature[Feature.ENGINE_CAPACITY] = (
+            capacity.MemoryFilter(self.capacity, daemon.fleet)
+        )
+        metrics = capacity.CapacityMetrics(
+            self.capacity, daemon.metrics.registry
+        )
+        self._call_every(metrics.INTERVAL_S, metrics.update)
         self._call_every(REMOVAL_INTERVAL_S, self.capacity.remove_unlisted)
 
     def _add_zones(self):
@@ -185,7 +189,7 @@
         daemon = self.daemon
         if not daemon.settings.zones:
             return
-        zones = ZoneAffinity(
+        zones = _import("zones").ZoneAffinity(
             daemon.fleet,
             daemon.settings.zones,
             daemon.clock,
@@ -193,37 +197,46 @@
             CrossingMetrics(daemon.metrics.registry).record,
         )
         daemon.selector.zones = zones
-        self._call_every(ZoneAffinity.INTERVAL_S, zones.update)
+        self._call_every(zones.INTERVAL_S, zones.update)
 
     def _add_admission(self):
         """Admit requests by priority, and read ahead of slow callers."""
         daemon = self.daemon
         daemon.dispatcher.forwarder.reads_ahead = True
-        gate = AdmissionGate(
+        admission = _import("admission")
+        gate = admission.AdmissionGate(
             daemon.fleet,
-            AdmissionMetrics(daemon.metrics.registry),
+            admission.AdmissionMetrics(daemon.metrics.registry),
             daemon.clock,
             daemon.random,
         )
         daemon.dispatcher.gate = gate
-        self._call_every(AdmissionGate.CHECK_INTERVAL_S, gate.check)
+        self._call_every(gate.CHECK_INTERVAL_S, gate.check)
 
     def _add_rollouts(self):
         """Move services to new versions by the operators' orders."""
         daemon = self.daemon
         if not daemon.settings.rollout:
             return
-        self.rollouts = RolloutController(
+        rollouts = _import("rollouts")
+        self.rollouts = rollouts.RolloutController(
             daemon.fleet,
             daemon.settings.rollout,
             daemon.record_gossip,
             daemon.random,
             daemon.incarnation,
         )
-        observer = RolloutObserver(self.rollouts, daemon.metrics)
+        observer = rollouts.RolloutObserver(self.rollouts, daemon.metrics)
         self.rollout_observer = observer
         daemon.metrics.count_rollouts()
-        self._add_filter(VersionFilter(self.rollouts, daemon.fleet))
+        self.filters_by_feature[Feature.ROLLOUTS] = rollouts.VersionFilter(
+            self.rollouts, daemon.fleet
+        )
         daemon.dispatcher.attempt_observers.append(observer)
         self._call_every(self.rollouts.INTERVAL_S, self.rollouts.advance)
-        self._call_every(RolloutObserver.INTERVAL_S, observer.find_slow)
+        self._call_every(observer.INTERVAL_S, observer.find_slow)
+
+
+def _import(name):
+    """Return a module of the direct path."""
+    return importlib.import_module(f"boragetrail.direct.{name}")
--- a/boragetrail/direct/recordgossip.py
+++ b/boragetrail/direct/recordgossip.py
@@ -2,7 +2,6 @@
 
 import collections
 
-from boragetrail.direct.ejection.outcomes import OutcomeReport
 from boragetrail.direct.knowledge.leaving import Leaving
 from boragetrail.direct.knowledge.streams import (
     StreamOrigin,
@@ -11,6 +10,7 @@
 )
 from boragetrail.direct.recordmessages import decode_records, encode_records
 from boragetrail.policy.crashrecords import CrashReport, Survival, Trial
+from boragetrail.policy.outcomes import OutcomeReport
 from boragetrail.policy.rollout import RolloutEvidence
 from boragetrail.policy.serverlimits import LimitReport
 from boragetrail.policy.speed import SpeedReport
--- a/boragetrail/direct/recordmessages.py
+++ b/boragetrail/direct/recordmessages.py
@@ -9,7 +9,6 @@
 import math
 
 from boragetrail.direct import checks
-from boragetrail.direct.ejection.outcomes import OutcomeReport, OwnOutcomes
 from boragetrail.direct.knowledge.leaving import Leaving
 from boragetrail.direct.knowledge.streams import (
     StreamOrigin,
@@ -17,6 +16,7 @@
     StreamUnknown,
 )
 from boragetrail.policy.crashrecords import CrashReport, Survival, Trial
+from boragetrail.policy.outcomes import MAX_RESULTS, OutcomeReport
 from boragetrail.policy.rollout import Counts, RolloutEvidence, Stage
 from boragetrail.policy.serverlimits import MAX_RATE_PER_S, LimitReport
 from boragetrail.policy.speed import (
@@ -72,7 +72,7 @@
         ``"limit"`` for
         :class:`~boragetrail.policy.serverlimits.LimitReport`,
         ``"outcomes"`` for
-        :class:`~boragetrail.direct.ejection.outcomes.OutcomeReport`,
+        :class:`~boragetrail.policy.outcomes.OutcomeReport`,
         ``"speed"`` for :class:`~boragetrail.policy.speed.SpeedReport`,
         ``"rollout"`` for
         :class:`~boragetrail.policy.rollout.RolloutEvidence`
@@ -210,7 +210,7 @@
         for each in checks.bounded_list(value, OUTCOME_COUNTS)
     ]
     if len(counts) != OUTCOME_COUNTS or not (
-        sum(counts[:4]) <= counts[4] <= OwnOutcomes.MAX_RESULTS
+        sum(counts[:4]) <= counts[4] <= MAX_RESULTS
     ):
         raise ValueError("not the counts of outcomes")
     return counts
--- a/boragetrail/direct/serverstate.py
+++ b/boragetrail/direct/serverstate.py
@@ -1,8 +1,7 @@
 """State of one run of a server, from this router's requests to it."""
 
 from boragetrail.direct.connection import ConnectionPool
-from boragetrail.direct.ejection.outcomes import AttemptResult
-from boragetrail.policy.outcomes import OutcomeWindow
+from boragetrail.policy.outcomes import AttemptResult, OutcomeWindow
 from boragetrail.policy.quota import RateQuota
 from boragetrail.policy.suspicion import Standing, Suspicion
 
--- a/boragetrail/direct/tests/test_zones.py
+++ b/boragetrail/direct/tests/test_zones.py
@@ -146,6 +146,7 @@
 
     def test_copy_comes_from_the_zone(self):
         self._set_service(SERVICE)
+        self.affinity.set_costs(ZoneCosts(HIGH_COSTS))
         index = self.router.fleet.prefix_index
         for holder in ("i-1", "i-3"):
             for part, _ in PROMPT[:2]:
--- a/boragetrail/policy/outcomes.py
+++ b/boragetrail/policy/outcomes.py
@@ -1,10 +1,62 @@
-"""Failure rates of servers."""
+"""Failure rates of servers, and the results that routers report."""
 
-__all__ = ["OutcomeWindow", "failure_rate"]
+import dataclasses
+import enum
+
+__all__ = [
+    "MAX_RESULTS",
+    "AttemptResult",
+    "OutcomeReport",
+    "OutcomeWindow",
+    "failure_rate",
+]
 
 # Assumed successful responses, added to the responses of every server, so
 # that a few failures have little effect.
 PRIOR_SUCCESSES = 8
+# Largest number of results of one router that count for a server.
+MAX_RESULTS = 1024
+
+
+class AttemptResult(enum.Enum):
+    """Name the results of attempts that count for a server."""
+
+    SUCCESS = "success"
+    ERROR = "error"
+    LOST = "lost"
+
+
+@dataclasses.dataclass(slots=True, frozen=True)
+class OutcomeReport:
+    """Tell the results of one router at one run of a server.
+
+    The counts are those of the last few seconds, so a report replaces
+    the earlier ones of its router.
+
+    :param router: key of the run of the router
+    :param server: :func:`~boragetrail.direct.counts.run_key`
+    :param errors: pair of error responses to requests that must not be
+        repeated and to those that may be
+    :param losses: the same of responses that were lost or invalid, and of
+        connections that could not be opened
+    :param responses: number of all results
+    :param successes: consecutive successes since the last failure that the
+        router knows of, as long as the server is ejected or was lately
+    :param ejected_s: monotonic time since which the router has ejected the
+        server, or minus infinity if it has not
+    :param failed_s: monotonic time of the router's last failure
+    :param made_s: monotonic time of the report
+    """
+
+    router: int
+    server: int
+    errors: tuple
+    losses: tuple
+    responses: int
+    successes: int
+    ejected_s: float
+    failed_s: float
+    made_s: float
 
 
 def failure_rate(failures, responses):
