--- a/review/lib2/engine.py
+++ b/review/lib2/engine.py
@@ -40,6 +40,7 @@
         self.port = fields.get("port", 0)
         self.slots = fields.get("slots", 64)
         self.logs_events = fields.get("logs_events", False)
+        self.version = fields.get("version", "v1")
         self.pauses = {}
         self.cold_until_s = 0.0
         self.born_ms = int(time.time() * 1000)
@@ -69,7 +70,6 @@
     def list(self):
         """Write the entry now, and with each heartbeat."""
         self.listed = True
-        self._write()
         self.case.start(self._beat())
 
     def unlist(self):
@@ -96,9 +96,20 @@
         self.listed = False
         self.case.start(self._expire())
 
+    async def restart(self, version):
+        """Start again under the id and address, with other software."""
+        self.version = version
+        self.born_ms = int(time.time() * 1000)
+        self.sequence = 0
+        await self.open()
+        self.case.record.say(f"{self.name} is back with software {version}")
+        self.list()
+
     async def _expire(self):
+        born_ms = self.born_ms
         await asyncio.sleep(3 * HEARTBEAT_S)
-        self.case.store.remove("servers", self.name)
+        if self.born_ms == born_ms and not self.listed:
+            self.case.store.remove("servers", self.name)
 
     def cold_left_ms(self):
         """Return the milliseconds for which it stays cold."""
@@ -118,7 +129,7 @@
             "service": self.service,
             "address": self.address,
             "zone": self.zone,
-            "version": "v1",
+            "version": self.version,
             "slots": self.slots,
             "state": self.state,
             "coldLeftMs": self.cold_left_ms(),
@@ -137,10 +148,12 @@
         store.put("servers", self.name, self._entry())
 
     async def _beat(self):
-        while self.listed:
-            await asyncio.sleep(HEARTBEAT_S)
-            if self.listed:
+        born_ms = self.born_ms
+        while self.listed and self.born_ms == born_ms:
+            await asyncio.sleep(getattr(self.case.store, "delay_s", 0.0))
+            if self.listed and self.born_ms == born_ms:
                 self._write()
+            await asyncio.sleep(HEARTBEAT_S)
 
     async def _serve(self, reader, writer):
         self.channels.add(writer)
@@ -181,7 +194,8 @@
             raise ConnectionResetError("crashed")
         self.runs.append(attempt_id)
         self.writers[writer] = attempt_id
-        await self._stream(attempt_id, reader, writer)
+        last_id = int(headers.get("last-event-id") or 0)
+        await self._stream(attempt_id, last_id, reader, writer)
         self.writers.pop(writer, None)
 
     def _arrived(self, attempt_id):
@@ -258,7 +272,7 @@
         ]
         writer.write("\r\n".join(lines).encode() + HEAD_END + body)
 
-    async def _stream(self, attempt_id, reader, writer):
+    async def _stream(self, attempt_id, last_id, reader, writer):
         """Stream the events of an answer, with a pause if one is set."""
         await asyncio.sleep(self.first_s)
         lines = [
@@ -271,12 +285,16 @@
             "Transfer-Encoding: chunked",
         ]
         writer.write("\r\n".join(lines).encode() + HEAD_END)
-        for number in range(1, self.events + 1):
-            event = f"id: {number}\ndata: {attempt_id} {number}\n\n".encode()
+        for number in range(last_id + 1, self.events + 1):
+            text = f"{self.name} {self.version} {number}"
+            event = f"id: {number}\ndata: {text}\n\n".encode()
             writer.write(b"%x\r\n%s\r\n" % (len(event), event))
             await writer.drain()
             if self.logs_events:
-                self.case.record.add(f"{self.name} sends event {number}")
+                self.case.record.add(
+                    f"{self.name} {self.version} sends event {number}"
+                    f" of {attempt_id}"
+                )
             await asyncio.sleep(self.pauses.get(number, self.event_s))
             if writer.transport.is_closing() or reader.at_eof():
                 self.case.record.add(
--- a/review/lib2/harness.py
+++ b/review/lib2/harness.py
@@ -13,8 +13,9 @@
 import sys
 import tempfile
 import time
+import urllib.request
 
-from standins.rowstore import RowStore
+from review.lib2.slowstore import SlowStore
 
 ROOT = pathlib.Path(__file__).resolve().parents[2]
 HOST = "chat.example"
@@ -236,7 +237,7 @@
     def __init__(self, folder):
         self.folder = pathlib.Path(folder).resolve()
         self.record = Record(self.folder)
-        self.store = RowStore()
+        self.store = SlowStore()
         self.engines = []
         self.routers = []
         self.tasks = set()
@@ -261,6 +262,19 @@
             await self.store.close()
 
 
+async def show_sizes(case):
+    """Record how many routers each router counts, by its dump."""
+    for router in case.routers:
+        address = router.settings["listen"]["metrics"]
+        dump = await asyncio.to_thread(_get, f"http://{address}/dump")
+        case.record.say(f"{router.name} counts {dump['routers']} routers")
+
+
+def _get(url):
+    with urllib.request.urlopen(url, timeout=2.0) as response:
+        return json.loads(response.read())
+
+
 class Answer:
     """What one caller got."""
 
--- a/review/lib2/traffic.py
+++ b/review/lib2/traffic.py
@@ -25,7 +25,7 @@
         {
             "X-Boragetrail-Model": "m",
             "X-Boragetrail-Token-Count": "2401,48",
-            "X-Boragetrail-Prefix-Hash": f"5c1e07a2:2041,{number:x}:360",
+            "X-Boragetrail-Prefix-Hash": prompt(number),
         },
         b"x" * 400,
     )
@@ -36,6 +36,15 @@
     )
 
 
+def prompt(number):
+    """Return the parts of a prompt: two that others share, and its own.
+
+    There are 8 first parts and 38 second ones, as in the site file.
+    """
+    brand, market = number * 5 % 8, number * 7 % 38
+    return f"a{brand:x}:341,b{market:x}:1700,{number:x}:360"
+
+
 def busiest_second(arrivals):
     """Return the largest number of arrivals in one second.
 
