--- a/review/8/case.py
+++ b/review/8/case.py
@@ -1,43 +1,119 @@
-"""An engine turns cold while the store is down, and gets too much."""
+"""Streams are not taken up again once routers were replaced often."""
 
 import asyncio
-import itertools
 import pathlib
-import time
+import re
 
 from review.lib2 import harness
 from review.lib2.engine import Engine
-from review.lib2.traffic import busiest_second, send
+from review.lib2.traffic import prompt
 
 FOLDER = pathlib.Path(__file__).parent
-ENGINES = 2
-# Figures of caption-llm in the site file.
-COLD_PER_S = 13.0
-COLD_S = 3.0
-LIMIT = COLD_PER_S * 1.5 + 5
-# The engine crashes "at a rate well above" COLD_PER_S, and above the limit.
-CRASH_PER_S = 2 * COLD_PER_S + 2
-PER_S = 72.0
-OUTAGE_S = 6.0
-EVENTS = 8
-EVENT_S = 0.05
+HOSTS = ["127.0.1.1", "127.0.1.2", "127.0.1.3", "127.0.1.4"]
+ZONES = ["chc-a", "chc-a", "chc-b", "dun-c"]
+# Machines that were replaced before, by others at new addresses.
+REPLACED = 40
+BATCH = 8
+STREAMS = 24
+EVENTS = 15
+EVENT_S = 0.1
+# Time after the start of the routers of today, and after that of the one that
+# is stopped and started.
+WAIT_S = 33.0
+RESTARTED_S = 8.0
+DEADLINE_MS = 3000
+RETRIES = 2
 
 
-async def traffic(case, answers):
-    """Send streams at a steady rate to the routers in turn."""
-    next_s = time.monotonic()
-    for router in itertools.cycle(case.routers):
-        case.start(send(case, router, answers))
-        next_s += 1.0 / PER_S
-        await asyncio.sleep(max(0.0, next_s - time.monotonic()))
+def make_router(case, name, zone, host, ports):
+    """Return a router with seeds of today."""
+    return harness.Router(
+        name,
+        zone,
+        host,
+        ports[0],
+        ports[1:],
+        case.store.address,
+        [f"{each}:{ports[0]}" for each in HOSTS[:3]],
+    )
+
+
+async def replace_machines(case, folder, ports, hosts):
+    """Run machines that are replaced: each is lost some time after its start."""
+    for first in range(0, len(hosts), BATCH):
+        routers = [
+            make_router(case, f"replaced-{host}", "chc-a", host, ports)
+            for host in hosts[first : first + BATCH]
+        ]
+        case.routers.extend(routers)
+        for router in routers:
+            router.settings["first_start"] = first == 0
+            await router.start(folder)
+        for router in routers:
+            await router.until_ready()
+        await asyncio.sleep(1.0)
+        for router in routers:
+            await router.end()
+            case.routers.remove(router)
+    rows = [key for table, key in case.store.rows_by_key if table == "routers"]
+    case.record.say(f"{len(hosts)} machines were replaced; rows: {len(rows)}")
+
+
+async def follow(case, router, others, number, results):
+    """Read a stream, and take it up again if its channel breaks."""
+    attempt_id = f"locale-{number}"
+    fields = {
+        "X-Boragetrail-Model": "m",
+        "X-Boragetrail-Token-Count": "2401,48",
+        "X-Boragetrail-Prefix-Hash": prompt(number),
+    }
+    path = f"/locale-pass/{number}"
+    body = b"x" * 400
+    answer = await harness.call(
+        router.callers, path, attempt_id, DEADLINE_MS, fields, body
+    )
+    results[number] = [answer]
+    events = answer.body.count(b"\n\n")
+    case.record.add(
+        f"{attempt_id} at {router.name}: {answer.status}, {events} events,"
+        f" complete {answer.complete}"
+    )
+    if answer.complete or not events:
+        return
+    deadline_ms = int(DEADLINE_MS - 1000 * answer.took_s)
+    for again in range(RETRIES):
+        if deadline_ms < 300:
+            return
+        at = others[(number + again) % len(others)]
+        resumed = await harness.call(
+            at.callers,
+            path,
+            f"{attempt_id}-{again}",
+            deadline_ms,
+            {**fields, "Last-Event-Id": events, "Resumes": attempt_id},
+            body,
+        )
+        results[number].append(resumed)
+        match = re.search(rb"(?i)retry-after: ([0-9.]+)", resumed.head)
+        wait_s = float(match[1]) if match else 0.0
+        case.record.add(
+            f"{attempt_id} is taken up at {at.name}: {resumed.status}"
+            f" {resumed.body[:90]!r} retry after {wait_s}"
+        )
+        if resumed.status == 200:
+            return
+        deadline_ms -= int(1000 * resumed.took_s)
+        # Clients honour it up to one third of the time they have left.
+        wait_s = min(wait_s, deadline_ms / 3000.0)
+        await asyncio.sleep(wait_s)
+        deadline_ms -= int(1000 * wait_s)
 
 
 async def main(case, folder):
     """Play the case; returns 1 if the rule was broken."""
     record = case.record
-    hosts = ["127.0.1.1", "127.0.1.2", "127.0.1.3", "127.0.1.4"]
-    zones = ["chc-a", "chc-a", "chc-b", "dun-c"]
-    ports = harness.free_ports(hosts, 4)
+    replaced = [f"127.0.3.{number + 1}" for number in range(REPLACED)]
+    ports = harness.free_ports(HOSTS + replaced, 4)
     await case.store.open()
     routes = [
         harness.route(
@@ -47,75 +123,72 @@
             timeoutMs=3000,
             gapTargetMs=400,
             sticky=True,
+            resumable=True,
+            maxAttempts=2,
         )
     ]
-    services = [
-        harness.service(
-            "caption-llm",
-            coldPerS=COLD_PER_S,
-            backend={"kvCapacity": 366003},
-        )
-    ]
+    services = [harness.service("caption-llm", backend={"kvCapacity": 366003})]
     first = harness.configuration(10, routes, services)
     case.store.put("op", "config", first)
-    for number in range(ENGINES):
+    for number in range(4):
         engine = Engine(
             case,
             f"i-{number}",
             "caption-llm",
-            zones[1 + number],
+            ZONES[number],
             events=EVENTS,
             event_s=EVENT_S,
-            cold_per_s=COLD_PER_S,
-            crash_per_s=CRASH_PER_S,
+            version=("v1", "v2")[number % 2],
         )
         await engine.open()
         engine.list()
-    seeds = [f"{each}:{ports[0]}" for each in hosts[:3]]
-    for number, host in enumerate(hosts):
-        case.routers.append(
-            harness.Router(
-                f"router-{number}",
-                zones[number],
-                host,
-                ports[0],
-                ports[1:],
-                case.store.address,
-                seeds,
-            )
+    if harness.trouble():
+        await replace_machines(case, folder, ports, replaced)
+    for number, host in enumerate(HOSTS):
+        router = make_router(
+            case, f"router-{number}", ZONES[number], host, ports
         )
-    for router in case.routers:
+        case.routers.append(router)
+        router.settings["first_start"] = not harness.trouble()
         await router.start(folder)
     for router in case.routers:
         await router.until_ready()
-    await asyncio.sleep(4.0)
-    answers = {}
-    case.start(traffic(case, answers))
-    await asyncio.sleep(6.0)
-    if harness.trouble():
-        record.say("the store is down and does not answer")
-        case.store.silent = True
-    await asyncio.sleep(2.0)
-    case.engines[0].become_cold(COLD_S)
-    await asyncio.sleep(COLD_S + 0.5)
-    case.store.silent = False
-    await asyncio.sleep(OUTAGE_S - COLD_S - 2.5 + 2.0)
-    cold = case.engines[0]
-    most = busiest_second(cold.cold_arrivals)
-    cut = [key for key in cold.lost if not answers[key].complete]
-    record.say(
-        f"{len(answers)} streams were answered,"
-        f" {sum(each.complete for each in answers.values())} of them whole"
-    )
+    await asyncio.sleep(WAIT_S)
+    await harness.show_sizes(case)
+    last = case.routers[-1]
+    record.say(f"{last.name} is stopped and started")
+    last.terminate()
+    await last.process.wait()
+    last.settings["first_start"] = False
+    await last.start(folder)
+    await last.until_ready()
+    await asyncio.sleep(RESTARTED_S)
+    await harness.show_sizes(case)
+    results = {}
+    first, *others = case.routers
+    tasks = []
+    for number in range(STREAMS):
+        tasks.append(case.start(follow(case, first, others, number, results)))
+        await asyncio.sleep(0.02)
+    await asyncio.sleep(0.4)
+    record.say(f"{first.name} is killed")
+    await first.end()
+    await asyncio.gather(*tasks)
+    begun = [each for each in results.values() if each[0].status == 200]
+    taken_up = [each for each in begun if len(each) > 1]
+    went_on = [each for each in taken_up if each[-1].status == 200]
     record.say(
-        f"{cold.name} got {len(cold.cold_arrivals)} requests while cold,"
-        f" {most} in its busiest second; {LIMIT} are allowed"
+        f"{len(begun)} of {len(results)} streams began; {len(taken_up)} were"
+        f" taken up again, and {len(went_on)} of them went on"
     )
-    record.say(f"{cold.crashes} crash; it cut {len(cut)} streams")
-    if most > LIMIT:
-        record.say("FAILBACK is broken")
+    if len(taken_up) < 12:
+        record.say("too few streams were taken up again: not the case")
+        return 2
+    share = len(went_on) / len(taken_up)
+    if share < 0.5 * len(begun) / len(results):
+        record.say("LOST is broken")
         return 1
-    record.say("FAILBACK held")
+    record.say("LOST held")
     return 0
 
 
--- a/review/lib2/engine.py
+++ b/review/lib2/engine.py
@@ -22,6 +22,7 @@
     :param zone: its zone
     :ivar arrivals: (time, id) of each request that reached it, without those
         that got 421
+    :ivar reached: ids of the requests whose head it has read
     :ivar runs: ids of the requests that it began to run
     :ivar lost: ids of the requests that a crash cut off
     """
@@ -49,6 +50,7 @@
         self.sequence = 0
         self.arrivals = []
         self.cold_arrivals = []
+        self.reached = []
         self.runs = []
         self.ended = []
         self.lost = []
@@ -155,6 +157,10 @@
                 self._write()
             await asyncio.sleep(HEARTBEAT_S)
 
+    async def read_body(self, reader, headers, length):
+        """Read the body of a request."""
+        await reader.readexactly(length)
+
     async def _serve(self, reader, writer):
         self.channels.add(writer)
         try:
@@ -166,7 +172,10 @@
                     name, _, value = field.partition(":")
                     headers[name.lower()] = value.strip()
                 length = int(headers.get("content-length", 0))
-                await reader.readexactly(length)
+                self.reached.append(
+                    headers.get("x-boragetrail-attempt-id", "")
+                )
+                await self.read_body(reader, headers, length)
                 await self._answer(line, headers, reader, writer)
         except (OSError, EOFError):
             pass
--- a/review/lib2/harness.py
+++ b/review/lib2/harness.py
@@ -317,7 +317,7 @@
                 "POST", path, attempt_id, head_fields, len(body)
             )
             writer.write(head + body)
-            await _read_answer(reader, answer)
+            await read_answer(reader, answer)
     except TimeoutError:
         answer.error = "no whole answer in time"
     except (OSError, EOFError, ValueError) as exc:
@@ -329,7 +329,8 @@
     return answer
 
 
-async def _read_answer(reader, answer):
+async def read_answer(reader, answer):
+    """Read an answer to the end that its framing names."""
     answer.head = await reader.readuntil(b"\r\n\r\n")
     lines = answer.head.decode("latin-1").split("\r\n")
     answer.status = int(lines[0].split()[1])
