--- a/review/lib2/engine.py
+++ b/review/lib2/engine.py
@@ -62,7 +62,7 @@
         case.engines.append(self)
 
     async def open(self):
-        """Listen, and write the entry."""
+        """Listen."""
         self.server = await asyncio.start_server(
             self._serve, self.host, self.port
         )
@@ -152,9 +152,7 @@
     async def _beat(self):
         born_ms = self.born_ms
         while self.listed and self.born_ms == born_ms:
-            await asyncio.sleep(getattr(self.case.store, "delay_s", 0.0))
-            if self.listed and self.born_ms == born_ms:
-                self._write()
+            self._write()
             await asyncio.sleep(HEARTBEAT_S)
 
     async def read_body(self, reader, headers, length):
@@ -234,6 +232,8 @@
             writer.transport.abort()
         self.writers.clear()
         self.server.close()
+        self.listed = False
+        self.case.start(self._expire())
         return True
 
     def _health_fields(self):
