direct: log from where the address of each peer comes

The logs could not tell whether they come from the table of routers or from other routers' datagrams, nor whether a peer that expires was ever heard: E410 names routers that were heard only, E411 all that expire.

--- a/boragetrail/direct/peer.py
+++ b/boragetrail/direct/peer.py
@@ -1,12 +1,22 @@
 """Last known state of one other router."""
 
-__all__ = ["SLOW_LINK_MBPS", "Peer"]
+import enum
+
+__all__ = ["SLOW_LINK_MBPS", "AddressSource", "Peer"]
 
 # A link below this bandwidth is slow. Routers with slow links are avoided for
 # bulk transfers, so that the links stay free for callers' traffic.
 SLOW_LINK_MBPS = 25.0
 
 
+class AddressSource(enum.Enum):
+    """Tell from where a router got the address of another one."""
+
+    REGISTRY = "registry"
+    REPORT = "report of another router"
+    DATAGRAM = "its own datagram"
+
+
 class Peer:
     """Holds the last known state of one other router.
 
@@ -48,6 +58,10 @@
         self.link_mbps = 0.0
         self.leaving = False
 
+    def was_heard(self):
+        """Return whether a digest of the router has ever arrived."""
+        return bool(self.incarnation)
+
     def has_slow_link(self):
         """Return whether the router's link is slow."""
         return self.link_mbps < SLOW_LINK_MBPS
--- a/boragetrail/direct/peers.py
+++ b/boragetrail/direct/peers.py
@@ -2,7 +2,7 @@
 
 from boragetrail.direct.counts import server_key
 from boragetrail.direct.loads import ServerLoad, PeerSums
-from boragetrail.direct.peer import SLOW_LINK_MBPS, Peer
+from boragetrail.direct.peer import SLOW_LINK_MBPS, AddressSource, Peer
 from boragetrail.direct.work import WorkShard, WorkTable
 from boragetrail.events import Event, log_event
 from boragetrail.policy.placement import rendezvous_score
@@ -51,16 +51,22 @@
         self.work = WorkTable(clock, random)
         self.outcomes = PeerSums(clock, self.MAX_OUTCOMES_AGE_S)
 
-    def add(self, address):
+    def add(self, address, source=AddressSource.REPORT):
         """Add a router unless it is known.
 
         :param address: its (host, port)
+        :param source: :class:`~boragetrail.direct.peer.AddressSource`
         :returns: :class:`Peer`
         """
         peer = self.peers_by_address.get(address)
         if peer is None:
             peer = Peer(address, self.clock())
             self.peers_by_address[address] = peer
+            log_event(
+                Event.PEER_ADDED,
+                peer=f"{address[0]}:{address[1]}",
+                source=source.value,
+            )
         return peer
 
     def add_listed(self, addresses):
@@ -74,7 +80,7 @@
         """
         for address in addresses:
             if address != self.own_address:
-                self.add(address)
+                self.add(address, AddressSource.REGISTRY)
         self.list_was_read = True
 
     def apply_digest(self, digest, host):
@@ -88,7 +94,7 @@
         """
         address = (host, digest.gossip_port)
         is_new = address not in self.peers_by_address
-        peer = self.add(address)
+        peer = self.add(address, AddressSource.DATAGRAM)
         is_same_run = peer.incarnation == digest.incarnation
         if is_same_run and digest.sequence <= peer.sequence:
             return None, False
@@ -183,6 +189,16 @@
         known = len(self.members()) + 1
         return max(self._min_size(), known)
 
+    def counts(self):
+        """Return how many peers there are, by what is known of them."""
+        peers = self.peers_by_address.values()
+        return {
+            "known": len(peers),
+            "members": len(self.members()),
+            "heard": sum(peer.was_heard() for peer in peers),
+            "live": len(self.live_peers()),
+        }
+
     def rank(self, key):
         """Return this router's rendezvous rank for a key; 0 is the highest.
 
@@ -331,6 +347,10 @@
             if max(peer.digest_received_s, peer.added_s) < oldest_s
         ]
         for address in silent:
-            del self.peers_by_address[address]
+            peer = self.peers_by_address.pop(address)
             self.work.remove(address)
-            log_event(Event.PEER_EXPIRED, peer=f"{address[0]}:{address[1]}")
+            log_event(
+                Event.PEER_EXPIRED,
+                peer=f"{address[0]}:{address[1]}",
+                was_heard=peer.was_heard(),
+            )
--- a/boragetrail/events.py
+++ b/boragetrail/events.py
@@ -54,6 +54,7 @@
     SETTINGS_REFUSED = (414, "ERROR", "Changed settings are not valid.")
     DATAGRAM_INVALID = (415, "WARNING", "A datagram could not be decoded.")
     FEATURES_ENABLED = (416, "INFO", "Features were enabled in operation.")
+    PEER_ADDED = (417, "INFO", "The address of another router was added.")
     SERVER_COLD = (500, "WARNING", "A backend server was found cold.")
     SERVER_WARM = (501, "INFO", "A backend server is warm.")
     SERVER_LEAVING = (502, "INFO", "A backend server is shutting down.")
