direct: count a router as a member only while there are signs of it

Cause: an address was a member as soon as anything named it, a row of the registry or the sample of addresses in each digest, and each naming counted for 20 s anew. A router put addresses into its digests that it had never heard. So addresses of routers that are gone went round among the living without end: one dropped an address after 30 s, and learned it again from another that had learned it later. Streams are told to, and asked of, three members by rank: nearly all of them gone.

Now a member is a router whose own datagrams came within 20 s, or which another router reported that had heard it itself within 4 s. A report is not passed on, so the last one ends 4 s after a router's end, and the last membership 20 s later. Relayed shards that are new count as signs as well. Digests keep their format. The addresses of the registry and of seeds are contacts: they are probed until they reply, a few times at once and then one a second, and get no updates or records. For 20 s they still count towards the size and rank by which limits are divided, since they may run unheard; for who is told of streams, and who is first for a task, only in the 3 s after a start.

--- a/boragetrail/direct/datagrams.py
+++ b/boragetrail/direct/datagrams.py
@@ -70,7 +70,8 @@
         sender
     :param uptime_s: seconds since the sender started
     :param link_mbps: bandwidth of the sender's link in megabits per second
-    :param peers: addresses of some other routers, as [host, port]
+    :param peers: addresses of some other routers from which the sender has
+        just heard, as [host, port]
     :param leaving: whether the sender is shutting down
     :param wants_reply: whether the receiver should reply with its own
         digest at once
--- a/boragetrail/direct/knowledge/streams.py
+++ b/boragetrail/direct/knowledge/streams.py
@@ -203,7 +203,7 @@
                 query.done.set()
 
     def _ask(self, stream):
-        asked = [peer.address for peer in self.peers.members()]
+        asked = self.peers.probable_addresses()
         if len(asked) > self.MAX_ASKED:
             asked = self._owners(stream)
         query = _Query(set(asked))
@@ -216,7 +216,7 @@
 
     def _owners(self, stream):
         """Return the addresses of the routers that know of a stream."""
-        addresses = [peer.address for peer in self.peers.members()]
+        addresses = self.peers.probable_addresses()
         addresses.append(self.peers.own_address)
         addresses.sort(
             key=lambda address: rendezvous_score(str(stream), address),
--- a/boragetrail/direct/peer.py
+++ b/boragetrail/direct/peer.py
@@ -12,7 +12,6 @@
 class AddressSource(enum.Enum):
     """Tell from where a router got the address of another one."""
 
-    REGISTRY = "registry"
     REPORT = "report of another router"
     DATAGRAM = "its own datagram"
 
@@ -21,10 +20,10 @@
     """Holds the last known state of one other router.
 
     :param address: (host, port) on which the router receives datagrams
-    :param now_s: current monotonic time
     :ivar sequence: sequence number of its last digest or update
     :ivar digest_received_s: monotonic time at which its last digest arrived
-    :ivar added_s: monotonic time at which its address became known
+    :ivar reported_s: monotonic time of the last report of another router that
+        had heard from it
     :ivar versions_received_s: monotonic time at which its last digest or
         update arrived
     """
@@ -35,7 +34,7 @@
         "incarnation",
         "sequence",
         "digest_received_s",
-        "added_s",
+        "reported_s",
         "versions_by_table",
         "versions_received_s",
         "store_unreachable",
@@ -44,13 +43,13 @@
         "leaving",
     )
 
-    def __init__(self, address, now_s):
+    def __init__(self, address):
         self.address = address
         self.relay_port = 0
         self.incarnation = ""
         self.sequence = 0
         self.digest_received_s = float("-inf")
-        self.added_s = now_s
+        self.reported_s = float("-inf")
         self.versions_by_table = {}
         self.versions_received_s = float("-inf")
         self.store_unreachable = False
@@ -62,6 +61,13 @@
         """Return whether a digest of the router has ever arrived."""
         return bool(self.incarnation)
 
+    def has_sign_since(self, time_s):
+        """Return whether there has been a sign that the router runs.
+
+        :param time_s: monotonic time
+        """
+        return self.versions_received_s >= time_s or self.reported_s >= time_s
+
     def has_slow_link(self):
         """Return whether the router's link is slow."""
         return self.link_mbps < SLOW_LINK_MBPS
--- a/boragetrail/direct/peers.py
+++ b/boragetrail/direct/peers.py
@@ -1,5 +1,15 @@
-"""Table of the other routers of the fleet."""
+"""Table of the other routers of the fleet.
 
+A router is a member as long as there are signs that it runs: its own
+datagrams, and reports of routers that have just heard from it [1]_. A report
+is not passed on, so that the address of a router that is gone does not
+circulate.
+
+.. [1] R. van Renesse, Y. Minsky, M. Hayden, "A Gossip-Style Failure Detection
+   Service", Middleware 1998.
+"""
+
+from boragetrail.direct.contacts import Contacts
 from boragetrail.direct.counts import server_key
 from boragetrail.direct.loads import ServerLoad, PeerSums
 from boragetrail.direct.peer import SLOW_LINK_MBPS, AddressSource, Peer
@@ -15,6 +25,8 @@
 
     :param clock: function that returns monotonic seconds
     :param random: random generator
+    :ivar contacts: :class:`~boragetrail.direct.contacts.Contacts`, addresses
+        of routers without a sign that they run
     :ivar own_address: (host, port) on which this router receives datagrams
     :ivar link_mbps: bandwidth of this router's link in megabits per second
     :ivar list_was_read: whether the platform's list of routers was read
@@ -29,10 +41,10 @@
     # peers, it goes to UPDATE_FANOUT peers, and these relay it.
     MAX_DIRECT_PEERS = 20
     UPDATE_FANOUT = 8
-    # Silence after which a router is removed from the table.
-    REMOVE_AFTER_S = 30.0
-    # Silence after which a router no longer counts towards the fleet's size.
+    # Time without a sign after which a router is no longer a member.
     MEMBERSHIP_TIMEOUT_S = 20.0
+    # Silence up to which a router is reported to others.
+    MAX_REPORTED_SILENCE_S = 4.0
     # Other routers may still be unknown in the first STARTUP_S seconds after
     # the start, so the fleet is assumed to have at least MIN_STARTUP_SIZE
     # routers, or MIN_SIZE_WITHOUT_LIST until the platform's list was read.
@@ -44,6 +56,7 @@
         self.clock = clock
         self.random = random
         self.peers_by_address = {}
+        self.contacts = Contacts(clock)
         self.own_address = ("", 0)
         self.link_mbps = float("inf")
         self.started_s = clock()
@@ -51,38 +64,56 @@
         self.work = WorkTable(clock, random)
         self.outcomes = PeerSums(clock, self.MAX_OUTCOMES_AGE_S)
 
-    def add(self, address, source=AddressSource.REPORT):
-        """Add a router unless it is known.
+    def add_reported(self, address):
+        """Record that another router has just heard from a router.
 
-        :param address: its (host, port)
-        :param source: :class:`~boragetrail.direct.peer.AddressSource`
-        :returns: :class:`Peer`
+        :param address: (host, port) of the router
+        :returns: whether it was not known
         """
-        peer = self.peers_by_address.get(address)
-        if peer is None:
-            peer = Peer(address, self.clock())
-            self.peers_by_address[address] = peer
-            log_event(
-                Event.PEER_ADDED,
-                peer=f"{address[0]}:{address[1]}",
-                source=source.value,
-            )
-        return peer
+        if address == self.own_address:
+            return False
+        is_new = address not in self.peers_by_address
+        peer = self._add(address, AddressSource.REPORT)
+        peer.reported_s = self.clock()
+        return is_new
 
     def add_listed(self, addresses):
-        """Add the routers that the platform lists.
+        """Add the addresses that the registry lists.
 
-        Listed routers that no longer run count towards the fleet until
-        their membership expires. As a result, this router's share of
+        Their routers count towards the limits of the fleet for a while, as
+        they may run without being heard. As a result, this router's share of
         fleet-wide limits may be too small, but never too large.
 
         :param addresses: list of (host, port)
         """
         for address in addresses:
-            if address != self.own_address:
-                self.add(address, AddressSource.REGISTRY)
+            self.add_contact(address, self.MEMBERSHIP_TIMEOUT_S)
         self.list_was_read = True
 
+    def add_contact(self, address, counts_s=0.0):
+        """Add an address to probe, unless its router is a member.
+
+        :param address: (host, port) of the router
+        :param counts_s: seconds for which the router is assumed to run
+        """
+        if address in self.peers_by_address or address == self.own_address:
+            return
+        self.contacts.add(address, counts_s)
+
+    def _add(self, address, source):
+        """Return the :class:`Peer` of an address, which is added if new."""
+        peer = self.peers_by_address.get(address)
+        if peer is None:
+            self.contacts.remove(address)
+            peer = Peer(address)
+            self.peers_by_address[address] = peer
+            log_event(
+                Event.PEER_ADDED,
+                peer=f"{address[0]}:{address[1]}",
+                source=source.value,
+            )
+        return peer
+
     def apply_digest(self, digest, host):
         """Update a peer from its digest.
 
@@ -94,7 +125,7 @@
         """
         address = (host, digest.gossip_port)
         is_new = address not in self.peers_by_address
-        peer = self.add(address, AddressSource.DATAGRAM)
+        peer = self._add(address, AddressSource.DATAGRAM)
         is_same_run = peer.incarnation == digest.incarnation
         if is_same_run and digest.sequence <= peer.sequence:
             return None, False
@@ -148,17 +179,17 @@
             return False
         if peer.incarnation == relayed.incarnation:
             sent_s = self.clock() - relayed.age_ms / 1000.0
-            self.work.apply(
-                WorkShard(
-                    address,
-                    relayed.incarnation,
-                    relayed.sequence,
-                    sent_s,
-                    relayed.shard_index,
-                    relayed.shard_count,
-                    relayed.work,
-                )
+            shard = WorkShard(
+                address,
+                relayed.incarnation,
+                relayed.sequence,
+                sent_s,
+                relayed.shard_index,
+                relayed.shard_count,
+                relayed.work,
             )
+            if self.work.apply(shard):
+                peer.reported_s = max(peer.reported_s, sent_s)
         return True
 
     def load(self, server_id):
@@ -185,18 +216,22 @@
         self.work.apply(shard)
 
     def size(self):
-        """Return the number of routers in the fleet, including this one."""
-        known = len(self.members()) + 1
+        """Return the number of routers that share the fleet's limits.
+
+        This router is included, and so are listed ones that may run without
+        being heard.
+        """
+        known = len(self.members()) + len(self.contacts.expected()) + 1
         return max(self._min_size(), known)
 
     def counts(self):
         """Return how many peers there are, by what is known of them."""
         peers = self.peers_by_address.values()
         return {
-            "known": len(peers),
             "members": len(self.members()),
             "heard": sum(peer.was_heard() for peer in peers),
             "live": len(self.live_peers()),
+            "contacts": len(self.contacts),
         }
 
     def rank(self, key):
@@ -209,10 +244,10 @@
         :param key: text to rank by
         """
         own_score = rendezvous_score(key, self.own_address)
+        others = [peer.address for peer in self.members()]
+        others += self.contacts.expected()
         higher = sum(
-            1
-            for peer in self.members()
-            if rendezvous_score(key, peer.address) > own_score
+            rendezvous_score(key, address) > own_score for address in others
         )
         return higher + self._min_size()
 
@@ -229,13 +264,28 @@
             return (is_fast, rendezvous_score(key, address))
 
         own = precedence(self.own_address, self.link_mbps)
+        links = {peer.address: peer.link_mbps for peer in self.members()}
         return all(
-            precedence(peer.address, peer.link_mbps) < own
-            for peer in self.members()
+            precedence(address, links.get(address, 0.0)) < own
+            for address in self.probable_addresses()
         )
 
+    def probable_addresses(self):
+        """Return the addresses of the other routers that probably run.
+
+        These are the members, and just after the start the listed routers
+        too, which have not had the time to reply.
+        """
+        addresses = [peer.address for peer in self.members()]
+        if self._is_starting():
+            addresses += self.contacts.expected()
+        return addresses
+
+    def _is_starting(self):
+        return self.own_uptime_s() < self.STARTUP_S
+
     def _min_size(self):
-        if self.own_uptime_s() >= self.STARTUP_S:
+        if not self._is_starting():
             return 0
         return (
             self.MIN_STARTUP_SIZE
@@ -252,7 +302,7 @@
         return [
             peer
             for peer in self.peers_by_address.values()
-            if max(peer.digest_received_s, peer.added_s) >= oldest_s
+            if peer.has_sign_since(oldest_s)
         ]
 
     def needs_relaying(self):
@@ -274,6 +324,20 @@
         peers = list(self.peers_by_address.values())
         return self.random.sample(peers, min(count, len(peers)))
 
+    def sample_heard(self, count):
+        """Return a random sample of the peers that were just heard.
+
+        :param count: maximum size of the sample
+        :returns: list of :class:`Peer`
+        """
+        oldest_s = self.clock() - self.MAX_REPORTED_SILENCE_S
+        heard = [
+            peer
+            for peer in self.peers_by_address.values()
+            if peer.versions_received_s >= oldest_s
+        ]
+        return self.random.sample(heard, min(count, len(heard)))
+
     def sample_fast(self, count):
         """Return a random sample of live peers for bulk transfers.
 
@@ -339,12 +403,12 @@
         return self.clock() - self.started_s
 
     def remove_silent(self):
-        """Remove the peers that have been silent for ``REMOVE_AFTER_S``."""
-        oldest_s = self.clock() - self.REMOVE_AFTER_S
+        """Remove the peers that are no longer members."""
+        oldest_s = self.clock() - self.MEMBERSHIP_TIMEOUT_S
         silent = [
             address
             for address, peer in self.peers_by_address.items()
-            if max(peer.digest_received_s, peer.added_s) < oldest_s
+            if not peer.has_sign_since(oldest_s)
         ]
         for address in silent:
             peer = self.peers_by_address.pop(address)
--- a/boragetrail/direct/peersocket.py
+++ b/boragetrail/direct/peersocket.py
@@ -91,10 +91,10 @@
 
     def _update_received(self, update, host):
         if not self.table.apply_update(update, host):
-            self._discover((host, update.gossip_port))
+            self._router_reported((host, update.gossip_port))
         for shard in update.relayed:
             if not self.table.apply_relayed(shard):
-                self._discover((shard.host, shard.port))
+                self._router_reported((shard.host, shard.port))
         self.on_message(update)
 
     def _digest_received(self, digest, host):
@@ -102,7 +102,7 @@
         if peer is None:
             return
         for host, port in digest.peers:
-            self._discover((host, port))
+            self._router_reported((host, port))
         if is_new:
             log_event(
                 Event.PEER_DISCOVERED,
@@ -126,12 +126,18 @@
         while True:
             jitter = self.table.random.uniform(0.8, 1.2)
             await asyncio.sleep(self.DIGEST_INTERVAL_S * jitter)
-            for peer in self.table.sample(self.DIGEST_FANOUT):
-                self._send_digest(peer.address, False)
-            self._send_snapshot(
-                self.table.sample(self.SNAPSHOT_FANOUT), self.SAMPLE_SIZE
-            )
-            self.table.remove_silent()
+            self.send_digests()
+
+    def send_digests(self):
+        """Send digests and a snapshot to random peers, and probe contacts."""
+        for address in self.table.contacts.take_due():
+            self.request_digest(address)
+        for peer in self.table.sample(self.DIGEST_FANOUT):
+            self._send_digest(peer.address, False)
+        self._send_snapshot(
+            self.table.sample(self.SNAPSHOT_FANOUT), self.SAMPLE_SIZE
+        )
+        self.table.remove_silent()
 
     async def run_updates(self):
         """Send an update soon after each change until cancelled."""
@@ -171,12 +177,9 @@
             for peer in peers:
                 self._send_data(data, peer.address)
 
-    def _discover(self, address):
-        own = self.transport.get_extra_info("sockname")[:2]
-        if address == own or address in self.table.peers_by_address:
-            return
-        self.table.add(address)
-        self.request_digest(address)
+    def _router_reported(self, address):
+        if self.table.add_reported(address):
+            self.request_digest(address)
 
     def _send_digest(self, address, wants_reply):
         digest = self.make_digest()
@@ -185,7 +188,7 @@
         digest.wants_reply = wants_reply
         digest.peers = [
             list(peer.address)
-            for peer in self.table.sample(self.PEERS_PER_DIGEST)
+            for peer in self.table.sample_heard(self.PEERS_PER_DIGEST)
         ]
         self._send_data(encode_datagram(digest), address)
 
--- a/boragetrail/direct/registration.py
+++ b/boragetrail/direct/registration.py
@@ -33,6 +33,8 @@
         :param seeds: hosts of routers that may run already
         """
         self._request_digests(seeds)
+        for seed in seeds:
+            self.socket.table.add_contact((seed, self.port))
         while not await self.registry.announce(self.host):
             await asyncio.sleep(self.RETRY_S)
         self.epoch = self.registry.epoch
--- a/boragetrail/direct/tests/ejectionfleet.py
+++ b/boragetrail/direct/tests/ejectionfleet.py
@@ -192,7 +192,8 @@
 def add_ejection(fleet, router, number):
     """Let a router of a simulated fleet exchange results and eject servers."""
     peers = router.fleet.peers
-    peers.add_listed(fleet.by_address)
+    for address in fleet.by_address:
+        peers.add_reported(address)
     quarantine = PromptQuarantine(
         fleet.clock, random.Random(1), lambda held, released: None
     )
--- a/boragetrail/direct/tests/test_capacity.py
+++ b/boragetrail/direct/tests/test_capacity.py
@@ -148,7 +148,9 @@
         self.clock = ManualClock(100.0)
         peers = PeerTable(self.clock, random.Random(1))
         for number in range(peer_count):
-            peers.add((f"10.1.{number // 200}.{number % 200 + 1}", 7000))
+            peers.add_reported(
+                (f"10.1.{number // 200}.{number % 200 + 1}", 7000)
+            )
         directory = Directory(PlatformRowDecoder(), self.clock)
         speeds = SpeedTable(directory, self.clock)
         return SpeedExchange(speeds, peers, self.clock)
--- a/boragetrail/direct/tests/test_learn.py
+++ b/boragetrail/direct/tests/test_learn.py
@@ -120,7 +120,8 @@
             table.link_mbps = 5.0 if number % 4 == 0 else 100.0
             for other, address in enumerate(addresses):
                 if address != own_address:
-                    peer = table.add(address)
+                    table.add_reported(address)
+                    peer = table.peers_by_address[address]
                     peer.digest_received_s = clock()
                     peer.uptime_s = uptime_s
                     peer.link_mbps = 5.0 if other % 4 == 0 else 100.0
--- a/boragetrail/direct/tests/test_recordgossip.py
+++ b/boragetrail/direct/tests/test_recordgossip.py
@@ -54,7 +54,7 @@
         self.clock = clock
         self.peers = PeerTable(clock, random.Random(1))
         for number in range(peer_count):
-            self.peers.add((f"10.0.0.{number + 1}", PORT))
+            self.peers.add_reported((f"10.0.0.{number + 1}", PORT))
         self.gossip = make_record_gossip(self.peers)
         self.quarantine = self.gossip.quarantine
         self.socket = PeerSocket(
--- a/boragetrail/direct/tests/test_streamorigins.py
+++ b/boragetrail/direct/tests/test_streamorigins.py
@@ -31,7 +31,7 @@
         for address, origins in self.origins_by_address.items():
             for other in self.origins_by_address:
                 if other != address:
-                    origins.peers.add(other)
+                    origins.peers.add_reported(other)
             origins.send_to = self.sender(address)
 
     def sender(self, address):
@@ -93,3 +93,28 @@
         origins.add("request-2", "v1")
         assert len(origins.origins_by_stream) == 1
         assert len(origins.take_unsaved(5)) == 1
+
+
+class TestReplacedRouters:
+    """Streams are resumed beside listed routers that are gone.
+
+    Only those were told of a stream and asked for it, so it was refused.
+    """
+
+    STREAMS = 24
+
+    @pytest.mark.parametrize("listed", [0, 64, 250])
+    async def test_living_routers_know_each_stream(self, listed):
+        network = Network(4)
+        lost = [(f"10.0.3.{number + 1}", PORT) for number in range(listed)]
+        network.down.update(lost)
+        network.clock.now_s += PeerTable.STARTUP_S
+        for origins in network.routers():
+            origins.peers.add_listed(lost)
+        first, *others = network.routers()
+        for number in range(self.STREAMS):
+            first.add(f"request-{number}", "v2")
+        network.down.add(first.peers.own_address)
+        for number in range(self.STREAMS):
+            found = await others[number % 3].find(f"request-{number}")
+            assert found is not None and found.version == "v2"
--- a/boragetrail/direct/tests/test_updates.py
+++ b/boragetrail/direct/tests/test_updates.py
@@ -220,10 +220,6 @@
         """Record a datagram."""
         self.sent.append(data)
 
-    def get_extra_info(self, name):
-        """Return the local address."""
-        return ("10.0.0.9", PORT)
-
 
 class BusyFleet:
     """Replaces the fleet of a router that has work at all servers."""
