direct: probe routers that fell silent until they are heard again

Cause, on the path of the commit before: the table held both whom to address and who counts. A router that no longer counted was no longer addressed by either side, and nothing else names its address.

A router that is no longer a member stays a contact and is probed, three times at once and then one contact a second. Each side probes the other, so they meet within seconds of the end of a cut; the first that is heard reports the others.

test_membership.py, TestLostContact: the cases of two sides, 1 + 1 and 2 + 2 routers, cut for 24, 34 and 300 s, failed before (sizes 1 and 2 instead of 2 and 4). The others hold what the old rule was for: a start on one side of a cut, a short cut, and the number of datagrams to routers that are gone.

--- a/boragetrail/direct/peers.py
+++ b/boragetrail/direct/peers.py
@@ -403,7 +403,7 @@
         return self.clock() - self.started_s
 
     def remove_silent(self):
-        """Remove the peers that are no longer members."""
+        """Remove the peers that are no longer members; they stay contacts."""
         oldest_s = self.clock() - self.MEMBERSHIP_TIMEOUT_S
         silent = [
             address
@@ -413,6 +413,7 @@
         for address in silent:
             peer = self.peers_by_address.pop(address)
             self.work.remove(address)
+            self.contacts.add(address)
             log_event(
                 Event.PEER_EXPIRED,
                 peer=f"{address[0]}:{address[1]}",
--- a/boragetrail/direct/tests/test_membership.py
+++ b/boragetrail/direct/tests/test_membership.py
@@ -82,3 +82,71 @@
         simulation.run(MAX_MEMBERSHIP_S)
         assert max(simulation.sizes()) == count // 2
         assert min(simulation.sizes()) >= 0.97 * count // 2
+
+
+class TestLostContact:
+    """Routers that could not hear each other for longer than they count.
+
+    Each forgot the other for good, and took all of the shared limits.
+    """
+
+    # Time after the end of a cut within which all routers are members again.
+    MAX_RETURN_S = 3.0
+
+    def cut(self, simulation, hosts):
+        """Lose all datagrams between some hosts and all others."""
+        simulation.is_cut = lambda source, target: (
+            (source in hosts) != (target in hosts)
+        )
+
+    @pytest.mark.parametrize("count", [2, 4])
+    @pytest.mark.parametrize("cut_s", [24.0, 34.0, 300.0])
+    def test_two_sides(self, count, cut_s):
+        simulation = GossipSimulation(1, loss=0.1)
+        hosts = LIVING[:count]
+        simulation.start(hosts)
+        simulation.run(5.0)
+        self.cut(simulation, hosts[: count // 2])
+        simulation.run(cut_s)
+        assert simulation.sizes() == [count // 2] * count
+        self.cut(simulation, [])
+        simulation.run(self.MAX_RETURN_S)
+        assert simulation.sizes() == [count] * count
+
+    def test_start_on_one_side(self):
+        # The router that starts has never heard those on the other side.
+        simulation = GossipSimulation(1)
+        simulation.start(LIVING)
+        simulation.run(5.0)
+        self.cut(simulation, LIVING[:1])
+        simulation.run(10.0)
+        simulation.kill(LIVING[:1])
+        simulation.start(LIVING[:1])
+        simulation.run(10.0)
+        assert simulation.routers_by_host[LIVING[0]].table.size() == 4
+        simulation.run(20.0)
+        self.cut(simulation, [])
+        simulation.run(self.MAX_RETURN_S)
+        assert simulation.sizes() == [4] * 4
+
+    def test_short_cut(self):
+        # A router that cannot be heard may still send requests to servers.
+        simulation = GossipSimulation(1)
+        simulation.start(LIVING)
+        simulation.run(5.0)
+        self.cut(simulation, LIVING[:1])
+        simulation.run(15.0)
+        assert simulation.sizes() == [4] * 4
+
+    def test_datagrams_to_routers_that_are_gone(self):
+        # Contacts cost one datagram a second, however many there are.
+        simulation = GossipSimulation(1)
+        simulation.register(LOST)
+        simulation.start(LIVING)
+        simulation.run(MAX_MEMBERSHIP_S)
+        for router in simulation.routers_by_host.values():
+            router.sent_by_target.clear()
+        simulation.run(30.0)
+        for router in simulation.routers_by_host.values():
+            to_lost = sum(router.sent_by_target.get(each, 0) for each in LOST)
+            assert 0 < to_lost <= 31
