direct: do not count time in which this process did not run

What operators would see: a router that was suspended for over 20 s and went on believed to be alone until the first datagrams were read, and took all of the limits that the fleet shares for that time.

test_membership.py, TestSuspendedRouter.test_others_still_count, failed before: size 1 instead of 4 after 40 s. The other case holds that routers that ended meanwhile stop counting.

--- a/boragetrail/direct/peers.py
+++ b/boragetrail/direct/peers.py
@@ -43,6 +43,9 @@
     UPDATE_FANOUT = 8
     # Time without a sign after which a router is no longer a member.
     MEMBERSHIP_TIMEOUT_S = 20.0
+    # Time without a round after which this process has not run. Meanwhile
+    # it could not hear other routers.
+    MAX_ROUND_GAP_S = 2.0
     # Silence up to which a router is reported to others.
     MAX_REPORTED_SILENCE_S = 4.0
     # Other routers may still be unknown in the first STARTUP_S seconds after
@@ -60,6 +63,7 @@
         self.own_address = ("", 0)
         self.link_mbps = float("inf")
         self.started_s = clock()
+        self.last_round_s = float("inf")
         self.list_was_read = False
         self.work = WorkTable(clock, random)
         self.outcomes = PeerSums(clock, self.MAX_OUTCOMES_AGE_S)
@@ -298,13 +302,21 @@
 
         In a large fleet most of them have sent no digest for seconds.
         """
-        oldest_s = self.clock() - self.MEMBERSHIP_TIMEOUT_S
+        oldest_s = self._oldest_sign_s()
         return [
             peer
             for peer in self.peers_by_address.values()
             if peer.has_sign_since(oldest_s)
         ]
 
+    def _oldest_sign_s(self):
+        """Return the time up to which a sign makes a router a member.
+
+        Time in which this process did not run does not count.
+        """
+        latest_s = self.last_round_s + self.MAX_ROUND_GAP_S
+        return min(self.clock(), latest_s) - self.MEMBERSHIP_TIMEOUT_S
+
     def needs_relaying(self):
         """Return whether the fleet is so large that routers relay updates."""
         return len(self.peers_by_address) > self.MAX_DIRECT_PEERS
@@ -402,9 +414,14 @@
         """Return the seconds since this router started."""
         return self.clock() - self.started_s
 
-    def remove_silent(self):
-        """Remove the peers that are no longer members; they stay contacts."""
-        oldest_s = self.clock() - self.MEMBERSHIP_TIMEOUT_S
+    def advance(self):
+        """Remove the peers that are no longer members; they stay contacts.
+
+        Call this in each round.
+        """
+        self._keep_if_suspended()
+        self.last_round_s = self.clock()
+        oldest_s = self._oldest_sign_s()
         silent = [
             address
             for address, peer in self.peers_by_address.items()
@@ -419,3 +436,12 @@
                 peer=f"{address[0]}:{address[1]}",
                 was_heard=peer.was_heard(),
             )
+
+    def _keep_if_suspended(self):
+        """Give the members time to be heard if this process did not run."""
+        now_s = self.clock()
+        if now_s <= self.last_round_s + self.MAX_ROUND_GAP_S:
+            return
+        kept_s = now_s - self.MEMBERSHIP_TIMEOUT_S + self.STARTUP_S
+        for peer in self.members():
+            peer.reported_s = max(peer.reported_s, kept_s)
--- a/boragetrail/direct/peersocket.py
+++ b/boragetrail/direct/peersocket.py
@@ -137,7 +137,7 @@
         self._send_snapshot(
             self.table.sample(self.SNAPSHOT_FANOUT), self.SAMPLE_SIZE
         )
-        self.table.remove_silent()
+        self.table.advance()
 
     async def run_updates(self):
         """Send an update soon after each change until cancelled."""
--- a/boragetrail/direct/tests/test_membership.py
+++ b/boragetrail/direct/tests/test_membership.py
@@ -150,3 +150,39 @@
         for router in simulation.routers_by_host.values():
             to_lost = sum(router.sent_by_target.get(each, 0) for each in LOST)
             assert 0 < to_lost <= 31
+
+
+class TestSuspendedRouter:
+    """A router whose process did not run for longer than others count.
+
+    It believed to be alone when it went on, and took all of the limits.
+    """
+
+    FROZEN_S = 40.0
+
+    def suspend(self, simulation):
+        """Suspend a router, and let it go on; returns its table."""
+        simulation.start(LIVING)
+        simulation.run(5.0)
+        router = simulation.routers_by_host[LIVING[0]]
+        router.frozen = True
+        simulation.run(self.FROZEN_S)
+        router.frozen = False
+        return router.table
+
+    def test_others_still_count(self):
+        simulation = GossipSimulation(1)
+        table = self.suspend(simulation)
+        assert table.size() == 4
+        for _ in range(5):
+            simulation.run(0.1)
+            assert table.size() == 4
+        simulation.run(3.0)
+        assert simulation.sizes() == [4] * 4
+
+    def test_others_that_are_gone_meanwhile(self):
+        simulation = GossipSimulation(1)
+        table = self.suspend(simulation)
+        simulation.kill(LIVING[1:])
+        simulation.run(table.STARTUP_S + 1.0)
+        assert table.size() == 1
