direct: registrations of routers are leases

What operators would see: the table of routers grows with each router that is replaced, for good. Each router that starts counts all rows for 20 s, and its share of a cold server's or a limited server's rate is divided by routers that are gone for months: 64 of them leave it a sixteenth of what four routers share.

Cause, on the path of the commits before: a row said that a router has started once, not that it runs.

A registration holds the store's time and is renewed each minute. One that was not renewed for three minutes does not count at a start; its address is still probed. The router that ranks first reads the table each minute, removes such rows if their routers are not heard either, and probes routers that renew but are not heard: so two sides of a long cut still know each other's addresses at its end. A row that was renewed meanwhile is not removed. Rows of older software hold no time: they count, and are removed once the router that ranks first runs for three minutes and does not hear theirs.

Cost: a write per router and a read per fleet each minute, and a read at the start of a router whose first call this is.

--- a/boragetrail/direct/daemon.py
+++ b/boragetrail/direct/daemon.py
@@ -239,7 +239,7 @@
         )
         join = self.registration.join(settings.seed_hosts)
         self.tasks.start(join, "join")
-        self.tasks.start(self.registration.renew(), "registration")
+        self.tasks.start(self.registration.run(), "registration")
         self._archive_crashes()
         ledger = VersionLedger(self.directory, self.store, self.reader_role)
         self.tasks.start(
--- a/boragetrail/direct/registries.py
+++ b/boragetrail/direct/registries.py
@@ -10,6 +10,7 @@
 __all__ = [
     "CrashRegistry",
     "MemberRegistry",
+    "RegisteredRouter",
     "RolloutRegistry",
     "SavedRollout",
     "SavedVersions",
@@ -18,6 +19,21 @@
 ]
 
 
+@dataclasses.dataclass(slots=True, frozen=True)
+class RegisteredRouter:
+    """Hold the registration of a router.
+
+    :param host: host of the router
+    :param age_s: seconds since it registered last, or ``None`` if the
+        registration does not say
+    :param row_version: version of the row that holds the registration
+    """
+
+    host: str
+    age_s: float | None = None
+    row_version: int = 0
+
+
 class MemberRegistry(abc.ABC):
     """Register the hosts of routers, so that others can find them.
 
@@ -27,11 +43,25 @@
 
     @abc.abstractmethod
     async def announce(self, host):
-        """Register a host; returns whether the registry confirmed it."""
+        """Register a host, or renew its registration.
+
+        :returns: whether the registry confirmed it
+        """
 
     @abc.abstractmethod
     async def members(self):
-        """Return the registered hosts; an empty list if the read fails."""
+        """Return the registered routers.
+
+        :returns: list of :class:`RegisteredRouter`, empty if the read fails
+        """
+
+    @abc.abstractmethod
+    async def withdraw(self, routers):
+        """Remove registrations, unless one of them was renewed since.
+
+        :param routers: list of :class:`RegisteredRouter`
+        :returns: whether they were removed
+        """
 
 
 @dataclasses.dataclass(slots=True, frozen=True)
--- a/boragetrail/direct/tests/test_peers.py
+++ b/boragetrail/direct/tests/test_peers.py
@@ -7,6 +7,7 @@
 from boragetrail.direct.interfaces import SourceFailure, Table
 from boragetrail.direct.peers import PeerTable
 from boragetrail.direct.readers import ReaderRole
+from boragetrail.direct.registries import RegisteredRouter
 from boragetrail.direct.tests.conftest import configuration, route
 from boragetrail.policy.quota import RateQuota
 from standins.clock import ManualClock
@@ -141,7 +142,10 @@
         daemon = cluster.make_router()
 
         async def hosts():
-            return [f"127.0.1.{number}" for number in range(20)]
+            return [
+                RegisteredRouter(f"127.0.1.{number}", age_s=10.0)
+                for number in range(20)
+            ]
 
         await daemon.open()
         daemon.store.members = hosts
--- a/boragetrail/platform/rows.py
+++ b/boragetrail/platform/rows.py
@@ -27,6 +27,7 @@
     "decode_saved_versions",
     "decode_streams",
     "decode_time_ms",
+    "registration_age_s",
     "saved_age_s",
 ]
 
@@ -139,6 +140,16 @@
     return age_s if saved_ms > 0 and age_s > 0 else 0.0
 
 
+def registration_age_s(data, now_ms):
+    """Return the seconds since a router registered.
+
+    :param data: content of its row, as bytes
+    :param now_ms: time of the store now, in milliseconds
+    :returns: seconds, or ``None`` if the row does not hold the time
+    """
+    return saved_age_s(data, now_ms) if len(data) >= TIME.size else None
+
+
 def _version(value):
     """Return a row version."""
     if type(value) is not int or not 0 <= value <= MAX_VERSION:
--- a/boragetrail/platform/store.py
+++ b/boragetrail/platform/store.py
@@ -18,6 +18,7 @@
 from boragetrail.direct.registries import (
     CrashRegistry,
     MemberRegistry,
+    RegisteredRouter,
     RolloutRegistry,
     StreamRegistry,
     VersionRegistry,
@@ -42,6 +43,7 @@
     decode_saved_versions,
     decode_streams,
     decode_time_ms,
+    registration_age_s,
     saved_age_s,
 )
 from boragetrail.utils.calls import CallTrace
@@ -117,14 +119,33 @@
 
     async def announce(self, host):
         """Write a router's row to the table of routers; see the base class."""
-        return await self._write_row(MEMBERS_TABLE, host, b"")
+        if self.store_time is None:
+            # The row holds the store's time, which every response names.
+            await self._read_table(MEMBERS_TABLE)
+        data = TIME.pack(self._now_ms())
+        return await self._write_row(MEMBERS_TABLE, host, data)
 
     async def members(self):
-        """Return the hosts of registered routers; see the base class."""
+        """Return the registered routers; see the base class."""
         rows = await self._read_table(MEMBERS_TABLE)
         if isinstance(rows, SourceFailure):
             return []
-        return [row.key for row in rows.rows]
+        now_ms = self._now_ms()
+        return [
+            RegisteredRouter(
+                row.key, registration_age_s(row.data, now_ms), row.version
+            )
+            for row in rows.rows
+        ]
+
+    async def withdraw(self, routers):
+        """Remove rows from the table of routers; see the base class."""
+        rows = [_row(MEMBERS_TABLE, router.host) for router in routers]
+        expect = [
+            {**row, "ver": router.row_version}
+            for row, router in zip(rows, routers)
+        ]
+        return await self._change_rows(expect, [], rows)
 
     async def read_versions(self):
         """Return the saved versions by service; see the base class."""
@@ -254,11 +275,11 @@
         if expected_version is not None:
             expect.append({**row, "ver": expected_version})
         content = base64.b64encode(data).decode()
-        body = {
-            "expect": expect,
-            "write": [{**row, "data": content}],
-            "remove": [],
-        }
+        return await self._change_rows(expect, [{**row, "data": content}], [])
+
+    async def _change_rows(self, expect, write, remove):
+        """Change rows in one transaction; returns whether it was done."""
+        body = {"expect": expect, "write": write, "remove": remove}
         result = await self._call("POST", "/-/rows-tx", 0.0, json=body)
         return not isinstance(result, SourceFailure)
 
