direct: leave tasks and shares of work to routers that probably run

What operators would see, just after all routers restarted beside rows of routers that were lost in the last minutes: for 20 s nobody ranks first where the first in rank acts alone (the trial of a part of a prompt that was held, the status of a rollout), as lost routers rank higher; each router saves origins of streams half as often, lets callers of its queue to servers a seventeenth as often, and counts seventeen times the memory that other routers are assumed to take at engines.

Limits of the fleet must hold even if a listed router runs unheard, so that too large a size is right there. Tasks, intervals and shares of capacity need the routers that do run.

size() and rank() are of the routers that probably run, max_size() and max_rank() of all that may run. The rates of cold servers, the limits that servers name, retries and the exposure of a rollout use the latter.

test_membership.py, TestTasksBesideLostRouters: the ranks ([12, 26, 43, 47] instead of [0, 1, 2, 3]) and the shares failed before; the case of the interval names a method that was private.

--- a/boragetrail/direct/dispatch.py
+++ b/boragetrail/direct/dispatch.py
@@ -285,7 +285,7 @@
             return False
         if not progress.attempts_sent:
             return True
-        routers = self.fleet.peers.size()
+        routers = self.fleet.peers.max_size()
         return self._retry_quota(request.service).try_acquire(routers)
 
     def _record_server_state(self, state, response):
--- a/boragetrail/direct/dump.py
+++ b/boragetrail/direct/dump.py
@@ -35,6 +35,7 @@
         },
         "loads": daemon.fleet.loads_by_id(),
         "routers": daemon.peers.size(),
+        "max_routers": daemon.peers.max_size(),
         "peers": daemon.peers.counts(),
         "datagrams_refused": daemon.socket.datagrams_refused,
         "store_calls": daemon.store.calls,
--- a/boragetrail/direct/knowledge/limiter.py
+++ b/boragetrail/direct/knowledge/limiter.py
@@ -80,6 +80,6 @@
         run = run_key(record)
         place = self.places_by_run.get(run)
         if place is None:
-            place = self.peers.size(), self.peers.rank(record.id)
+            place = self.peers.max_size(), self.peers.max_rank(record.id)
             self.places_by_run[run] = place
         return place
--- a/boragetrail/direct/peers.py
+++ b/boragetrail/direct/peers.py
@@ -220,12 +220,17 @@
         self.work.apply(shard)
 
     def size(self):
-        """Return the number of routers that share the fleet's limits.
+        """Return the number of routers in the fleet, including this one."""
+        known = len(self.probable_addresses()) + 1
+        return max(self._min_size(), known)
+
+    def max_size(self):
+        """Return the largest number of routers that may run.
 
-        This router is included, and so are listed ones that may run without
-        being heard.
+        Limits of the fleet are divided by it. Listed routers are included
+        that may run without being heard.
         """
-        known = len(self.members()) + len(self.contacts.expected()) + 1
+        known = len(self._possible_addresses()) + 1
         return max(self._min_size(), known)
 
     def counts(self):
@@ -247,11 +252,21 @@
 
         :param key: text to rank by
         """
+        return self._rank(key, self.probable_addresses())
+
+    def max_rank(self, key):
+        """Return this router's rank among all routers that may run.
+
+        It belongs to :meth:`max_size`, as :meth:`rank` does to :meth:`size`.
+
+        :param key: text to rank by
+        """
+        return self._rank(key, self._possible_addresses())
+
+    def _rank(self, key, addresses):
         own_score = rendezvous_score(key, self.own_address)
-        others = [peer.address for peer in self.members()]
-        others += self.contacts.expected()
         higher = sum(
-            rendezvous_score(key, address) > own_score for address in others
+            rendezvous_score(key, address) > own_score for address in addresses
         )
         return higher + self._min_size()
 
@@ -280,10 +295,14 @@
         These are the members, and just after the start the listed routers
         too, which have not had the time to reply.
         """
-        addresses = [peer.address for peer in self.members()]
         if self._is_starting():
-            addresses += self.contacts.expected()
-        return addresses
+            return self._possible_addresses()
+        return [peer.address for peer in self.members()]
+
+    def _possible_addresses(self):
+        """Return the addresses of the other routers that may run."""
+        addresses = [peer.address for peer in self.members()]
+        return addresses + self.contacts.expected()
 
     def _is_starting(self):
         return self.own_uptime_s() < self.STARTUP_S
--- a/boragetrail/direct/rollouts/versionfilter.py
+++ b/boragetrail/direct/rollouts/versionfilter.py
@@ -104,7 +104,7 @@
         """Count a request that no old server can take against the quota."""
         if rollout.stage is not Stage.CANARY:
             return True
-        routers = self.fleet.peers.size()
+        routers = self.fleet.peers.max_size()
         return rollout.try_acquire(request.route.name, routers)
 
     def _sample(self, rollout, request, progress, new, views_by_id):
@@ -124,7 +124,7 @@
         ]
         if not free:
             return []
-        routers = self.fleet.peers.size()
+        routers = self.fleet.peers.max_size()
         if is_canary and not rollout.try_acquire(route, routers):
             return []
         return self._concentrate(rollout, free, len(new))
--- a/boragetrail/direct/selector.py
+++ b/boragetrail/direct/selector.py
@@ -187,7 +187,8 @@
         peers = self.fleet.peers
         waits_s = []
         for state in self._order(progress, cold, views_by_id):
-            place = (limit_per_s, peers.size(), peers.rank(state.record.id))
+            rank = peers.max_rank(state.record.id)
+            place = (limit_per_s, peers.max_size(), rank)
             if state.cold_quota.try_acquire(*place):
                 return state
             waits_s.append(state.cold_quota.wait_s(*place))
--- a/boragetrail/direct/streamarchive.py
+++ b/boragetrail/direct/streamarchive.py
@@ -76,9 +76,10 @@
             if not self.origins.unsaved or not self.are_mixed():
                 continue
             await self._save()
-            await asyncio.sleep(self._interval_s())
+            await asyncio.sleep(self.interval_s())
 
-    def _interval_s(self):
+    def interval_s(self):
+        """Return the seconds between two writes of this router."""
         fleet_s = self.peers.size() * self.FLEET_WRITE_INTERVAL_S
         return max(self.MIN_WRITE_INTERVAL_S, fleet_s)
 
@@ -87,7 +88,7 @@
         self.epoch = self.registry.epoch
         for row_index, streams in list(self.streams_by_row.items()):
             await self._write(row_index, streams)
-            await asyncio.sleep(self._interval_s())
+            await asyncio.sleep(self.interval_s())
 
     async def _save(self):
         """Write the row in use with the origins that are new."""
--- a/boragetrail/direct/tests/rolloutsimulation.py
+++ b/boragetrail/direct/tests/rolloutsimulation.py
@@ -98,6 +98,9 @@
     def size(self):
         return len(self.others) + 1
 
+    def max_size(self):
+        return self.size()
+
     def load(self, server_id):
         held = self.simulation.held[server_id]
         return types.SimpleNamespace(requests=held)
--- a/boragetrail/direct/tests/test_membership.py
+++ b/boragetrail/direct/tests/test_membership.py
@@ -2,7 +2,10 @@
 
 import pytest
 
+from boragetrail.direct.knowledge.streams import StreamOrigins
+from boragetrail.direct.streamarchive import StreamArchive
 from boragetrail.direct.tests.gossipsimulation import GossipSimulation
+from boragetrail.policy.quota import RateQuota
 
 SEEDS = range(3)
 LIVING = ["10.0.0.1", "10.0.0.2", "10.0.0.3", "10.0.0.4"]
@@ -65,6 +68,67 @@
             assert simulation.sizes() == [len(LIVING)] * len(LIVING)
 
 
+class TestTasksBesideLostRouters:
+    """What routers do in turn or share, while the registry lists lost ones.
+
+    Tasks were left to lost routers that ranked first, and shares of what
+    each router does on its own were divided among them.
+    """
+
+    KEYS = [f"key-{number}" for number in range(50)]
+
+    def tables(self):
+        """Return the tables of routers that all restarted seconds ago."""
+        simulation = GossipSimulation(1)
+        simulation.register(LOST)
+        simulation.start(LIVING)
+        simulation.run(5.0)
+        return simulation.tables()
+
+    def test_each_task_has_one_first_router(self):
+        tables = self.tables()
+        for key in self.KEYS:
+            assert sum(table.is_first(key) for table in tables) == 1
+
+    def test_ranks_are_those_of_living_routers(self):
+        tables = self.tables()
+        for key in self.KEYS:
+            ranks = sorted(table.rank(key) for table in tables)
+            assert ranks == [0, 1, 2, 3]
+
+    def test_datagrams_go_to_living_routers(self):
+        for table in self.tables():
+            assert not table.needs_relaying()
+            sampled = {peer.address[0] for peer in table.sample(100)}
+            assert sampled == set(LIVING) - {table.own_address[0]}
+
+    def test_interval_between_writes(self):
+        for table in self.tables():
+            origins = StreamOrigins(table)
+            archive = StreamArchive(origins, Registry(), lambda: True, table)
+            assert archive.interval_s() == archive.MIN_WRITE_INTERVAL_S
+
+    def test_shares_of_limits_stay_small(self):
+        # A listed router may run without being heard.
+        limit_per_s = 41.0
+        acquired = 0
+        for table in self.tables():
+            assert table.size() == len(LIVING)
+            assert table.max_size() == len(LIVING + LOST)
+            quota = RateQuota(table.clock)
+            while quota.try_acquire(
+                limit_per_s, table.max_size(), table.max_rank("s")
+            ):
+                acquired += 1
+        assert acquired <= limit_per_s * len(LIVING) / len(LIVING + LOST) + 4
+
+
+class Registry:
+    """Hold nothing."""
+
+    epoch = 1
+
+
 class TestLargeFleet:
     """Routers of which most have not heard each other for seconds."""
 
@@ -123,7 +187,7 @@
         simulation.kill(LIVING[:1])
         simulation.start(LIVING[:1])
         simulation.run(10.0)
-        assert simulation.routers_by_host[LIVING[0]].table.size() == 4
+        assert simulation.routers_by_host[LIVING[0]].table.max_size() == 4
         simulation.run(20.0)
         self.cut(simulation, [])
         simulation.run(self.MAX_RETURN_S)
--- a/boragetrail/direct/tests/test_peers.py
+++ b/boragetrail/direct/tests/test_peers.py
@@ -86,7 +86,7 @@
                     table.add_listed([(each, 7000) for each in hosts])
                 quota = RateQuota(clock)
                 while quota.try_acquire(
-                    limit_per_s, table.size(), table.rank("s")
+                    limit_per_s, table.max_size(), table.max_rank("s")
                 ):
                     acquired += 1
             assert acquired <= limit_per_s
--- a/boragetrail/direct/tests/test_registration.py
+++ b/boragetrail/direct/tests/test_registration.py
@@ -109,16 +109,16 @@
         self.list(64, LEASE_S + 1.0)
         await self.registration.join([])
         self.clock.now_s += self.table.STARTUP_S
-        assert self.table.size() == 1
+        assert self.table.max_size() == 1
         assert len(self.table.contacts) == 64
 
     async def test_valid_leases_count_for_a_while(self):
         self.list(64, LEASE_S - 1.0)
         await self.registration.join([])
         self.clock.now_s += self.table.STARTUP_S
-        assert self.table.size() == 65
+        assert self.table.max_size() == 65
         self.clock.now_s += self.table.MEMBERSHIP_TIMEOUT_S
-        assert self.table.size() == 1
+        assert self.table.max_size() == 1
 
     async def test_registration_is_renewed(self):
         await self.registration.join([])
@@ -186,7 +186,7 @@
             )
         second = await cluster.add_router()
         await cluster.until(lambda: second.peers.list_was_read)
-        assert second.peers.size() == second.peers.MIN_STARTUP_SIZE
+        assert second.peers.max_size() == second.peers.MIN_STARTUP_SIZE
 
     async def test_row_without_a_time(self, cluster):
         cluster.store._write("routers", "127.0.1.9", b"")
