soak: routers that were lost are registered, and sizes are checked

The soak's routers always came back at the same addresses, so that no address was ever lost for good. Its registry now lists 24 lost routers from the begin, and after each pair of faults no router that has run for four seconds may count more than the three that there are.

--- a/tools/directsoak.py
+++ b/tools/directsoak.py
@@ -20,7 +20,7 @@
 from boragetrail.direct.tests.conftest import KEY, Cluster, configuration
 from boragetrail.direct.tests.conftest import free_port, router_settings
 from boragetrail.direct.tests.conftest import route, service
-from boragetrail.platform.names import HEADER_NAMES
+from boragetrail.platform.names import HEADER_NAMES, MEMBERS_TABLE
 from standins.proxy import FaultProxy
 from tools.directchecks import BOUNDS, COLD_PER_S, NOT_EXECUTED_STATUSES
 from tools.directchecks import describe, find_violations
@@ -37,6 +37,10 @@
 __all__ = ["DirectSoak"]
 
 ROUTERS = 3
+# Hosts of routers that were replaced, but are still registered.
+LOST_HOSTS = [f"127.0.9.{number + 1}" for number in range(24)]
+# Time after a start or a pause from which a router counts those that run.
+SETTLED_S = 4.0
 SERVERS = 4
 WORKERS = 12
 CHAT_ROUTE = route("chat", "streaming", sticky=True)
@@ -107,6 +111,8 @@
         """Start the store, the servers and the routers."""
         await self.cluster.open(SERVERS)
         self.store_proxy = await open_proxy(self.cluster.store.address)
+        for host in LOST_HOSTS:
+            self.cluster.store.put(MEMBERS_TABLE, host, {})
         self.write_configuration()
         for server in self.cluster.servers:
             server.default = functools.partial(serve, self, server)
@@ -158,15 +164,33 @@
                 f"written {within_s} s ago"
             )
 
+    async def check_sizes(self):
+        """Check that no router counts others that do not run."""
+        oldest_s = time.monotonic() - SETTLED_S
+        disturbed = {
+            number for number, at_s in self.disturbances if at_s > oldest_s
+        }
+        for number in sorted(self.open_to_callers - disturbed):
+            state = await self.dump(number)
+            if state is not None and state["routers"] > ROUTERS:
+                self.record_violation(
+                    f"router {number} counts {state['routers']} routers"
+                )
+
     async def applied_version(self, number):
         """Return the version that a router applies; ``None`` if it is down."""
+        state = await self.dump(number)
+        return None if state is None else state["configuration"]
+
+    async def dump(self, number):
+        """Return the state of a router; ``None`` if it is down."""
         url = f"http://{self.routers[number][0]['relay']}/dump"
         timeout = aiohttp.ClientTimeout(total=1.0)
         try:
             async with self.cluster.session.get(
                 url, timeout=timeout
             ) as response:
-                return (await response.json())["configuration"]
+                return await response.json()
         except (aiohttp.ClientConnectorError, asyncio.TimeoutError):
             return None
 
@@ -313,6 +337,7 @@
                     await undo()
             await asyncio.sleep(RECOVERY_S)
             self.fault_spans.append((began_s, time.monotonic()))
+            await self.check_sizes()
         await asyncio.gather(*workers)
         for line in find_violations(self):
             self.record_violation(line)
