direct: ask silent engines without an entry before aborting

Cause: a missing entry and a silence of 2 s were taken as proof that a server is gone; nothing asked it.

A silent engine without an entry is now asked for its report, which takes no place there. While the same run answers, its requests go on; else they are aborted after 2 s as before. Application servers have no report, and nothing changes for them. The code moves from Fleet to silentservers.py.

--- a/boragetrail/direct/daemon.py
+++ b/boragetrail/direct/daemon.py
@@ -37,6 +37,7 @@
 from boragetrail.direct.resumption import StreamVersions
 from boragetrail.direct.selector import ServerSelector
 from boragetrail.direct.shutdown import Shutdown
+from boragetrail.direct.silentservers import SilentServerMonitor
 from boragetrail.direct.streamarchive import StreamArchive
 from boragetrail.direct.versionledger import VersionLedger
 from boragetrail.events import Event, log_event
@@ -49,7 +50,6 @@
 POLL_INTERVAL_S = 0.05
 CLOSE_TIMEOUT_S = 0.1
 UNLISTED_REMOVAL_INTERVAL_S = 5.0
-UNRESPONSIVE_CHECK_INTERVAL_S = 0.25
 IDLE_CHECK_INTERVAL_S = 1.0
 
 
@@ -253,13 +253,11 @@
         self.engines = self.platform.PlatformEngineClient(self.session)
         watch = LimitWatch(self.fleet, self.engines)
         self.tasks.start(watch.run(), "limits")
+        silence = SilentServerMonitor(self.fleet, self.engines, self.tasks)
         reconnector = Reconnector(self.fleet, self.tasks, self.random)
         for interval_s, function in (
             (UNLISTED_REMOVAL_INTERVAL_S, self.fleet.remove_unlisted),
-            (
-                UNRESPONSIVE_CHECK_INTERVAL_S,
-                self.fleet.abort_unlisted_attempts,
-            ),
+            (SilentServerMonitor.CHECK_INTERVAL_S, silence.check),
             (IDLE_CHECK_INTERVAL_S, self._close_idle),
             (BegunResponses.CALL_INTERVAL_S, self.crash_monitor.check_begun),
             (Reconnector.INTERVAL_S, reconnector.reconnect),
--- a/boragetrail/direct/fleet.py
+++ b/boragetrail/direct/fleet.py
@@ -4,7 +4,6 @@
 from boragetrail.direct.placements import PlacementQueue
 from boragetrail.direct.reports import ReportTable
 from boragetrail.direct.serverstate import ServerState
-from boragetrail.events import Event, log_event
 from boragetrail.policy.leastloaded import ServerView
 from boragetrail.policy.outcomes import failure_rate
 from boragetrail.policy.prefix import EngineView, PrefixCacheIndex
@@ -12,7 +11,6 @@
 
 __all__ = ["Fleet", "is_same_run"]
 
-UNLISTED_SERVER_ERROR = "the server is no longer listed and sends nothing"
 QUARANTINED_PART_ERROR = "a part of the prompt was quarantined"
 
 
@@ -41,9 +39,6 @@
         if all servers count as equally fast
     """
 
-    # Silence after which an attempt at an unlisted server is aborted.
-    MAX_UNLISTED_SILENCE_S = 2.0
-
     def __init__(self, directory, peers, zone, clock, knowledge):
         self.directory = directory
         self.knowledge = knowledge
@@ -304,32 +299,32 @@
         ]
         return [each for each in counts if each[2]]
 
-    def abort_unlisted_attempts(self):
-        """Abort the attempts at silent servers that are no longer listed.
-
-        A server is no longer listed if its entry was removed or belongs to
-        another run. A server that shuts down gracefully finishes its
-        requests and is not silent, so attempts at it continue.
-        """
-        listed = self.directory.servers_by_id
+    def replaced_states_in_use(self):
+        """Return the states of earlier runs with attempts, forget others."""
         self.replaced_states = [
             each for each in self.replaced_states if each.attempts
         ]
-        unlisted = [
+        return list(self.replaced_states)
+
+    def unlisted_states(self):
+        """Return the states of servers whose entries were removed."""
+        listed = self.directory.servers_by_id
+        return [
             state
             for key, state in self.states_by_id.items()
             if key not in listed
         ]
-        for state in self.replaced_states + unlisted:
-            for attempt in list(state.attempts):
-                if attempt.silent_s() >= self.MAX_UNLISTED_SILENCE_S:
-                    log_event(
-                        Event.SERVER_UNRESPONSIVE,
-                        request=attempt.request_id,
-                        server=state.record.id,
-                        silent_s=round(attempt.silent_s(), 2),
-                    )
-                    attempt.reset(UNLISTED_SERVER_ERROR)
+
+    def is_engine(self, record):
+        """Return whether a server belongs to a service of model engines.
+
+        :param record: :class:`~boragetrail.direct.model.ServerRecord`
+        """
+        configuration = self.directory.configuration
+        if configuration is None:
+            return False
+        service = configuration.services_by_name.get(record.service)
+        return service is not None and service.is_model
 
     def abort_attempts(self, parts):
         """Abort the attempts whose prompts contain one of some parts.
