direct: limit the bodies of all requests together

Cause: each body had a limit, all bodies of a router together had none. Each is held twice while its server reads slowly: for a second attempt, and by the transport.

All bodies share 32 MiB, and each request has 16 KiB besides. One without room is refused with 503 `body-no-room` and Retry-After: 1 before any server has got it. The memory is given back when the request ends.

--- a/boragetrail/direct/buffers.py
+++ b/boragetrail/direct/buffers.py
@@ -3,6 +3,7 @@
 __all__ = [
     "MAX_BODY_BYTES",
     "MAX_PEER_BODY_BYTES",
+    "MAX_REQUEST_BYTES",
     "BufferBudget",
     "BufferShare",
 ]
@@ -11,12 +12,15 @@
 # buffers at a time, with incomplete events of streams.
 MAX_BODY_BYTES = 4 * 1024 * 1024
 MAX_BUFFERED_BYTES = 48 * 1024 * 1024
+# Limit on the bodies of all requests in progress. A connection to a server
+# that reads slowly holds a second copy of a body.
+MAX_REQUEST_BYTES = 32 * 1024 * 1024
 # Limit on what another router sends of its rows or cached parts.
 MAX_PEER_BODY_BYTES = 8 * 1024 * 1024
 
 
 class BufferBudget:
-    """Limit the memory for what a router buffers of responses.
+    """Limit the memory for what a router buffers.
 
     >>> budget = BufferBudget(100)
     >>> budget.try_take(80), budget.try_take(30)
@@ -44,7 +48,7 @@
 
 
 class BufferShare:
-    """Hold what one response has taken of a budget.
+    """Hold what one request or response has taken of a budget.
 
     >>> budget = BufferBudget(100_000)
     >>> share = BufferShare(budget)
@@ -54,7 +58,7 @@
     (False, True, 100000)
     """
 
-    # Each response may buffer this much besides.
+    # Each request or response may buffer this much besides.
     FREE_BYTES = 16 * 1024
 
     __slots__ = ("budget", "taken_bytes")
@@ -63,6 +67,14 @@
         self.budget = budget
         self.taken_bytes = 0
 
+    def has_room(self, size):
+        """Return whether a buffer may grow to a size now.
+
+        :param size: bytes in the buffer
+        """
+        needed = max(0, size - self.FREE_BYTES) - self.taken_bytes
+        return needed <= self.budget.left_bytes
+
     def try_resize(self, size):
         """Take or give back bytes, so that a buffer may have a size.
 
--- a/boragetrail/direct/filters.py
+++ b/boragetrail/direct/filters.py
@@ -1,5 +1,10 @@
 """Filters that check a request before it is dispatched."""
 
+from boragetrail.direct.buffers import (
+    MAX_REQUEST_BYTES,
+    BufferBudget,
+    BufferShare,
+)
 from boragetrail.direct.request import STOP
 from boragetrail.errors import Refusal
 from boragetrail.reasons import Reason
@@ -10,6 +15,8 @@
 STARTING_RETRY_AFTER_S = 0.5
 # Retry-After of a request whose body did not arrive before the deadline.
 BODY_RETRY_AFTER_S = 0.1
+# Retry-After of a request whose body finds no memory. Others end meanwhile.
+NO_ROOM_RETRY_AFTER_S = 1.0
 
 
 class FilterChain:
@@ -18,12 +25,15 @@
     :param directory: :class:`~boragetrail.direct.directory.Directory`
     :param names: :class:`~boragetrail.direct.interfaces.HeaderNames`
     :param random: random generator that selects among a route's services
+    :ivar body_budget: :class:`~boragetrail.direct.buffers.BufferBudget` of
+        the bodies of all requests
     """
 
     def __init__(self, directory, names, random):
         self.directory = directory
         self.names = names
         self.random = random
+        self.body_budget = BufferBudget(MAX_REQUEST_BYTES)
         self.filters = (
             self._require_configuration,
             self._check_header_size,
@@ -120,8 +130,12 @@
         if not http_request.body_exists:
             return None
         limit = request.configuration.limits.body_bytes
-        if (http_request.content_length or 0) > limit:
+        length = http_request.content_length or 0
+        if length > limit:
             return Refusal(Reason.BODY_TOO_LARGE, f"{limit} bytes allowed")
+        request.body_share = BufferShare(self.body_budget)
+        if not request.body_share.has_room(length):
+            return _no_room()
         chunks = []
         size = 0
         try:
@@ -132,9 +146,16 @@
                     if size > limit:
                         detail = f"{limit} bytes allowed"
                         return Refusal(Reason.BODY_TOO_LARGE, detail)
+                    if not request.body_share.try_resize(size):
+                        return _no_room()
         except TimeoutError:
             stops = request.deadline_source == STOP
             reason = Reason.STOPPING if stops else Reason.BODY_LATE
             return Refusal(reason, retry_after_s=BODY_RETRY_AFTER_S)
         request.body = b"".join(chunks)
         return None
+
+
+def _no_room():
+    """Return the refusal of a request whose body finds no memory."""
+    return Refusal(Reason.BODY_NO_ROOM, retry_after_s=NO_ROOM_RETRY_AFTER_S)
--- a/boragetrail/direct/frontend.py
+++ b/boragetrail/direct/frontend.py
@@ -147,6 +147,8 @@
         finally:
             self.requests.discard(request)
             self.busy_connections.discard(connection)
+            if request.detached_task is None:
+                request.release_body()
 
     async def _respond(self, request, caller):
         try:
@@ -195,8 +197,10 @@
         except asyncio.CancelledError:
             if request.is_waiting:
                 task.cancel()
+            request.detached_task = task
             self.detached_tasks.add(task)
             task.add_done_callback(self.detached_tasks.discard)
+            task.add_done_callback(lambda _: request.release_body())
             raise
 
     def _finish(self, request, caller, failure):
--- a/boragetrail/direct/request.py
+++ b/boragetrail/direct/request.py
@@ -15,6 +15,10 @@
 
     :param http_request: ``aiohttp.web.BaseRequest`` of the caller
     :param received_s: monotonic time at which its head was read
+    :ivar body_share: :class:`~boragetrail.direct.buffers.BufferShare` of its
+        body, or ``None`` without one
+    :ivar detached_task: task that serves it though its caller has
+        disconnected, or ``None``
     :ivar configuration:
         :class:`~boragetrail.direct.model.Configuration` by which the request
         is served
@@ -37,6 +41,8 @@
         "service",
         "customer",
         "body",
+        "body_share",
+        "detached_task",
         "deadline_s",
         "deadline_source",
         "is_waiting",
@@ -53,6 +59,8 @@
         self.service = None
         self.customer = None
         self.body = b""
+        self.body_share = None
+        self.detached_task = None
         self.deadline_s = 0.0
         self.deadline_source = ""
         self.is_waiting = False
@@ -80,6 +88,11 @@
         finally:
             self.timeout = None
 
+    def release_body(self):
+        """Give back the memory of the body, which is not used any more."""
+        if self.body_share is not None:
+            self.body_share.try_resize(0)
+
     def end(self):
         """Let the deadline pass now, since the router stops."""
         now_s = asyncio.get_running_loop().time()
--- a/boragetrail/reasons.py
+++ b/boragetrail/reasons.py
@@ -94,6 +94,12 @@
         Executed.NO,
         "The request could not start before its deadline.",
     )
+    BODY_NO_ROOM = (
+        "body-no-room",
+        503,
+        Executed.NO,
+        "The bodies of other requests take the memory for bodies.",
+    )
     PROMPT_TOO_LARGE = (
         "prompt-too-large",
         503,
