direct: name evidence and liveness by the terms of the field

Membership spoke of signs of routers; the terms of failure detection are evidence and being alive. No behaviour changes.

--- a/boragetrail/direct/membership.py
+++ b/boragetrail/direct/membership.py
@@ -1,6 +1,6 @@
 """Membership of the routers of the fleet.
 
-A router is a member as long as there are signs that it runs: its own
+A router is a member as long as there is evidence that it runs: its own
 datagrams, and reports of routers that have just heard from it [1]_. A report
 is not passed on, so that the address of a router that is gone does not
 circulate.
@@ -24,13 +24,13 @@
     :ivar peers_by_address: :class:`~boragetrail.direct.peer.Peer` by (host,
         port)
     :ivar contacts: :class:`~boragetrail.direct.contacts.Contacts`, addresses
-        of routers without a sign that they run
+        of routers without evidence that they run
     :ivar own_address: (host, port) on which this router receives datagrams
     :ivar link_mbps: bandwidth of this router's link in megabits per second
     :ivar list_was_read: whether the registry's list of routers was read
     """
 
-    # Time without a sign after which a router is no longer a member.
+    # Time without evidence after which a router is no longer a member.
     MEMBERSHIP_TIMEOUT_S = 20.0
     # Time without a round after which this process has not run. Meanwhile
     # it could not hear other routers.
@@ -93,11 +93,11 @@
 
         In a large fleet most of them have sent no digest for seconds.
         """
-        oldest_s = self._oldest_sign_s()
+        oldest_s = self._oldest_evidence_s()
         return [
             peer
             for peer in self.peers_by_address.values()
-            if peer.has_sign_since(oldest_s)
+            if peer.is_known_alive_since(oldest_s)
         ]
 
     def probable_addresses(self):
@@ -176,11 +176,11 @@
         """
         self._keep_if_suspended()
         self.last_round_s = self.clock()
-        oldest_s = self._oldest_sign_s()
+        oldest_s = self._oldest_evidence_s()
         silent = [
             address
             for address, peer in self.peers_by_address.items()
-            if not peer.has_sign_since(oldest_s)
+            if not peer.is_known_alive_since(oldest_s)
         ]
         for address in silent:
             peer = self.peers_by_address.pop(address)
@@ -215,8 +215,8 @@
         for peer in self.members():
             peer.reported_s = max(peer.reported_s, kept_s)
 
-    def _oldest_sign_s(self):
-        """Return the time up to which a sign makes a router a member.
+    def _oldest_evidence_s(self):
+        """Return the time from which evidence makes a router a member.
 
         Time in which this process did not run does not count.
         """
--- a/boragetrail/direct/peer.py
+++ b/boragetrail/direct/peer.py
@@ -61,10 +61,10 @@
         """Return whether a digest of the router has ever arrived."""
         return bool(self.incarnation)
 
-    def has_sign_since(self, time_s):
-        """Return whether there has been a sign that the router runs.
+    def is_known_alive_since(self, time_s):
+        """Return whether there is evidence that the router ran.
 
-        :param time_s: monotonic time
+        :param time_s: monotonic time from which evidence counts
         """
         return self.versions_received_s >= time_s or self.reported_s >= time_s
 
--- a/boragetrail/direct/registration.py
+++ b/boragetrail/direct/registration.py
@@ -40,8 +40,8 @@
 
     RETRY_S = 1.0
     RENEW_INTERVAL_S = 60.0
-    # Age from which a registration is no sign that its router runs. It may
-    # have missed two renewals.
+    # Age from which a registration is no evidence that its router runs. It
+    # may have missed two renewals.
     LEASE_S = 3 * RENEW_INTERVAL_S
     # Registrations that are removed in one transaction.
     MAX_WITHDRAWN = 50
