direct: refuse a body at once that is larger than the memory for all

Read in the diff of the limit on all bodies: where the operators allow bodies of over 32 MiB, such a body would have been told to come back after a second each time, though it never finds room. It gets 413 now.

test_body_that_never_finds_room failed before: 503 instead of 413.

--- a/boragetrail/direct/filters.py
+++ b/boragetrail/direct/filters.py
@@ -130,6 +130,8 @@
         if not http_request.body_exists:
             return None
         limit = request.configuration.limits.body_bytes
+        # A larger body never finds room.
+        limit = min(limit, MAX_REQUEST_BYTES)
         length = http_request.content_length or 0
         if length > limit:
             return Refusal(Reason.BODY_TOO_LARGE, f"{limit} bytes allowed")
--- a/boragetrail/direct/tests/test_requestbodies.py
+++ b/boragetrail/direct/tests/test_requestbodies.py
@@ -4,7 +4,7 @@
 
 import pytest
 
-from boragetrail.direct.buffers import BufferBudget
+from boragetrail.direct.buffers import MAX_REQUEST_BYTES, BufferBudget
 from boragetrail.direct.tests.conftest import configuration
 
 BODY_BYTES = 90_000
@@ -83,6 +83,19 @@
         go.set()
         await asyncio.gather(*calls)
 
+    async def test_body_that_never_finds_room(self, cluster):
+        limits = {**configuration()["limits"], "maxBodyBytes": 2**30}
+        cluster.store.put("op", "config", configuration(2, limits=limits))
+        daemon = await cluster.add_router()
+        await cluster.until(
+            lambda: daemon.directory.configuration.version == 2
+        )
+        body = bytes(MAX_REQUEST_BYTES + 2**20)
+        status, _, _ = await self.start(cluster, daemon, body=body)
+        assert status == 413
+        status, _, _ = await self.start(cluster, daemon, body=body[: -(2**20)])
+        assert status == 200
+
     @pytest.mark.parametrize("path", ["/status/1", "/order/1"])
     async def test_memory_is_given_back(self, cluster, path):
         daemon, go = await self.open(cluster)
