responses: refuse statuses that HTTP does not have

Callers got responses of servers in trouble with the statuses 0 to 99 and 600 to 999, with seal and body, on all three routes. With agents they also got 101, a switch to a protocol that nobody asked for; without agents the request waited for its deadline then.

Cause: the parser takes any three digits for a status, and nobody checked them afterwards. The dispatcher only asks whether a status is a success, so 000 was an error of the server that is passed on as it is.

Every connection to another process is a BoundedHandler, with agents and without. It asks utils/responseheads.py now, before it passes a head on. A head that is refused ends the connection like bytes that are no HTTP: the server has failed, an idempotent request is tried elsewhere, an order ends with 502 and is sent once.

The other faults in standins/invalidheads.py were refused before; their tests are kept.

--- a/boragetrail/agent/tests/test_backend.py
+++ b/boragetrail/agent/tests/test_backend.py
@@ -1,4 +1,4 @@
-"""Responses of backend servers that end early, as their agent sees them."""
+"""Responses of backend servers in trouble, as their agent sees them."""
 
 import asyncio
 import socket
@@ -16,7 +16,8 @@
 from boragetrail.agent.stream import AnswerStream
 from boragetrail.errors import BackendFailure
 from boragetrail.policy import StallGate
-from boragetrail.reasons import Reason
+from boragetrail.reasons import Executed, Reason
+from standins.invalidheads import INVALID_FIELDS, INVALID_STATUS_LINES
 
 BODY = b"the whole body of the server"
 HEAD = b"HTTP/1.1 200 OK\r\nContent-Type: text/plain\r\n"
@@ -120,6 +121,36 @@
         assert await run(client) == (None, BODY)
 
 
+class TestInvalidHeads:
+    """MIXED: a response with an invalid head is a failure of the server."""
+
+    # Callers got responses with the statuses 0 to 99, 101, and 600 to 999.
+    @pytest.mark.parametrize("framing", FRAMINGS)
+    async def test_status(self, cut_server, client, framing):
+        for name, line in INVALID_STATUS_LINES.items():
+            await self._check(cut_server, client, framing, name, line, HEAD)
+
+    @pytest.mark.parametrize("framing", FRAMINGS)
+    async def test_field(self, cut_server, client, framing):
+        line = HEAD.partition(b"\r\n")[0]
+        for name, field in INVALID_FIELDS.items():
+            head = HEAD + field + b"\r\n"
+            await self._check(cut_server, client, framing, name, line, head)
+
+    async def _check(self, cut_server, client, framing, name, line, head):
+        """Check that nothing of a response is passed on.
+
+        :param line: status line that replaces that of the head
+        """
+        rest, body = FRAMINGS[framing]
+        fields = head.partition(b"\r\n")[2]
+        cut_server.data = line + b"\r\n" + fields + rest + body
+        failure, got = await run(client)
+        assert isinstance(failure, BackendFailure), (name, got)
+        assert failure.ran is Executed.UNKNOWN, name
+        assert got == b"", name
+
+
 class TestEndlessEvent:
     """An event that does not end is not kept."""
 
--- /dev/null
+++ b/boragetrail/direct/tests/test_invalidheads.py
@@ -0,0 +1,221 @@
+"""Tests with servers whose responses have an invalid head."""
+
+import asyncio
+
+import aiohttp
+import pytest
+
+from boragetrail.direct.tests.test_path import EVENTS, stream_of
+from boragetrail.platform.names import HEADER_NAMES
+from standins.httpserver import whole_answer
+from standins.invalidheads import INVALID_FIELDS, INVALID_STATUS_LINES
+
+BODY = b"bytes of the server"
+SOUND = b"sound"
+PATHS = ["/order/1", "/status/1", "/stream/1"]
+# How the body of a response ends.
+FRAMINGS = ["length", "close"]
+STATUSES = [b"200 OK", b"404 Not Found", b"500 Internal Server Error"]
+REFUSALS = ["421 Misdirected Request", "503 Service Unavailable"]
+
+
+class InvalidServer:
+    """Send responses whose head is invalid in one place.
+
+    :param status_name: name of the status line in ``INVALID_STATUS_LINES``,
+        or empty for a valid one
+    :param field_name: name of a field in ``INVALID_FIELDS``, or empty for none
+    :param framing: how the body ends
+    :param status: status and reason of a valid status line
+    :param before: bytes that are sent before the response
+    """
+
+    def __init__(
+        self,
+        status_name,
+        field_name="",
+        framing="length",
+        status=STATUSES[0],
+        before=b"",
+    ):
+        self.name = status_name or field_name
+        self.status_line = INVALID_STATUS_LINES.get(
+            status_name, b"HTTP/1.1 " + status
+        )
+        self.field = INVALID_FIELDS.get(field_name, b"X-Valid: 1")
+        self.framing = framing
+        self.before = before
+
+    async def serve(self, request):
+        """Send a response that is whole but for its head."""
+        fields = ["Content-Type: text/event-stream"]
+        whole = whole_answer(request, BODY, fields=fields)
+        _, _, rest = whole.partition(b"\r\n")
+        if self.framing == "close":
+            length = b"Content-Length: %d\r\n" % len(BODY)
+            rest = rest.replace(length, b"Connection: close\r\n")
+        lines = (self.status_line, self.field, rest)
+        request.writer.write(self.before + b"\r\n".join(lines))
+        if self.framing == "close":
+            await request.writer.drain()
+            request.writer.close()
+        return b""
+
+
+async def sound(request):
+    """Return a valid response."""
+    return whole_answer(request, SOUND)
+
+
+async def call(cluster, daemon, path):
+    """Return (status, headers, body), or ``None`` if it is not whole."""
+    try:
+        return await cluster.call(daemon, path)
+    except aiohttp.ClientError:
+        return None
+
+
+class InvalidHeads:
+    """Checks that responses with an invalid head are not passed on."""
+
+    @pytest.fixture
+    async def daemon(self, cluster):
+        """A router with one server."""
+        removed = cluster.servers.pop()
+        cluster.unlist_server(removed)
+        await removed.close()
+        return await cluster.add_router()
+
+    async def check(self, cluster, daemon, path, invalid, kept):
+        """Check the response that a caller gets.
+
+        :param kept: whether the connection has had a request before
+        """
+        (server,) = cluster.servers
+        if kept:
+            assert (await call(cluster, daemon, "/status/1"))[0] == 200
+        server.requests.clear()
+        server.behaviours.append(invalid.serve)
+        got = await call(cluster, daemon, path)
+        assert got is not None
+        status, headers, body = got
+        assert status == 502, (invalid.name, got)
+        assert HEADER_NAMES.seal not in headers, invalid.name
+        assert BODY not in body, invalid.name
+        assert len(server.requests) == 1, invalid.name
+
+
+class TestInvalidStatus(InvalidHeads):
+    """MIXED: a status outside of the protocol is no response."""
+
+    # Callers got responses with the statuses 0 to 99 and 600 to 999.
+    @pytest.mark.parametrize("path", PATHS)
+    @pytest.mark.parametrize("kept", [False, True])
+    @pytest.mark.parametrize("framing", FRAMINGS)
+    async def test_status_is_not_passed_on(
+        self, cluster, daemon, path, kept, framing
+    ):
+        for name in INVALID_STATUS_LINES:
+            invalid = InvalidServer(name, framing=framing)
+            await self.check(cluster, daemon, path, invalid, kept)
+
+    async def test_next_request_uses_another_connection(self, cluster, daemon):
+        (server,) = cluster.servers
+        server.behaviours.append(InvalidServer("zero").serve)
+        assert (await call(cluster, daemon, "/order/1"))[0] == 502
+        assert (await call(cluster, daemon, "/order/1"))[0] == 200
+        assert server.connections == 2
+
+    async def test_informational_response(self, cluster, daemon):
+        before = b"HTTP/1.1 000 Continue\r\n\r\n"
+        invalid = InvalidServer("", "", before=before)
+        await self.check(cluster, daemon, "/order/1", invalid, False)
+
+
+class TestRetries:
+    """What may be executed again is sent to another server."""
+
+    @pytest.mark.parametrize("name", ["zero", "largest"])
+    async def test_idempotent_request(self, cluster, name):
+        daemon = await cluster.add_router()
+        invalid = InvalidServer(name)
+        sent = []
+
+        async def fail_first(request):
+            sent.append(request.id)
+            respond = invalid.serve if len(sent) == 1 else sound
+            return await respond(request)
+
+        for server in cluster.servers:
+            server.default = fail_first
+        status, _, body = await cluster.call(daemon, "/status/1")
+        assert (status, body) == (200, SOUND)
+        assert len(sent) == 2
+
+    @pytest.mark.parametrize("name", ["zero", "largest"])
+    async def test_stream_that_goes_on(self, cluster, name):
+        daemon = await cluster.add_router()
+        invalid = InvalidServer(name)
+        begun = []
+
+        async def begin_or_fail(request):
+            if begun:
+                return await invalid.serve(request)
+            begun.append(request.id)
+            return await stream_of(*EVENTS[:2], abort_after=True)(request)
+
+        for server in cluster.servers:
+            server.default = begin_or_fail
+        received = b""
+        async with cluster.request(daemon, "/resume/1") as response:
+            with pytest.raises(aiohttp.ClientPayloadError):
+                async for data in response.content.iter_any():
+                    received += data
+        assert received == b"".join(EVENTS[:2])
+
+
+class TestInvalidFields(InvalidHeads):
+    """MIXED: a head with an invalid field is no response."""
+
+    # Guards against a name with a blank or a control byte that is passed on,
+    # or that hides how the body ends.
+    @pytest.mark.parametrize("path", PATHS)
+    @pytest.mark.parametrize("kept", [False, True])
+    async def test_field_is_not_passed_on(self, cluster, daemon, path, kept):
+        for name in INVALID_FIELDS:
+            invalid = InvalidServer("", name)
+            await self.check(cluster, daemon, path, invalid, kept)
+
+    @pytest.mark.parametrize("status", STATUSES)
+    async def test_body_without_a_length(self, cluster, daemon, status):
+        for name in INVALID_FIELDS:
+            invalid = InvalidServer("", name, "close", status)
+            await self.check(cluster, daemon, "/order/1", invalid, False)
+
+    @pytest.mark.parametrize("field", [b"X-Odd Name: 1"])
+    async def test_informational_response(self, cluster, daemon, field):
+        before = b"HTTP/1.1 100 Continue\r\n" + field + b"\r\n\r\n"
+        invalid = InvalidServer("", "", before=before)
+        await self.check(cluster, daemon, "/order/1", invalid, False)
+
+
+class TestInvalidRefusals:
+    """An invalid head does not say that a request was not executed."""
+
+    # A caller may repeat an order after 503, and TWICE forbids that.
+    @pytest.mark.parametrize("refusal", REFUSALS)
+    @pytest.mark.parametrize("name", ["name with a blank"])
+    async def test_order_is_not_sent_again(self, cluster, refusal, name):
+        daemon = await cluster.add_router()
+        field = INVALID_FIELDS[name].decode("latin-1")
+        fields = [f"{HEADER_NAMES.not_executed}: 1", field]
+
+        async def refuse(request):
+            await asyncio.sleep(0)
+            return whole_answer(request, b"", refusal, fields)
+
+        for server in cluster.servers:
+            server.default = refuse
+        status, _, _ = await cluster.call(daemon, "/order/1")
+        assert status == 502
+        assert sum(len(each.requests) for each in cluster.servers) == 1
--- /dev/null
+++ b/boragetrail/utils/responseheads.py
@@ -0,0 +1,38 @@
+"""Validity of the heads of HTTP responses.
+
+The parser of ``aiohttp`` is lenient with responses. What it lets through is
+no response to a caller, and no answer to a query: neither its status nor the
+end of its body can be relied on.
+
+.. [1] R. Fielding et al., "HTTP Semantics", RFC 9110, 2022, section 15.
+"""
+
+__all__ = ["head_error"]
+
+MIN_STATUS = 100
+MAX_STATUS = 599
+# No request asks for another protocol.
+SWITCHING_PROTOCOLS = 101
+
+
+def head_error(status, raw_headers):
+    """Return why the head of a response is invalid [1]_.
+
+    :param status: status code
+    :param raw_headers: sequence of (name, value) as bytes
+    :returns: text, empty if the head is valid
+
+    >>> head_error(200, [(b"Content-Length", b"4")])
+    ''
+    >>> head_error(0, [])
+    'status 0 is not one of HTTP'
+    """
+    return _status_error(status)
+
+
+def _status_error(status):
+    if not MIN_STATUS <= status <= MAX_STATUS:
+        return f"status {status} is not one of HTTP"
+    if status == SWITCHING_PROTOCOLS:
+        return "a switch of protocols that was not asked for"
+    return ""
--- a/boragetrail/utils/responses.py
+++ b/boragetrail/utils/responses.py
@@ -10,6 +10,9 @@
 
 import aiohttp
 from aiohttp.client_proto import ResponseHandler
+from aiohttp.http_exceptions import HttpProcessingError
+
+from boragetrail.utils.responseheads import head_error
 
 __all__ = [
     "BodyTooLong",
@@ -31,7 +34,7 @@
 class BoundedHandler(ResponseHandler):
     """Protocol of a connection that bounds what is kept besides bodies.
 
-    It also reports a reset within a body.
+    It also reports a reset within a body, and refuses invalid heads.
 
     :ivar unproductive_bytes: bytes received since the last byte of a body
     """
@@ -56,6 +59,20 @@
         if self.unproductive_bytes > MAX_UNPRODUCTIVE_BYTES:
             self.reset(ConnectionResetError(UNPRODUCTIVE_ERROR))
 
+    def feed_data(self, data, size=0):
+        """Pass on the head of a response and its body, if it is valid.
+
+        :param data: (``aiohttp.http.RawResponseMessage``, reader of the body)
+        """
+        message, _ = data
+        error = head_error(message.code, message.raw_headers)
+        if not error:
+            super().feed_data(data, size)
+            return
+        self.set_exception(HttpProcessingError(message=error))
+        if self.transport is not None:
+            self.transport.abort()
+
     def reset(self, exc):
         """Close the connection as if the server had reset it.
 
