responses: refuse field names that hold a blank

Callers got responses whose head held "Content-Length : 2", "Connection : close" or "Upgrade : h2c", with that line as it was; beside the length that the router writes, the first of these is a second length, and the caller's library refused the response. With "Transfer-Encoding : chunked" they got the body, whose end rests on that line. It was the same with agents.

Cause: the parser refuses a blank in a name, but not before the colon of the five fields that it interprets itself: the length, the transfer coding, the connection fields and Upgrade. It obeys them, and hands the name on with its blank, so that no later code knows the field.

Evidence: 27 new tests failed before: 18 at a router, 6 at an agent's client and 3 with the processes' own calls.

A name has to be a token now, whatever the parser does with it. A proxy has to remove such blanks or refuse the response (RFC 9112, section 5.1); as the server is in trouble, it is refused.

--- a/boragetrail/agent/tests/test_backend.py
+++ b/boragetrail/agent/tests/test_backend.py
@@ -17,7 +17,11 @@
 from boragetrail.errors import BackendFailure
 from boragetrail.policy import StallGate
 from boragetrail.reasons import Executed, Reason
-from standins.invalidheads import INVALID_FIELDS, INVALID_STATUS_LINES
+from standins.invalidheads import (
+    INVALID_ENDS,
+    INVALID_FIELDS,
+    INVALID_STATUS_LINES,
+)
 
 BODY = b"the whole body of the server"
 HEAD = b"HTTP/1.1 200 OK\r\nContent-Type: text/plain\r\n"
@@ -137,6 +141,15 @@
             head = HEAD + field + b"\r\n"
             await self._check(cut_server, client, framing, name, line, head)
 
+    # Callers got the body together with the field that has a blank.
+    @pytest.mark.parametrize("name", INVALID_ENDS)
+    async def test_end(self, cut_server, client, name):
+        fields, body = INVALID_ENDS[name]
+        cut_server.data = HEAD + fields + b"\r\n\r\n" + body
+        failure, got = await run(client)
+        assert isinstance(failure, BackendFailure), got
+        assert got == b""
+
     async def _check(self, cut_server, client, framing, name, line, head):
         """Check that nothing of a response is passed on.
 
--- a/boragetrail/direct/tests/test_invalidheads.py
+++ b/boragetrail/direct/tests/test_invalidheads.py
@@ -8,7 +8,11 @@
 from boragetrail.direct.tests.test_path import EVENTS, stream_of
 from boragetrail.platform.names import HEADER_NAMES
 from standins.httpserver import whole_answer
-from standins.invalidheads import INVALID_FIELDS, INVALID_STATUS_LINES
+from standins.invalidheads import (
+    INVALID_ENDS,
+    INVALID_FIELDS,
+    INVALID_STATUS_LINES,
+)
 
 BODY = b"bytes of the server"
 SOUND = b"sound"
@@ -75,6 +79,27 @@
         return None
 
 
+class InvalidEnd:
+    """Send responses that do not say properly how their body ends.
+
+    :param name: name in ``INVALID_ENDS``
+    """
+
+    def __init__(self, name):
+        self.name = name
+
+    async def serve(self, request):
+        """Send a response with a body that fits its fields."""
+        fields, body = INVALID_ENDS[self.name]
+        lines = (
+            "HTTP/1.1 200 OK",
+            f"{HEADER_NAMES.request_id}: {request.id}",
+            f"{HEADER_NAMES.seal}: seal",
+            fields.decode("latin-1"),
+        )
+        return "\r\n".join(lines).encode("latin-1") + b"\r\n\r\n" + body
+
+
 class InvalidHeads:
     """Checks that responses with an invalid head are not passed on."""
 
@@ -199,6 +224,17 @@
         await self.check(cluster, daemon, "/order/1", invalid, False)
 
 
+class TestInvalidEnds(InvalidHeads):
+    """MIXED: a body whose end is not told properly is no engine's body."""
+
+    # Callers got the body together with the field that has a blank.
+    @pytest.mark.parametrize("name", INVALID_ENDS)
+    @pytest.mark.parametrize("path", PATHS)
+    async def test_body_is_not_passed_on(self, cluster, daemon, name, path):
+        invalid = InvalidEnd(name)
+        await self.check(cluster, daemon, path, invalid, False)
+
+
 class TestInvalidRefusals:
     """An invalid head does not say that a request was not executed."""
 
--- a/boragetrail/direct/tests/test_invalidqueries.py
+++ b/boragetrail/direct/tests/test_invalidqueries.py
@@ -12,7 +12,11 @@
 )
 from boragetrail.utils.calls import make_session
 from standins.httpserver import HttpServer
-from standins.invalidheads import INVALID_FIELDS, INVALID_STATUS_LINES
+from standins.invalidheads import (
+    INVALID_ENDS,
+    INVALID_FIELDS,
+    INVALID_STATUS_LINES,
+)
 
 LENGTH = b"Content-Length: %d" % len(BODY_OF_JSON)
 JSON = b"Content-Type: application/json"
@@ -35,7 +39,7 @@
         yield made
 
 
-async def call_and_get(server, session, name, *lines):
+async def call_and_get(server, session, name, *lines, body=BODY_OF_JSON):
     """Call a process that answers with a head; returns the result.
 
     :param name: name of the call
@@ -43,7 +47,7 @@
     """
 
     async def respond(request):
-        return b"\r\n".join((*lines, b"", BODY_OF_JSON))
+        return b"\r\n".join((*lines, b"", body))
 
     server.default = respond
     return await CALLS[name](session, server.address)
@@ -69,6 +73,14 @@
             )
             assert is_failure(result), (fault, result)
 
+    async def test_end(self, server, session, name):
+        for fault, (fields, body) in INVALID_ENDS.items():
+            lines = (VALID, JSON, fields)
+            result = await call_and_get(
+                server, session, name, *lines, body=body
+            )
+            assert is_failure(result), (fault, result)
+
 
 @pytest.mark.parametrize("name", ["cache", "service", "backend"])
 class TestValidHeads:
--- a/boragetrail/utils/responseheads.py
+++ b/boragetrail/utils/responseheads.py
@@ -4,15 +4,18 @@
 no response to a caller, and no answer to a query: neither its status nor the
 end of its body can be relied on.
 
-.. [1] R. Fielding et al., "HTTP Semantics", RFC 9110, 2022, section 15.
+.. [1] R. Fielding et al., "HTTP Semantics", RFC 9110, 2022, sections 5 and 15.
 """
 
+import re
+
 __all__ = ["head_error"]
 
 MIN_STATUS = 100
 MAX_STATUS = 599
 # No request asks for another protocol.
 SWITCHING_PROTOCOLS = 101
+TOKEN = re.compile(rb"[!#$%&'*+.^_`|~0-9A-Za-z-]+")
 
 
 def head_error(status, raw_headers):
@@ -27,7 +30,7 @@
     >>> head_error(0, [])
     'status 0 is not one of HTTP'
     """
-    return _status_error(status)
+    return _status_error(status) or _fields_error(raw_headers)
 
 
 def _status_error(status):
@@ -36,3 +39,10 @@
     if status == SWITCHING_PROTOCOLS:
         return "a switch of protocols that was not asked for"
     return ""
+
+
+def _fields_error(raw_headers):
+    for name, _ in raw_headers:
+        if not TOKEN.fullmatch(name):
+            return "a field's name is not a token"
+    return ""
--- a/standins/invalidheads.py
+++ b/standins/invalidheads.py
@@ -1,6 +1,6 @@
 """Heads of responses that are not valid, as servers in trouble send them."""
 
-__all__ = ["INVALID_FIELDS", "INVALID_STATUS_LINES"]
+__all__ = ["INVALID_ENDS", "INVALID_FIELDS", "INVALID_STATUS_LINES"]
 
 # Status lines by a name for their fault.
 INVALID_STATUS_LINES = {
@@ -41,3 +41,26 @@
     "value with NUL": b"X-Odd: a\0b",
     "value with a carriage return": b"X-Odd: a\rb",
 }
+
+BODY = b"{}"
+CHUNKS = b"2\r\n{}\r\n0\r\n\r\n"
+
+# Fields that say how a body ends, or that the connection ends, and a body
+# that fits them, by a name for their fault.
+INVALID_ENDS = {
+    "length with a blank": (b"Content-Length : 2", BODY),
+    "length with two blanks": (b"Content-Length  : 2", BODY),
+    "coding with a blank": (b"Transfer-Encoding : chunked", CHUNKS),
+    "connection with a blank": (
+        b"Connection : close\r\nContent-Length: 2",
+        BODY,
+    ),
+    "proxy connection with a blank": (
+        b"Proxy-Connection : close\r\nContent-Length: 2",
+        BODY,
+    ),
+    "upgrade with a blank": (
+        b"Upgrade : h2c\r\nContent-Length: 2",
+        BODY,
+    ),
+}
