responses: refuse control bytes in the values of fields

With agents callers got responses whose head held a control byte (01, 0b, 1b or 7f) in a value. At a router without agents the caller's connection was closed without a response, after the log had said that the request was answered in full; an idempotent request was not tried elsewhere.

Cause: the parser refuses NUL, CR and LF in a value and lets other control bytes through. The library that writes the router's response refuses them, too late for a failure that the caller could use.

The rule for heads allows the tab only, as HTTP does (RFC 9110, section 5.5). The router knows before it chooses what to do with the response, so the request ends with 502, or another server is tried if it may be repeated. A refusal with such a byte no longer counts as "not executed".

--- a/boragetrail/direct/tests/test_invalidheads.py
+++ b/boragetrail/direct/tests/test_invalidheads.py
@@ -203,7 +203,8 @@
     """MIXED: a head with an invalid field is no response."""
 
     # Guards against a name with a blank or a control byte that is passed on,
-    # or that hides how the body ends.
+    # or that hides how the body ends. A control byte in a value ended the
+    # router's response with an exception, and an agent passed it on.
     @pytest.mark.parametrize("path", PATHS)
     @pytest.mark.parametrize("kept", [False, True])
     async def test_field_is_not_passed_on(self, cluster, daemon, path, kept):
@@ -217,7 +218,7 @@
             invalid = InvalidServer("", name, "close", status)
             await self.check(cluster, daemon, "/order/1", invalid, False)
 
-    @pytest.mark.parametrize("field", [b"X-Odd Name: 1"])
+    @pytest.mark.parametrize("field", [b"X-Odd Name: 1", b"X-Odd: a\x01b"])
     async def test_informational_response(self, cluster, daemon, field):
         before = b"HTTP/1.1 100 Continue\r\n" + field + b"\r\n\r\n"
         invalid = InvalidServer("", "", before=before)
@@ -235,12 +236,26 @@
         await self.check(cluster, daemon, path, invalid, False)
 
 
+class TestValidFields(InvalidHeads):
+    """Fields that are unusual but valid are passed on."""
+
+    @pytest.mark.parametrize("value", ["", "a\tb", "a  b", "a:b\"'{}"])
+    async def test_value(self, cluster, daemon, value):
+        async def respond(request):
+            return whole_answer(request, SOUND, fields=[f"X-Odd: {value}"])
+
+        cluster.servers[0].default = respond
+        status, headers, body = await cluster.call(daemon, "/order/1")
+        assert (status, body) == (200, SOUND)
+        assert headers["X-Odd"] == value
+
+
 class TestInvalidRefusals:
     """An invalid head does not say that a request was not executed."""
 
     # A caller may repeat an order after 503, and TWICE forbids that.
     @pytest.mark.parametrize("refusal", REFUSALS)
-    @pytest.mark.parametrize("name", ["name with a blank"])
+    @pytest.mark.parametrize("name", ["name with a blank", "value with DEL"])
     async def test_order_is_not_sent_again(self, cluster, refusal, name):
         daemon = await cluster.add_router()
         field = INVALID_FIELDS[name].decode("latin-1")
--- a/boragetrail/utils/responseheads.py
+++ b/boragetrail/utils/responseheads.py
@@ -16,6 +16,8 @@
 # No request asks for another protocol.
 SWITCHING_PROTOCOLS = 101
 TOKEN = re.compile(rb"[!#$%&'*+.^_`|~0-9A-Za-z-]+")
+# Of the control bytes a value may hold the tab only.
+CONTROL_BYTES = re.compile(rb"[\x00-\x08\x0a-\x1f\x7f]")
 
 
 def head_error(status, raw_headers):
@@ -29,6 +31,10 @@
     ''
     >>> head_error(0, [])
     'status 0 is not one of HTTP'
+    >>> head_error(200, [(b"Content-Length ", b"4")])
+    "a field's name is not a token"
+    >>> head_error(200, [(b"Content-Type", b"text\x7f")])
+    "a field's value holds a control byte"
     """
     return _status_error(status) or _fields_error(raw_headers)
 
@@ -42,7 +48,9 @@
 
 
 def _fields_error(raw_headers):
-    for name, _ in raw_headers:
+    for name, value in raw_headers:
         if not TOKEN.fullmatch(name):
             return "a field's name is not a token"
+        if CONTROL_BYTES.search(value):
+            return "a field's value holds a control byte"
     return ""
--- a/standins/invalidheads.py
+++ b/standins/invalidheads.py
@@ -40,6 +40,10 @@
     "tab before the colon": b"X-Odd\t: 1",
     "value with NUL": b"X-Odd: a\0b",
     "value with a carriage return": b"X-Odd: a\rb",
+    "value with a control byte": b"X-Odd: a\x01b",
+    "value with a vertical tab": b"X-Odd: a\x0bb",
+    "value with ESC": b"X-Odd: a\x1bb",
+    "value with DEL": b"X-Odd: a\x7fb",
 }
 
 BODY = b"{}"
