responses: refuse transfer codings other than chunked

Callers got bodies that are not the server's: of a response with "Transfer-Encoding: gzip" the coded bytes without the field that says so, and of "chunked, gzip" the chunks with their sizes, as a complete 200 with seal. It was the same with agents.

Cause: the parser reads a body whose coding it does not know up to the end of the connection. The field concerns one connection only, so it is not passed on, and the bytes pass for the body.

No request offers another coding, so a response that names one is refused, like one that names chunked twice (RFC 9112, section 6.1).

--- a/boragetrail/agent/tests/test_backend.py
+++ b/boragetrail/agent/tests/test_backend.py
@@ -141,7 +141,8 @@
             head = HEAD + field + b"\r\n"
             await self._check(cut_server, client, framing, name, line, head)
 
-    # Callers got the body together with the field that has a blank.
+    # Callers got the body together with the field that has a blank, or the
+    # body in a coding that nobody had undone.
     @pytest.mark.parametrize("name", INVALID_ENDS)
     async def test_end(self, cut_server, client, name):
         fields, body = INVALID_ENDS[name]
--- a/boragetrail/direct/tests/test_invalidheads.py
+++ b/boragetrail/direct/tests/test_invalidheads.py
@@ -97,7 +97,12 @@
             f"{HEADER_NAMES.seal}: seal",
             fields.decode("latin-1"),
         )
-        return "\r\n".join(lines).encode("latin-1") + b"\r\n\r\n" + body
+        head = "\r\n".join(lines).encode("latin-1")
+        request.writer.write(head + b"\r\n\r\n" + body)
+        if b"Connection: close" in fields:
+            await request.writer.drain()
+            request.writer.close()
+        return b""
 
 
 class InvalidHeads:
@@ -228,7 +233,8 @@
 class TestInvalidEnds(InvalidHeads):
     """MIXED: a body whose end is not told properly is no engine's body."""
 
-    # Callers got the body together with the field that has a blank.
+    # Callers got the body together with the field that has a blank, or the
+    # body in a coding that nobody had undone.
     @pytest.mark.parametrize("name", INVALID_ENDS)
     @pytest.mark.parametrize("path", PATHS)
     async def test_body_is_not_passed_on(self, cluster, daemon, name, path):
--- a/boragetrail/utils/responseheads.py
+++ b/boragetrail/utils/responseheads.py
@@ -5,6 +5,7 @@
 end of its body can be relied on.
 
 .. [1] R. Fielding et al., "HTTP Semantics", RFC 9110, 2022, sections 5 and 15.
+.. [2] R. Fielding et al., "HTTP/1.1", RFC 9112, 2022, section 6.1.
 """
 
 import re
@@ -18,10 +19,13 @@
 TOKEN = re.compile(rb"[!#$%&'*+.^_`|~0-9A-Za-z-]+")
 # Of the control bytes a value may hold the tab only.
 CONTROL_BYTES = re.compile(rb"[\x00-\x08\x0a-\x1f\x7f]")
+CODING_FIELD = b"transfer-encoding"
+# No request accepts another coding. The parser undoes this one.
+CHUNKED = b"chunked"
 
 
 def head_error(status, raw_headers):
-    """Return why the head of a response is invalid [1]_.
+    """Return why the head of a response is invalid [1]_, [2]_.
 
     :param status: status code
     :param raw_headers: sequence of (name, value) as bytes
@@ -35,8 +39,14 @@
     "a field's name is not a token"
     >>> head_error(200, [(b"Content-Type", b"text\x7f")])
     "a field's value holds a control byte"
+    >>> head_error(200, [(b"Transfer-Encoding", b"gzip")])
+    'a transfer coding other than chunked'
     """
-    return _status_error(status) or _fields_error(raw_headers)
+    return (
+        _status_error(status)
+        or _fields_error(raw_headers)
+        or _coding_error(raw_headers)
+    )
 
 
 def _status_error(status):
@@ -54,3 +64,14 @@
         if CONTROL_BYTES.search(value):
             return "a field's value holds a control byte"
     return ""
+
+
+def _coding_error(raw_headers):
+    codings = [
+        value.strip().lower()
+        for name, value in raw_headers
+        if name.lower() == CODING_FIELD
+    ]
+    if codings and codings != [CHUNKED]:
+        return "a transfer coding other than chunked"
+    return ""
--- a/standins/invalidheads.py
+++ b/standins/invalidheads.py
@@ -67,4 +67,19 @@
         b"Upgrade : h2c\r\nContent-Length: 2",
         BODY,
     ),
+    "coding unknown": (b"Transfer-Encoding: gzip\r\nConnection: close", BODY),
+    "coding like chunked": (
+        b"Transfer-Encoding: xchunked\r\nConnection: close",
+        BODY,
+    ),
+    "coding empty": (b"Transfer-Encoding:\r\nConnection: close", BODY),
+    "coding before chunked": (b"Transfer-Encoding: gzip, chunked", CHUNKS),
+    "coding after chunked": (
+        b"Transfer-Encoding: chunked, gzip\r\nConnection: close",
+        CHUNKS,
+    ),
+    "chunked twice": (
+        b"Transfer-Encoding: chunked\r\nTransfer-Encoding: chunked",
+        CHUNKS,
+    ),
 }
