responses: refuse lines of a head that begin with a blank

Callers got responses whose head held such a line: the first one came without its blank, as a field of its own, and a later one as a part of the value before it. After the seal the seal changed.

Cause: the parser drops the blank after the status line and joins other such lines to the line before. Its result does not show that there was one.

A connection keeps the bytes of the head that it awaits, and the rule for heads looks for the blank there. HTTP has a proxy refuse the first form, and refuse the second or replace it (RFC 9112, sections 2.2 and 5.2); no server in order writes either.

--- a/boragetrail/direct/tests/test_invalidheads.py
+++ b/boragetrail/direct/tests/test_invalidheads.py
@@ -209,7 +209,9 @@
 
     # Guards against a name with a blank or a control byte that is passed on,
     # or that hides how the body ends. A control byte in a value ended the
-    # router's response with an exception, and an agent passed it on.
+    # router's response with an exception, and an agent passed it on. A line
+    # that begins with a blank was passed on without it, or as a part of the
+    # value before it.
     @pytest.mark.parametrize("path", PATHS)
     @pytest.mark.parametrize("kept", [False, True])
     async def test_field_is_not_passed_on(self, cluster, daemon, path, kept):
@@ -223,12 +225,33 @@
             invalid = InvalidServer("", name, "close", status)
             await self.check(cluster, daemon, "/order/1", invalid, False)
 
-    @pytest.mark.parametrize("field", [b"X-Odd Name: 1", b"X-Odd: a\x01b"])
+    @pytest.mark.parametrize(
+        "field", [b"X-Odd Name: 1", b"X-Odd: a\x01b", b" X-Odd: 1"]
+    )
     async def test_informational_response(self, cluster, daemon, field):
         before = b"HTTP/1.1 100 Continue\r\n" + field + b"\r\n\r\n"
         invalid = InvalidServer("", "", before=before)
         await self.check(cluster, daemon, "/order/1", invalid, False)
 
+    # The seal that the caller got held the line after it.
+    @pytest.mark.parametrize("path", PATHS)
+    async def test_line_after_the_seal(self, cluster, daemon, path):
+        invalid = InvalidServer("", "blank before the name")
+        invalid.field = f"{HEADER_NAMES.seal}: a\r\n X-Odd: 1".encode()
+        await self.check(cluster, daemon, path, invalid, False)
+
+    async def test_head_in_single_bytes(self, cluster, daemon):
+        async def respond(request):
+            fields = ["X-A: 1", " X-Odd: 1"]
+            whole = whole_answer(request, BODY, fields=fields)
+            for number in range(len(whole)):
+                request.writer.write(whole[number : number + 1])
+                await asyncio.sleep(0)
+            return b""
+
+        cluster.servers[0].default = respond
+        assert (await call(cluster, daemon, "/order/1"))[0] == 502
+
 
 class TestInvalidEnds(InvalidHeads):
     """MIXED: a body whose end is not told properly is no engine's body."""
@@ -255,6 +278,20 @@
         assert (status, body) == (200, SOUND)
         assert headers["X-Odd"] == value
 
+    # The check of lines that begin with a blank ends with the head.
+    async def test_body_with_such_lines(self, cluster, daemon):
+        text = b"a\n b\r\n\tc\r\n\r\n d"
+
+        async def respond(request):
+            await asyncio.sleep(0)
+            early = b"HTTP/1.1 100 Continue\r\n\r\n"
+            return early + whole_answer(request, text)
+
+        cluster.servers[0].default = respond
+        for _ in range(2):
+            status, _, body = await cluster.call(daemon, "/order/1")
+            assert (status, body) == (200, text)
+
 
 class TestInvalidRefusals:
     """An invalid head does not say that a request was not executed."""
--- a/boragetrail/utils/responseheads.py
+++ b/boragetrail/utils/responseheads.py
@@ -10,7 +10,7 @@
 
 import re
 
-__all__ = ["head_error"]
+__all__ = ["HeadBytes", "head_error"]
 
 MIN_STATUS = 100
 MAX_STATUS = 599
@@ -24,11 +24,49 @@
 CHUNKED = b"chunked"
 
 
-def head_error(status, raw_headers):
-    """Return why the head of a response is invalid [1]_, [2]_.
+# A line that begins with a blank continues the line before it.
+CONTINUED_LINE = re.compile(rb"\n[ \t]")
+HEAD_END = re.compile(rb"\n\r?\n")
+LINE_ENDS = b"\r\n"
+
+
+class HeadBytes:
+    """Hold the bytes of a connection up to the end of the next head.
+
+    The parser joins a line that begins with a blank to the line before it, or
+    drops the blank after the status line, so that its result does not show
+    such a line.
+    """
+
+    __slots__ = ("received",)
+
+    def __init__(self):
+        self.received = bytearray()
+
+    def add(self, data):
+        """Add bytes that were received."""
+        self.received += data
+
+    def take_head(self):
+        """Remove the next head, which has arrived, and return it as bytes."""
+        self.received = self.received.lstrip(LINE_ENDS)
+        end = HEAD_END.search(self.received)
+        size = end.end() if end else len(self.received)
+        head = bytes(self.received[:size])
+        del self.received[:size]
+        return head
+
+    def clear(self):
+        """Remove all bytes."""
+        self.received.clear()
+
+
+def head_error(status, raw_headers, head=b""):
+    r"""Return why the head of a response is invalid [1]_, [2]_.
 
     :param status: status code
     :param raw_headers: sequence of (name, value) as bytes
+    :param head: bytes of the head as they were received, if they are known
     :returns: text, empty if the head is valid
 
     >>> head_error(200, [(b"Content-Length", b"4")])
@@ -41,9 +79,12 @@
     "a field's value holds a control byte"
     >>> head_error(200, [(b"Transfer-Encoding", b"gzip")])
     'a transfer coding other than chunked'
+    >>> head_error(200, [(b"Date", b"1")], b"HTTP/1.1 200 OK\r\n Date: 1")
+    'a line begins with a blank'
     """
     return (
         _status_error(status)
+        or _line_error(head)
         or _fields_error(raw_headers)
         or _coding_error(raw_headers)
     )
@@ -57,6 +98,12 @@
     return ""
 
 
+def _line_error(head):
+    if CONTINUED_LINE.search(head):
+        return "a line begins with a blank"
+    return ""
+
+
 def _fields_error(raw_headers):
     for name, value in raw_headers:
         if not TOKEN.fullmatch(name):
--- a/boragetrail/utils/responses.py
+++ b/boragetrail/utils/responses.py
@@ -12,7 +12,7 @@
 from aiohttp.client_proto import ResponseHandler
 from aiohttp.http_exceptions import HttpProcessingError
 
-from boragetrail.utils.responseheads import head_error
+from boragetrail.utils.responseheads import HeadBytes, head_error
 
 __all__ = [
     "BodyTooLong",
@@ -24,6 +24,7 @@
 # Limit on the bytes that a server may send without a byte of a body, such as
 # a head, chunk extensions or informational responses.
 MAX_UNPRODUCTIVE_BYTES = 256 * 1024
+INFORMATIONAL_STATUSES = range(100, 200)
 UNPRODUCTIVE_ERROR = f"over {MAX_UNPRODUCTIVE_BYTES} bytes without a body"
 
 
@@ -37,19 +38,26 @@
     It also reports a reset within a body, and refuses invalid heads.
 
     :ivar unproductive_bytes: bytes received since the last byte of a body
+    :ivar awaits_head: whether the head of the response has yet to arrive
     """
 
     def __init__(self, loop):
         super().__init__(loop)
         self.unproductive_bytes = 0
+        self.awaits_head = False
+        self._head_bytes = HeadBytes()
 
     def set_response_params(self, **params):
         """Prepare for the next response."""
         self.unproductive_bytes = 0
+        self.awaits_head = True
+        self._head_bytes.clear()
         super().set_response_params(**params)
 
     def data_received(self, data):
         """Parse bytes of a response, or close after too many without one."""
+        if self.awaits_head:
+            self._head_bytes.add(data)
         before = self._body_bytes()
         super().data_received(data)
         if self._body_bytes() != before:
@@ -65,7 +73,8 @@
         :param data: (``aiohttp.http.RawResponseMessage``, reader of the body)
         """
         message, _ = data
-        error = head_error(message.code, message.raw_headers)
+        head = self._take_head(message.code)
+        error = head_error(message.code, message.raw_headers, head)
         if not error:
             super().feed_data(data, size)
             return
@@ -90,6 +99,16 @@
             payload.set_exception(exc)
         super().connection_lost(exc)
 
+    def _take_head(self, status):
+        """Return the bytes of a head, or none after that of the response."""
+        if not self.awaits_head:
+            return b""
+        head = self._head_bytes.take_head()
+        if status not in INFORMATIONAL_STATUSES:
+            self.awaits_head = False
+            self._head_bytes.clear()
+        return head
+
     def _body_bytes(self):
         payload = self._payload
         return (id(payload), getattr(payload, "total_bytes", 0))
