router: check the heads that agents and the table hand over

With agents a router passed on whatever status and fields an agent sent, or an outcome in the table held.

Cause: the head was checked by nobody between the server and the caller.

Answers of agents and of the table both begin in write_answer, which asks the same rule as the connections to servers do. The caller gets 502, outcome unknown; no part of the answer was written then. An idempotent request to an agent from before the rule is not tried elsewhere in this case.

--- a/boragetrail/router/responder.py
+++ b/boragetrail/router/responder.py
@@ -5,7 +5,9 @@
 
 import aiohttp.web
 
-from boragetrail.errors import Failure
+from boragetrail.errors import Failure, Refusal
+from boragetrail.reasons import Reason
+from boragetrail.utils.responseheads import head_error
 from boragetrail.wire.messages import Data, End, Start
 
 __all__ = ["problem_response", "write_answer"]
@@ -57,6 +59,9 @@
                     await _abort_connection(context, response)
                 return response, message
             if isinstance(message, Start):
+                error = _start_error(message)
+                if error:
+                    return None, Refusal(Reason.BACKEND_FAILED, error)
                 response = await _start(context, message)
             elif isinstance(message, Data):
                 await response.write(message.payload)
@@ -66,6 +71,22 @@
     return response, None
 
 
+def _start_error(message):
+    """Return why a head is invalid, or an empty text.
+
+    An agent of an earlier version may have sent or stored it unchecked.
+    """
+    fields = [
+        (_as_received(name), _as_received(value))
+        for name, value in message.headers
+    ]
+    return head_error(message.status, fields)
+
+
+def _as_received(text):
+    return text.encode("utf-8", "surrogateescape")
+
+
 async def _start(context, message):
     response = aiohttp.web.StreamResponse(status=message.status)
     for name, value in message.headers:
