responses: wait until a server that ended its response took the request

Callers got a part of a body as a complete 200: a server answers a long upload early, without a length, sends a part, ends its side and resets the connection 10 ms later, while the rest of the upload is still on its way. It was the same with agents.

Cause: a body without a length is complete once its connection was closed in order, and the end of the server's side was taken for that. What the process had written was with its kernel, which reports the reset to a later write only; there was none, and the connection was closed at once.

A connection whose body ends with it stays open now until the server's host has acknowledged the whole request. A reset in this time truncates the response, and so does a second without an acknowledgement. Requests that the host has taken when the response ends, as nearly all have, are not delayed. A server that ends its side and reads the rest of the upload is in order; its response is passed on once it has.

A reset after the host has taken the whole request cannot be told from the end of the response, nor is it asked.

--- a/boragetrail/agent/tests/test_backend.py
+++ b/boragetrail/agent/tests/test_backend.py
@@ -17,6 +17,7 @@
 from boragetrail.errors import BackendFailure
 from boragetrail.policy import StallGate
 from boragetrail.reasons import Executed, Reason
+from standins.earlyserver import PART, EarlyServer, End
 from standins.invalidheads import (
     INVALID_ENDS,
     INVALID_FIELDS,
@@ -34,6 +35,7 @@
     "close": (b"\r\n", BODY),
 }
 MAX_BYTES = 10000
+UPLOAD_BYTES = [100_000, 2_000_000]
 
 
 class CutServer:
@@ -85,7 +87,7 @@
     await made.close()
 
 
-async def run(client, meter=None, max_bytes=MAX_BYTES):
+async def run(client, meter=None, max_bytes=MAX_BYTES, upload=b""):
     """Return (failure or ``None``, bytes that the router would get)."""
     dispatch = types.SimpleNamespace(
         method="POST",
@@ -93,7 +95,7 @@
         headers=[],
         priority=1,
         resume_events=0,
-        body=b"",
+        body=upload,
     )
     stream = AnswerStream(keep_whole=True)
     failure = await client.run(dispatch, stream, meter, max_bytes)
@@ -165,6 +167,42 @@
         assert got == b"", name
 
 
+@pytest.mark.parametrize("size", UPLOAD_BYTES)
+class TestEarlyReset:
+    """MIXED: a server answers a long upload early, and resets."""
+
+    @pytest.fixture
+    async def early_server(self):
+        """A server that answers before it has read the request."""
+        made = EarlyServer()
+        await made.open()
+        yield made
+        await made.close()
+
+    async def run(self, early_server, size):
+        """Return (failure or ``None``, bytes) of an upload."""
+        client = BackendClient(f"http://{early_server.address}")
+        await client.open()
+        try:
+            return await run(client, upload=b"x" * size)
+        finally:
+            await client.close()
+
+    # Guards against a reset that is taken for the end of the body. With a
+    # reset after that end callers got the part as complete.
+    @pytest.mark.parametrize(
+        "end", [End.RESET, End.CLOSE_UNREAD, End.FINISH_AND_RESET]
+    )
+    async def test_part_is_truncated(self, early_server, size, end):
+        early_server.end = end
+        failure, _ = await self.run(early_server, size)
+        assert isinstance(failure, BackendFailure)
+
+    async def test_whole_response(self, early_server, size):
+        early_server.end = End.FINISH_AND_READ
+        assert await self.run(early_server, size) == (None, PART)
+
+
 class TestEndlessEvent:
     """An event that does not end is not kept."""
 
--- a/boragetrail/direct/serverresponse.py
+++ b/boragetrail/direct/serverresponse.py
@@ -1,5 +1,7 @@
 """Heads of the responses of servers."""
 
+from boragetrail.utils.responses import is_framed
+
 __all__ = ["ServerResponse"]
 
 STATUS_OK = range(200, 300)
@@ -16,7 +18,7 @@
 
     def __init__(self, message, payload):
         self.status = message.code
-        self.is_framed = message.chunked or "Content-Length" in message.headers
+        self.is_framed = is_framed(message)
         self.headers = message.headers
         self.raw_headers = message.raw_headers
         self.payload = payload
--- a/boragetrail/utils/responses.py
+++ b/boragetrail/utils/responses.py
@@ -1,7 +1,8 @@
 """Reception of HTTP responses from processes that may send anything.
 
 ``aiohttp`` takes a reset for the end of a body that has neither a length nor
-chunks. Such a body is complete only if its connection was closed in order.
+chunks. Such a body is complete only if its connection was closed in order,
+and by a server that has taken the whole request.
 It also keeps whatever a server sends until a response is complete, and after
 it on a connection that is kept.
 """
@@ -13,11 +14,13 @@
 from aiohttp.http_exceptions import HttpProcessingError
 
 from boragetrail.utils.responseheads import HeadBytes, head_error
+from boragetrail.utils.uploads import UploadWatch
 
 __all__ = [
     "BodyTooLong",
     "BoundedConnector",
     "BoundedHandler",
+    "is_framed",
     "read_body",
 ]
 
@@ -39,12 +42,14 @@
 
     :ivar unproductive_bytes: bytes received since the last byte of a body
     :ivar awaits_head: whether the head of the response has yet to arrive
+    :ivar is_framed: whether the latest body has a length or chunks
     """
 
     def __init__(self, loop):
         super().__init__(loop)
         self.unproductive_bytes = 0
         self.awaits_head = False
+        self.is_framed = True
         self._head_bytes = HeadBytes()
 
     def set_response_params(self, **params):
@@ -76,12 +81,26 @@
         head = self._take_head(message.code)
         error = head_error(message.code, message.raw_headers, head)
         if not error:
+            self.is_framed = is_framed(message)
             super().feed_data(data, size)
             return
         self.set_exception(HttpProcessingError(message=error))
         if self.transport is not None:
             self.transport.abort()
 
+    def eof_received(self):
+        """Complete a body that ends here once the request was taken.
+
+        :returns: whether the connection stays open until then
+        """
+        super().eof_received()
+        payload = self._payload
+        if self.is_framed or payload is None or payload.is_eof():
+            return False
+        transport = self.transport
+        UploadWatch(transport, transport.close, self.reset).check()
+        return True
+
     def reset(self, exc):
         """Close the connection as if the server had reset it.
 
@@ -122,6 +141,16 @@
         self._factory = functools.partial(BoundedHandler, loop=self._loop)
 
 
+def is_framed(message):
+    """Return whether the body of a response has a length or chunks.
+
+    Other bodies end with their connection.
+
+    :param message: ``aiohttp.http.RawResponseMessage``
+    """
+    return message.chunked or "Content-Length" in message.headers
+
+
 async def read_body(response, max_bytes):
     """Return the complete body of a response.
 
