responses: fail a body at once whose chunks are invalid

Callers of a server whose chunked body turned invalid after its head had arrived got no answer until their deadline, and then 504 or a stream that broke off; with agents after 30 s. An idempotent request was not tried elsewhere. No part of such a body came as complete.

Cause: when the parser refuses bytes of a body, the library fails the head, which was read long before, and not the body. Its reader waits on.

Evidence: 10 new tests failed before, 9 at a router (three kinds of chunks, three routes) and one at an agent's client. Found while looking where else answers are read: a trial of a client hung on a body with an invalid chunk.

The connection fails the body that is being read as well, with the error that a lost connection causes. What was known to fail is no longer waited for.

--- a/boragetrail/agent/tests/test_backend.py
+++ b/boragetrail/agent/tests/test_backend.py
@@ -35,6 +35,7 @@
     "close": (b"\r\n", BODY),
 }
 MAX_BYTES = 10000
+IN_TIME_S = 1.0
 UPLOAD_BYTES = [100_000, 2_000_000]
 
 
@@ -42,11 +43,13 @@
     """Send the first bytes of a response and end the connection.
 
     :ivar data: bytes to send
+    :ivar rest: bytes to send after a moment; the connection stays open then
     :ivar reset: whether the connection is reset, rather than closed
     """
 
     def __init__(self):
         self.data = b""
+        self.rest = b""
         self.reset = False
         self.server = None
         self.url = ""
@@ -61,6 +64,9 @@
         await reader.readuntil(b"\r\n\r\n")
         writer.write(self.data)
         await asyncio.sleep(0.002)
+        if self.rest:
+            writer.write(self.rest)
+            await reader.read()
         if self.reset:
             # Closing a socket that does not linger sends a reset.
             linger = struct.pack("ii", 1, 0)
@@ -167,6 +173,20 @@
         assert got == b"", name
 
 
+class TestInvalidChunks:
+    """A body that turns invalid fails its response at once."""
+
+    # An agent waited for its read timeout of 30 s.
+    async def test_response_fails(self, client, cut_server):
+        head, _ = FRAMINGS["chunks"]
+        cut_server.data = HEAD + head
+        cut_server.rest = b"no size\r\n"
+        async with asyncio.timeout(IN_TIME_S):
+            failure, got = await run(client)
+        assert failure.reason is Reason.TRUNCATED
+        assert got == b""
+
+
 @pytest.mark.parametrize("size", UPLOAD_BYTES)
 class TestEarlyReset:
     """MIXED: a server answers a long upload early, and resets."""
--- a/boragetrail/direct/tests/test_invalidheads.py
+++ b/boragetrail/direct/tests/test_invalidheads.py
@@ -16,6 +16,9 @@
 
 BODY = b"bytes of the server"
 SOUND = b"sound"
+# Time between two parts of a response, so that they are read apart.
+SPLIT_S = 0.02
+IN_TIME_S = 1.0
 PATHS = ["/order/1", "/status/1", "/stream/1"]
 # How the body of a response ends.
 FRAMINGS = ["length", "close"]
@@ -293,6 +296,32 @@
             assert (status, body) == (200, text)
 
 
+class TestInvalidChunks(InvalidHeads):
+    """A body that turns invalid fails its response at once."""
+
+    # Callers waited for their deadline: the reader of the body was not told.
+    @pytest.mark.parametrize("path", PATHS)
+    @pytest.mark.parametrize("bad", [b"no size", b"2\r\nabc", b"0\r\nX Y: 1"])
+    async def test_request_fails(self, cluster, daemon, path, bad):
+        async def respond(request):
+            fields = ["Content-Type: text/event-stream"]
+            whole = whole_answer(request, b"", fields=fields)
+            chunked = b"Transfer-Encoding: chunked"
+            request.writer.write(whole.replace(b"Content-Length: 0", chunked))
+            await asyncio.sleep(SPLIT_S)
+            request.writer.write(bad + b"\r\n")
+            await request.sender_left()
+
+        (server,) = cluster.servers
+        server.default = respond
+        async with asyncio.timeout(IN_TIME_S):
+            got = await call(cluster, daemon, path)
+        if path == "/stream/1":
+            assert got is None
+        else:
+            assert got[0] == 502
+
+
 class TestInvalidRefusals:
     """An invalid head does not say that a request was not executed."""
 
--- a/boragetrail/utils/responses.py
+++ b/boragetrail/utils/responses.py
@@ -88,6 +88,18 @@
         if self.transport is not None:
             self.transport.abort()
 
+    def set_exception(self, exc, *causes):
+        """Fail the response, and a body that the parser has refused.
+
+        :param exc: exception that a reader of the head gets
+        :param causes: exception that led to it, if there was one
+        """
+        payload = self._payload
+        is_invalid = isinstance(exc, HttpProcessingError)
+        if is_invalid and payload is not None and not payload.is_eof():
+            payload.set_exception(aiohttp.ClientPayloadError(repr(exc)))
+        super().set_exception(exc, *causes)
+
     def eof_received(self):
         """Complete a body that ends here once the request was taken.
 
