responses: quote no bytes of an invalid response to callers

When a response was refused, the detail of the router's own 502 quoted up to some hundred bytes of it: a line of the head, or what a chunk began with. These bytes belong to no request; they may be those of a late response to another caller.

Cause: the parser's exceptions quote the place that they refuse, and a failure's detail was their text, at routers and at agents.

A connection keeps the kind of the parser's error only, such as BadStatusLine.

--- a/boragetrail/agent/tests/test_backend.py
+++ b/boragetrail/agent/tests/test_backend.py
@@ -187,6 +187,16 @@
         assert got == b""
 
 
+class TestDetails:
+    """A failure's detail, which the caller gets, holds no such bytes."""
+
+    async def test_bytes_are_not_quoted(self, client, cut_server):
+        foreign = b"bytes of another response"
+        cut_server.data = HEAD + foreign + b": 1\r\n\r\n"
+        failure, _ = await run(client)
+        assert foreign.decode() not in failure.detail
+
+
 @pytest.mark.parametrize("size", UPLOAD_BYTES)
 class TestEarlyReset:
     """MIXED: a server answers a long upload early, and resets."""
--- a/boragetrail/direct/tests/test_invalidheads.py
+++ b/boragetrail/direct/tests/test_invalidheads.py
@@ -23,6 +23,15 @@
 # How the body of a response ends.
 FRAMINGS = ["length", "close"]
 STATUSES = [b"200 OK", b"404 Not Found", b"500 Internal Server Error"]
+FOREIGN = b"bytes of another response"
+# Invalid responses that hold these bytes.
+FOREIGN_FORMS = [
+    b"%s\r\n\r\n",
+    b"HTTP/1.1 200 OK\r\n%s: 1\r\n\r\n",
+    b"HTTP/1.1 200 OK\r\nX-Odd: %s\0\r\n\r\n",
+    b"HTTP/1.1 200 OK\r\nContent-Length: %s\r\n\r\n",
+    b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n%s\r\n",
+]
 REFUSALS = ["421 Misdirected Request", "503 Service Unavailable"]
 
 
@@ -322,6 +331,24 @@
             assert got[0] == 502
 
 
+class TestDetails(InvalidHeads):
+    """The router's own error holds no bytes of an invalid response."""
+
+    # They may be those of a response to another caller.
+    @pytest.mark.parametrize("path", PATHS)
+    @pytest.mark.parametrize("form", FOREIGN_FORMS)
+    async def test_bytes_are_not_quoted(self, cluster, daemon, path, form):
+        async def respond(request):
+            request.writer.write(form % FOREIGN)
+            await request.sender_left()
+
+        cluster.servers[0].default = respond
+        async with asyncio.timeout(IN_TIME_S):
+            status, _, body = await call(cluster, daemon, path)
+        assert status == 502
+        assert FOREIGN not in body
+
+
 class TestInvalidRefusals:
     """An invalid head does not say that a request was not executed."""
 
--- a/boragetrail/utils/responses.py
+++ b/boragetrail/utils/responses.py
@@ -94,10 +94,9 @@
         :param exc: exception that a reader of the head gets
         :param causes: exception that led to it, if there was one
         """
-        payload = self._payload
-        is_invalid = isinstance(exc, HttpProcessingError)
-        if is_invalid and payload is not None and not payload.is_eof():
-            payload.set_exception(aiohttp.ClientPayloadError(repr(exc)))
+        if isinstance(exc, HttpProcessingError):
+            exc = self._without_bytes(exc, *causes)
+            self._fail_body(exc)
         super().set_exception(exc, *causes)
 
     def eof_received(self):
@@ -130,6 +129,21 @@
             payload.set_exception(exc)
         super().connection_lost(exc)
 
+    @staticmethod
+    def _without_bytes(exc, *causes):
+        """Return an error that does not quote what the server sent.
+
+        Callers get its text, and the bytes may be for another caller.
+        """
+        if not causes:
+            return exc
+        return HttpProcessingError(message=type(causes[0]).__name__)
+
+    def _fail_body(self, exc):
+        payload = self._payload
+        if payload is not None and not payload.is_eof():
+            payload.set_exception(aiohttp.ClientPayloadError(repr(exc)))
+
     def _take_head(self, status):
         """Return the bytes of a head, or none after that of the response."""
         if not self.awaits_head:
