--- a/boragetrail/utils/responseheads.py
+++ b/boragetrail/utils/responseheads.py
@@ -2,7 +2,8 @@
 
 The parser of ``aiohttp`` is lenient with responses. What it lets through is
 no response to a caller, and no answer to a query: neither its status nor the
-end of its body can be relied on.
+end of its body can be relied on. There is one rule for all of them,
+:func:`head_error`.
 
 .. [1] R. Fielding et al., "HTTP Semantics", RFC 9110, 2022, sections 5 and 15.
 .. [2] R. Fielding et al., "HTTP/1.1", RFC 9112, 2022, section 6.1.
@@ -22,8 +23,6 @@
 CODING_FIELD = b"transfer-encoding"
 # No request accepts another coding. The parser undoes this one.
 CHUNKED = b"chunked"
-
-
 # A line that begins with a blank continues the line before it.
 CONTINUED_LINE = re.compile(rb"\n[ \t]")
 HEAD_END = re.compile(rb"\n\r?\n")
