--- a/boragetrail/direct/tests/conftest.py
+++ b/boragetrail/direct/tests/conftest.py
@@ -13,6 +13,7 @@
 import boragetrail.platform as platform
 from boragetrail.platform.names import HEADER_NAMES
 from boragetrail.settings.direct import DirectSettings
+from boragetrail.utils.calls import make_session
 from standins.httpserver import HttpServer
 from standins.rowstore import RowStore
 
@@ -166,6 +167,12 @@
         self.store.put("servers", server.id, server.entry("apps", **fields))
         return server
 
+    async def remove_server(self):
+        """Stop the last server and remove its entry from the store."""
+        removed = self.servers.pop()
+        self.unlist_server(removed)
+        await removed.close()
+
     def list_server(self, server, cold_s=0.0):
         """List a server that stays cold for some seconds."""
         entry = server.entry("apps", coldLeftMs=round(1000 * cold_s))
@@ -260,6 +267,22 @@
             return response.status, response.headers, await response.read()
 
 
+@pytest.fixture
+async def server():
+    """A server that no store lists."""
+    made = HttpServer()
+    await made.open()
+    yield made
+    await made.close()
+
+
+@pytest.fixture
+async def session():
+    """The session of a router's calls."""
+    async with make_session() as made:
+        yield made
+
+
 @pytest.fixture
 async def cluster():
     """A cluster with two servers and no router."""
--- a/boragetrail/direct/tests/test_cuthead.py
+++ b/boragetrail/direct/tests/test_cuthead.py
@@ -71,9 +71,7 @@
     @pytest.fixture
     async def daemon(self, cluster):
         """A router with one server."""
-        removed = cluster.servers.pop()
-        cluster.unlist_server(removed)
-        await removed.close()
+        await cluster.remove_server()
         return await cluster.add_router()
 
     @pytest.mark.parametrize("framing", FRAMINGS)
--- a/boragetrail/direct/tests/test_earlyreset.py
+++ b/boragetrail/direct/tests/test_earlyreset.py
@@ -21,9 +21,7 @@
     limits["maxBodyBytes"] = MAX_BODY_BYTES
     cluster.store.put("op", "config", configuration(2, limits=limits))
     while cluster.servers:
-        removed = cluster.servers.pop()
-        cluster.unlist_server(removed)
-        await removed.close()
+        await cluster.remove_server()
     made = EarlyServer()
     await made.open()
     cluster.servers.append(made)
--- a/boragetrail/direct/tests/test_endlessqueries.py
+++ b/boragetrail/direct/tests/test_endlessqueries.py
@@ -22,7 +22,6 @@
 from boragetrail.errors import PlatformFailure
 from boragetrail.platform import PlatformEngineClient, PlatformStoreClient
 from boragetrail.store.transport import call
-from boragetrail.utils.calls import make_session
 from boragetrail.utils import split_address
 from standins.httpserver import HttpServer, whole_answer
 
@@ -88,20 +87,6 @@
     return result is None or getattr(result, "parts", None) == []
 
 
-@pytest.fixture
-async def server():
-    made = HttpServer()
-    await made.open()
-    yield made
-    await made.close()
-
-
-@pytest.fixture
-async def session():
-    async with make_session() as made:
-        yield made
-
-
 class TestEndlessResponses:
     """A call ends after a bounded number of bytes."""
 
--- a/boragetrail/direct/tests/test_fuzz.py
+++ b/boragetrail/direct/tests/test_fuzz.py
@@ -272,9 +272,7 @@
         async def serve(request):
             return whole_answer(request, BODY)
 
-        removed = cluster.servers.pop()
-        cluster.store.remove("servers", removed.id)
-        await removed.close()
+        await cluster.remove_server()
         daemon = await cluster.add_router()
         cluster.servers[0].default = serve
         return daemon
--- a/boragetrail/direct/tests/test_invalidheads.py
+++ b/boragetrail/direct/tests/test_invalidheads.py
@@ -123,9 +123,7 @@
     @pytest.fixture
     async def daemon(self, cluster):
         """A router with one server."""
-        removed = cluster.servers.pop()
-        cluster.unlist_server(removed)
-        await removed.close()
+        await cluster.remove_server()
         return await cluster.add_router()
 
     async def check(self, cluster, daemon, path, invalid, kept):
--- a/boragetrail/direct/tests/test_invalidqueries.py
+++ b/boragetrail/direct/tests/test_invalidqueries.py
@@ -10,8 +10,6 @@
     CALLS,
     is_failure,
 )
-from boragetrail.utils.calls import make_session
-from standins.httpserver import HttpServer
 from standins.invalidheads import (
     INVALID_ENDS,
     INVALID_FIELDS,
@@ -23,22 +21,6 @@
 VALID = b"HTTP/1.1 200 OK"
 
 
-@pytest.fixture
-async def server():
-    """A process that answers the calls."""
-    made = HttpServer()
-    await made.open()
-    yield made
-    await made.close()
-
-
-@pytest.fixture
-async def session():
-    """The session of a router's calls."""
-    async with make_session() as made:
-        yield made
-
-
 async def call_and_get(server, session, name, *lines, body=BODY_OF_JSON):
     """Call a process that answers with a head; returns the result.
 
