--- a/boragetrail/direct/tests/test_invalidheads.py
+++ b/boragetrail/direct/tests/test_invalidheads.py
@@ -172,6 +172,21 @@
         await self.check(cluster, daemon, "/order/1", invalid, False)
 
 
+class TestValidStatus(InvalidHeads):
+    """Statuses of HTTP are passed on, also those that have no name."""
+
+    @pytest.mark.parametrize("status", [201, 299, 400, 418, 499, 500, 599])
+    async def test_status_is_passed_on(self, cluster, daemon, status):
+        async def respond(request):
+            return whole_answer(request, SOUND, f"{status} Reason")
+
+        (server,) = cluster.servers
+        server.default = respond
+        got, headers, body = await cluster.call(daemon, "/order/1")
+        assert (got, body) == (status, SOUND)
+        assert HEADER_NAMES.seal in headers
+
+
 class TestRetries:
     """What may be executed again is sent to another server."""
 
