--- a/review/lib3/fleet.py
+++ b/review/lib3/fleet.py
@@ -25,6 +25,7 @@
 HEARTBEAT_S = 1.2
 # Intervals of silence after which the store drops a server's entry.
 LAPSE_INTERVALS = 3
+WINDOW_BYTES = 65536
 BOUNDS = {
     "retry_ratio": 0.2,
     "retry_window_s": 10,
@@ -165,6 +166,8 @@
 class Server:
     """Stand-in of an engine or an application server.
 
+    Channels have a small window, as on the links of the pages.
+
     It listens on a port that it keeps over its runs. ``serve`` is a coroutine
     function that gets the server and a request, writes the answer, and
     returns whether the connection stays open.
@@ -187,6 +190,7 @@
         self.listed = None
         self.written_s = 0.0
         self.rejected = False
+        self.reads_bodies = True
 
     @property
     def address(self):
@@ -210,8 +214,12 @@
     async def start(self):
         """Begin a run: listen, then write the entry at intervals."""
         self.born_ms = int(time.time() * 1000)
+        listening = socket.socket()
+        listening.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+        listening.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, WINDOW_BYTES)
+        listening.bind(("127.0.0.1", self.port))
         self.listener = await asyncio.start_server(
-            self._connection, "127.0.0.1", self.port, backlog=128
+            self._connection, sock=listening, backlog=128
         )
         self.fleet.record.add(f"server {self.name} v{self.version} starts")
         self.beat = asyncio.create_task(self._write_at_intervals())
@@ -256,7 +264,9 @@
             while True:
                 line, fields = await read_head(reader)
                 length = int(fields.get("content-length", 0))
-                body = await reader.readexactly(length)
+                body = b""
+                if self.reads_bodies:
+                    body = await reader.readexactly(length)
                 request = Request(line, fields, body, reader, writer)
                 expected = fields.get("x-boragetrail-expect-instance")
                 if expected not in (None, self.name):
@@ -264,7 +274,11 @@
                     writer.write(data)
                 elif not await self.serve(self, request):
                     break
-        except (asyncio.IncompleteReadError, ConnectionError):
+        except (
+            asyncio.CancelledError,
+            asyncio.IncompleteReadError,
+            ConnectionError,
+        ):
             pass
         finally:
             self.writers.discard(writer)
@@ -478,6 +492,11 @@
             lines.append(f"Content-Length: {len(body)}")
         return "\r\n".join(lines).encode() + HEAD_END
 
+    @staticmethod
+    def reply(request_id):
+        """Return an empty :class:`Reply`."""
+        return Reply(request_id)
+
     async def call(
         self,
         router,
@@ -509,7 +528,7 @@
                     method, path, request_id, deadline_ms, body, fields
                 )
                 writer.write(head + body)
-                await self._read_reply(reader, reply)
+                await self.read_reply(reader, reply)
         except TimeoutError:
             reply.error = "left"
             reply.left_s = time.monotonic()
@@ -521,7 +540,8 @@
         reply.took_s = time.monotonic() - began_s
         return reply
 
-    async def _read_reply(self, reader, reply):
+    async def read_reply(self, reader, reply):
+        """Read an answer; what has arrived of it stays in the reply."""
         line, reply.fields = await read_head(reader)
         reply.status = int(line.split(" ")[1])
         if reply.fields.get("transfer-encoding") == "chunked":
