--- a/review/lib3/streams.py
+++ b/review/lib3/streams.py
@@ -3,13 +3,14 @@
 import asyncio
 import collections
 import re
+import time
 
 from fleet import NAMES, configuration, route
 
 ZONES = ("a", "b", "c")
 SLOTS = 64
-EVENTS = 24
-EVENT_S = 0.05
+EVENTS = 12
+EVENT_S = 0.1
 DEADLINE_MS = 8000
 # Time after the start until the routers know each other.
 SETTLE_S = 5.0
@@ -74,12 +75,12 @@
         replies.append(reply)
 
     async def send():
-        number = 0
+        began_s = time.monotonic()
         while True:
-            router = fleet.routers[number % len(fleet.routers)]
-            tasks.append(asyncio.create_task(client(router)))
-            number += 1
-            await asyncio.sleep(1 / per_s)
+            while len(tasks) < per_s * (time.monotonic() - began_s):
+                router = fleet.routers[len(tasks) % len(fleet.routers)]
+                tasks.append(asyncio.create_task(client(router)))
+            await asyncio.sleep(0.003)
 
     sender = asyncio.create_task(send())
     await asyncio.sleep(2.0)
