--- a/review/13/case.py
+++ b/review/13/case.py
@@ -1,6 +1,7 @@
 """A part of a prompt crashes engines some events into their answers."""
 
 import asyncio
+import os
 import pathlib
 import sys
 import time
@@ -157,4 +158,6 @@
 
 
 if __name__ == "__main__":
-    sys.exit(run(main, pathlib.Path(__file__).with_name("record.txt")))
+    trouble = os.environ.get("TROUBLE", "1") != "0"
+    record = pathlib.Path(__file__).with_name("record.txt")
+    sys.exit(run(main, trouble, record))
--- a/review/lib3/fleet.py
+++ b/review/lib3/fleet.py
@@ -557,14 +557,14 @@
         reply.complete = True
 
 
-def run(main, record_path):
+def run(main, trouble, record_path):
     """Run a case; returns the exit status.
 
     :param main: coroutine function that gets a :class:`Fleet` and whether
         the disruption happens, and returns whether the rule was broken
+    :param trouble: whether the disruption happens
     """
     fleet = Fleet(record_path)
-    trouble = os.environ.get("TROUBLE", "1") != "0"
 
     async def case():
         try:
